--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# Targets set up what they need: a machine with Python 3.11, pip, make and a
+# C compiler is enough.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+export PYTHONPATH := $(CURDIR)/packages/lentilbeam-core/src:$(CURDIR)/packages/lentilbeam-router/src:$(CURDIR)/packages/lentilbeam-cli/src:$(CURDIR)
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: setup test lint format demo golden bench bench-path bench-fairness bench-slopes
+
+setup: $(READY)
+
+$(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+	  --editable packages/lentilbeam-core \
+	  --editable packages/lentilbeam-router \
+	  --editable packages/lentilbeam-cli
+	touch $(READY)
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python tools/check_imports.py packages tests bench demo tools
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+golden: setup
+	RENEW_GOLDEN=1 $(BIN)/python -m pytest tests/golden
+
+demo: setup
+	$(BIN)/python -m demo
+
+bench: bench-path bench-fairness bench-slopes
+
+bench-path: setup
+	$(BIN)/python -m bench.path
+
+bench-fairness: setup
+	$(BIN)/python -m bench.fairness
+
+bench-slopes: setup
+	$(BIN)/python -m bench.slopes
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole fleet on loopback under load and faults."""
--- /dev/null
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The lentilbeam command line for operators."""
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the lentilbeam router fleet, free of I/O and of clock reads."""
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/clock.py
@@ -0,0 +1,47 @@
+"""The clock interface that everything time-dependent is given."""
+
+import datetime
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of monotonic and wall-clock time."""
+
+    def monotonic(self) -> float:
+        """Returns seconds on a clock that never goes back."""
+
+    def now(self) -> datetime.datetime:
+        """Returns the wall-clock time in UTC."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def monotonic(self) -> float:
+        """Returns seconds since an arbitrary start."""
+        return time.monotonic()
+
+    def now(self) -> datetime.datetime:
+        """Returns the wall-clock time in UTC."""
+        return datetime.datetime.now(datetime.UTC)
+
+
+class ManualClock:
+    """A clock that moves only when told to, for tests and emulation."""
+
+    def __init__(self, start: datetime.datetime):
+        self.start = start
+        self.elapsed_s = 0.0
+
+    def monotonic(self) -> float:
+        """Returns the seconds advanced so far."""
+        return self.elapsed_s
+
+    def now(self) -> datetime.datetime:
+        """Returns the start time plus the seconds advanced so far."""
+        return self.start + datetime.timedelta(seconds=self.elapsed_s)
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock forward by `seconds`."""
+        self.elapsed_s += seconds
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/__init__.py
@@ -0,0 +1,1 @@
+"""The lentilbeam router daemon."""
--- /dev/null
+++ b/tests/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behaviour tests, one feature for each promise."""
--- /dev/null
+++ b/tests/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Failure tests with real processes on loopback."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside lentilbeam."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Unit and property tests."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Checks that the build runs."""
