--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -1,1 +1,1 @@
-"""A whole fleet on loopback under load and faults."""
+"""Demonstration of the whole fleet as plain processes on loopback."""
--- /dev/null
+++ b/demo/catalogue.py
@@ -0,0 +1,124 @@
+"""The demonstration's catalogue: 16 workspaces in two classes."""
+
+import dataclasses
+import json
+import pathlib
+from typing import Any
+
+from demo import orders
+
+OWNER = "demo"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSpec:
+    """One target to be listed in a pool."""
+
+    name: str
+    url: str
+    data_centre: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceSpec:
+    """A workspace and its load.
+
+    Attributes:
+        loops: assistant requests that it keeps in flight at once.
+        is_backlogged: whether that is more than its share can serve.
+    """
+
+    name: str
+    class_name: str
+    weight: float
+    loops: int
+    is_backlogged: bool
+
+
+CLASSES = {"studio": 1.0, "chain": 2.0}
+SMALL_LOOPS = 1
+BACKLOGGED_LOOPS = {"studio": 3, "chain": 6}
+FLOOD_LOOPS = 24
+FLOODING = "waxford"
+SMALL = ("ashby", "birchrow", "cove", "duneside")
+STUDIOS = (
+    "elmfield",
+    "fairlawn",
+    "greyholm",
+    "harbour",
+    "inverleith",
+    "juniper",
+    "kelpstrand",
+    FLOODING,
+)
+CHAINS = ("lakeshore", "marram", "northlinks", "oystercatcher")
+
+
+def list_workspaces() -> list[WorkspaceSpec]:
+    """Returns the workspaces and their loads."""
+    small = [
+        WorkspaceSpec(name, "studio", CLASSES["studio"], SMALL_LOOPS, False)
+        for name in SMALL
+    ]
+    backlogged = [
+        WorkspaceSpec(
+            name=name,
+            class_name=class_name,
+            weight=CLASSES[class_name],
+            loops=(
+                FLOOD_LOOPS
+                if name == FLOODING
+                else BACKLOGGED_LOOPS[class_name]
+            ),
+            is_backlogged=True,
+        )
+        for class_name, names in (("studio", STUDIOS), ("chain", CHAINS))
+        for name in names
+    ]
+    return small + backlogged
+
+
+def build_entries(
+    workspaces: list[WorkspaceSpec],
+    engines: list[TargetSpec],
+    bookings: list[TargetSpec],
+) -> list[dict[str, Any]]:
+    """Returns the entries in the catalogue's JSON form."""
+    classes = [
+        {"kind": "class", "name": name, "owner": OWNER, "weight": weight}
+        for name, weight in CLASSES.items()
+    ]
+    members = [
+        {
+            "kind": "workspace",
+            "name": each.name,
+            "owner": OWNER,
+            "class": each.class_name,
+            "limits": {"queue_length": 64, "largest_request": 4096.0},
+        }
+        for each in workspaces
+    ]
+    pools = [
+        _build_pool(orders.ASSISTANT_POOL, "model", engines, ["generate"]),
+        _build_pool(orders.BOOKINGS_POOL, "plain", bookings, ["lookup"]),
+    ]
+    return [*classes, *members, *pools]
+
+
+def _build_pool(
+    name: str, service: str, targets: list[TargetSpec], calls: list[str]
+) -> dict[str, Any]:
+    return {
+        "kind": "pool",
+        "name": name,
+        "owner": OWNER,
+        "service": service,
+        "targets": [dataclasses.asdict(target) for target in targets],
+        "idempotent_calls": calls,
+    }
+
+
+def write_file(path: pathlib.Path, entries: list[dict[str, Any]]) -> None:
+    """Writes a change for `lentilbeam apply`."""
+    path.write_text(json.dumps({"entries": entries}, indent=2))
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,222 @@
+"""A whole fleet on loopback: platform, targets, routers and catalogue."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import pathlib
+from typing import Any
+
+import httpx
+
+from demo import addresses
+from demo import catalogue
+from demo import processes
+
+APPLY_TIMEOUT_S = 30.0
+LOG = "log"
+INSTANCES = "instances"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Size and speeds of a fleet.
+
+    Attributes:
+        routers: number of routers, spread over the data centres in turn.
+        tokens_per_s: speed of one engine slot.
+        busy_ms: busy time of one bookings call.
+        list_lag_s: lag of the platform's instance list.
+    """
+
+    data_centres: tuple[str, ...] = ("east", "north", "west")
+    routers: int = 7
+    engines: int = 5
+    engine_slots: int = 4
+    tokens_per_s: float = 100.0
+    bookings: int = 2
+    bookings_slots: int = 8
+    busy_ms: float = 30.0
+    list_lag_s: float = 1.0
+    limits: dict[str, Any] = dataclasses.field(
+        default_factory=lambda: {"address_ttl_s": 2.0}
+    )
+
+
+class Fleet:
+    """The running processes and what they are called."""
+
+    def __init__(self, settings: Settings, folder: pathlib.Path):
+        self.settings = settings
+        self.folder = folder
+        self.processes = processes.Processes(folder)
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.engines: list[catalogue.TargetSpec] = []
+        self.bookings: list[catalogue.TargetSpec] = []
+        self.ports: list[int] = []
+        self.http = httpx.AsyncClient(trust_env=False)
+
+    async def start(self, workspaces: list[catalogue.WorkspaceSpec]) -> None:
+        """Starts everything and waits until all routers are ready.
+
+        Raises:
+            StartError: something did not get ready.
+        """
+        settings = self.settings
+        stand_ins = 2 + settings.engines + settings.bookings
+        ports = stand_ins + 2 * settings.routers
+        self.ports = processes.find_free_ports(ports)
+        await self._start_stand_ins()
+        await self._start_routers()
+        await self._publish(workspaces)
+        await self._wait_for_all(list(self.rows), "/ready")
+
+    async def close(self) -> None:
+        """Stops the routers, then the rest, and waits for their ends."""
+        everything = list(self.processes.all)
+        routers = [name for name in everything if name in self.rows]
+        others = [name for name in everything if name not in self.rows]
+        await self.processes.stop(routers)
+        await self.processes.stop(others)
+        await self.http.aclose()
+
+    def list_addresses(self) -> list[addresses.Address]:
+        """Returns the addresses that callers know beforehand."""
+        return [
+            addresses.Address(name, row["url"])
+            for name, row in self.rows.items()
+        ]
+
+    async def list_instance(self, name: str, state: str) -> None:
+        """Puts a router on the platform's list in the given state."""
+        row = self.rows[name] | {"state": state}
+        url = f"{self._url(INSTANCES)}/instances/{name}"
+        (await self.http.put(url, json=row)).raise_for_status()
+
+    async def unlist_instance(self, name: str) -> None:
+        """Takes a router off the platform's list."""
+        url = f"{self._url(INSTANCES)}/instances/{name}"
+        (await self.http.delete(url)).raise_for_status()
+
+    async def read_counts(self) -> dict[str, int]:
+        """Returns how often each booking ran, summed over the services."""
+        total: collections.Counter[str] = collections.Counter()
+        for target in self.bookings:
+            answer = await self.http.get(f"{target.url}/counts")
+            total.update(answer.json())
+        return dict(total)
+
+    def _url(self, name: str) -> str:
+        return self.processes.all[name].url
+
+    def _start_stand_in(self, name: str, module: str, *flags: str) -> str:
+        port = self.ports.pop()
+        url = f"http://{processes.HOST}:{port}"
+        self.processes.start(
+            name,
+            url,
+            f"tests.standins.{module}",
+            f"--host={processes.HOST}",
+            f"--port={port}",
+            *flags,
+        )
+        return url
+
+    def _start_targets(
+        self, module: str, count: int, slots: int, *flags: str
+    ) -> list[catalogue.TargetSpec]:
+        targets = []
+        centres = self.settings.data_centres
+        for number in range(count):
+            name = f"{module}-{number + 1}"
+            url = self._start_stand_in(name, module, f"--slots={slots}", *flags)
+            centre = centres[number % len(centres)]
+            targets.append(catalogue.TargetSpec(name, url, centre, slots))
+        return targets
+
+    async def _start_stand_ins(self) -> None:
+        settings = self.settings
+        self._start_stand_in(LOG, "log")
+        self._start_stand_in(
+            INSTANCES, "instances", f"--lag_s={settings.list_lag_s}"
+        )
+        self.engines = self._start_targets(
+            "engine",
+            settings.engines,
+            settings.engine_slots,
+            f"--tokens_per_s={settings.tokens_per_s}",
+        )
+        self.bookings = self._start_targets(
+            "bookings",
+            settings.bookings,
+            settings.bookings_slots,
+            f"--busy_ms={settings.busy_ms}",
+        )
+        targets = [target.name for target in self.engines + self.bookings]
+        await asyncio.gather(
+            self._wait_for_all([LOG], "/streams/ready/records"),
+            self._wait_for_all([INSTANCES], "/instances"),
+            self._wait_for_all(targets, "/v1/load"),
+        )
+
+    async def _start_routers(self) -> None:
+        for number in range(self.settings.routers):
+            name = f"router-{number + 1}"
+            settings = self._build_router_settings(name, number)
+            path = self.folder / f"{name}.json"
+            path.write_text(json.dumps(settings, indent=2))
+            url = self.rows[name]["url"]
+            self.processes.start(
+                name, url, "lentilbeam_router", f"--settings={path}"
+            )
+        for name in self.rows:
+            await self.list_instance(name, "live")
+        await self._wait_for_all(list(self.rows), "/health")
+
+    def _build_router_settings(self, name: str, number: int) -> dict[str, Any]:
+        centres = self.settings.data_centres
+        centre = centres[number % len(centres)]
+        http, peer = self.ports.pop(), self.ports.pop()
+        self.rows[name] = {
+            "name": name,
+            "data_centre": centre,
+            "state": "live",
+            "url": f"http://{processes.HOST}:{http}",
+            "peer_host": processes.HOST,
+            "peer_port": peer,
+        }
+        return {
+            "instance": name,
+            "data_centre": centre,
+            "http": {"host": processes.HOST, "port": http},
+            "peer": {"host": processes.HOST, "port": peer},
+            "platform": {
+                "log_url": self._url(LOG),
+                "instance_list_url": self._url(INSTANCES),
+            },
+            "limits": self.settings.limits,
+        }
+
+    async def _publish(self, workspaces: list[catalogue.WorkspaceSpec]) -> None:
+        path = self.folder / "catalogue.json"
+        entries = catalogue.build_entries(
+            workspaces, self.engines, self.bookings
+        )
+        catalogue.write_file(path, entries)
+        process = self.processes.start(
+            "apply",
+            "",
+            "lentilbeam_cli",
+            "apply",
+            str(path),
+            "--wait",
+            f"--log_url={self._url(LOG)}",
+            f"--instances_url={self._url(INSTANCES)}",
+        )
+        if await process.wait(APPLY_TIMEOUT_S) != 0:
+            raise processes.StartError(f"apply:\n{process.read_tail()}")
+
+    async def _wait_for_all(self, names: list[str], path: str) -> None:
+        await asyncio.gather(
+            *(self.processes.wait_ready(name, path) for name in names)
+        )
--- /dev/null
+++ b/demo/load.py
@@ -0,0 +1,165 @@
+"""The mixed load: loops of callers, and samples of the engines' load."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import random
+
+import httpx
+
+from demo import addresses
+from demo import caller as caller_lib
+from demo import catalogue
+from demo import orders
+from lentilbeam_core import clock as clock_lib
+
+THINK_S = 0.3
+SAMPLE_S = 0.25
+DEADLINE_MS = 20_000
+MIN_TOKENS = 40
+MAX_TOKENS = 160
+STREAMED_SHARE = 0.7
+LOOKUP_SHARE = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of the load.
+
+    Attributes:
+        window_s: new requests are started for this long.
+        seed: seed of the callers' choices.
+    """
+
+    window_s: float = 20.0
+    seed: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Requests that ran on, and waited at, all engines at one moment."""
+
+    at: float
+    running: int
+    waiting: int
+
+
+@dataclasses.dataclass(slots=True)
+class Outcomes:
+    """What the load brought about.
+
+    Attributes:
+        untyped: errors of requests that ended without a typed outcome.
+    """
+
+    started_at: float
+    ended_at: float
+    results: list[caller_lib.Result] = dataclasses.field(default_factory=list)
+    untyped: list[str] = dataclasses.field(default_factory=list)
+    samples: list[Sample] = dataclasses.field(default_factory=list)
+
+
+MakeOrder = Callable[[], orders.Order]
+
+
+class Load:
+    """All callers' loops."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: clock_lib.Clock,
+        first: list[addresses.Address],
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.first = first
+        self.rng = random.Random(settings.seed)
+        started_at = clock.monotonic()
+        ended_at = started_at + settings.window_s
+        self.outcomes = Outcomes(started_at, ended_at)
+
+    async def run(
+        self,
+        workspaces: list[catalogue.WorkspaceSpec],
+        engines: list[catalogue.TargetSpec],
+    ) -> Outcomes:
+        """Runs all loops until the window is over and all requests ended."""
+        callers = [self._make_caller() for _ in workspaces]
+        loops: list[Awaitable] = [self._sample(engines)]
+        for workspace, caller in zip(workspaces, callers, strict=True):
+            loops += self._list_loops(workspace, caller)
+        await asyncio.gather(*loops)
+        for caller in callers:
+            await caller.close()
+        return self.outcomes
+
+    def _make_caller(self) -> caller_lib.Caller:
+        first = list(self.first)
+        self.rng.shuffle(first)
+        return caller_lib.Caller(self.clock, first, caller_lib.Settings())
+
+    def _list_loops(
+        self, workspace: catalogue.WorkspaceSpec, caller: caller_lib.Caller
+    ) -> list[Awaitable]:
+        def make_assistant() -> orders.Order:
+            return orders.make_assistant_order(
+                orders.make_uuid7(self.clock, self.rng),
+                workspace.name,
+                self.rng.randint(MIN_TOKENS, MAX_TOKENS),
+                is_streamed=self.rng.random() < STREAMED_SHARE,
+                deadline_ms=DEADLINE_MS,
+            )
+
+        def make_booking() -> orders.Order:
+            is_lookup = self.rng.random() < LOOKUP_SHARE
+            return orders.make_booking_order(
+                orders.make_uuid7(self.clock, self.rng),
+                workspace.name,
+                "lookup" if is_lookup else "book",
+                is_idempotent=is_lookup,
+                deadline_ms=DEADLINE_MS,
+            )
+
+        think_s = 0.0 if workspace.is_backlogged else THINK_S
+        assistants = [
+            self._repeat(caller, make_assistant, think_s)
+            for _ in range(workspace.loops)
+        ]
+        return [*assistants, self._repeat(caller, make_booking, THINK_S)]
+
+    async def _repeat(
+        self, caller: caller_lib.Caller, make_order: MakeOrder, think_s: float
+    ) -> None:
+        while self.clock.monotonic() < self.outcomes.ended_at:
+            await self._run_one(caller, make_order())
+            await asyncio.sleep(think_s)
+
+    async def _run_one(
+        self, caller: caller_lib.Caller, order: orders.Order
+    ) -> None:
+        try:
+            self.outcomes.results.append(await caller.run(order))
+        except Exception as error:  # noqa: BLE001 - counted as a failure.
+            fault = f"{order.workspace}/{order.request_id}: {error!r}"
+            self.outcomes.untyped.append(fault)
+
+    async def _sample(self, engines: list[catalogue.TargetSpec]) -> None:
+        async with httpx.AsyncClient(trust_env=False) as http:
+            while self.clock.monotonic() < self.outcomes.ended_at:
+                await self._sample_once(http, engines)
+                await asyncio.sleep(SAMPLE_S)
+
+    async def _sample_once(
+        self, http: httpx.AsyncClient, engines: list[catalogue.TargetSpec]
+    ) -> None:
+        urls = [f"{engine.url}/v1/load" for engine in engines]
+        answers = await asyncio.gather(*(http.get(url) for url in urls))
+        loads = [answer.json() for answer in answers]
+        sample = Sample(
+            at=self.clock.monotonic(),
+            running=sum(load["running"] for load in loads),
+            waiting=sum(load["waiting"] for load in loads),
+        )
+        self.outcomes.samples.append(sample)
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import signal
 from typing import Any
 
 from absl import app
@@ -156,6 +157,9 @@
     """Parses the flags and serves the application until SIGTERM."""
 
     def main(_: list[str]) -> None:
+        # Uvicorn stops on SIGTERM and then raises it again for whoever
+        # handled it before; the exit status is to be 0.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         uvicorn.run(
             _make_droppable(build(clock_lib.SystemClock())),
             host=HOST.value,
