--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import logging
 import pathlib
 import sys
 import tempfile
@@ -107,6 +108,7 @@
 
 def main(_: list[str]) -> None:
     """Runs the demonstration in a temporary folder."""
+    logging.getLogger("httpx").setLevel(logging.WARNING)
     with tempfile.TemporaryDirectory(prefix="lentilbeam-demo-") as folder:
         status = asyncio.run(run_demo(pathlib.Path(folder), WINDOW_S.value))
     sys.exit(status)
--- a/demo/addresses.py
+++ b/demo/addresses.py
@@ -1,5 +1,6 @@
 """A caller's view of which router to use."""
 
+import asyncio
 import dataclasses
 
 import httpx
@@ -35,11 +36,13 @@
         self.known = list(first)
         self.first = list(first)
         self.kept_until = float("-inf")
+        self.lock = asyncio.Lock()
 
     async def pick(self) -> Address:
         """Returns the address to use now."""
-        if self.clock.monotonic() >= self.kept_until:
-            await self._refresh()
+        async with self.lock:
+            if self.clock.monotonic() >= self.kept_until:
+                await self._refresh()
         return self.known[0]
 
     def put_last(self, address: Address) -> None:
