--- a/demo/catalogue.py
+++ b/demo/catalogue.py
@@ -8,6 +8,7 @@
 from demo import orders
 
 OWNER = "demo"
+LARGEST_REQUEST_TOKENS = 4096.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
     weight: float
     loops: int
     is_backlogged: bool
+    queue_length: int = 64
 
 
 CLASSES = {"studio": 1.0, "chain": 2.0}
@@ -95,7 +97,10 @@
             "name": each.name,
             "owner": OWNER,
             "class": each.class_name,
-            "limits": {"queue_length": 64, "largest_request": 4096.0},
+            "limits": {
+                "queue_length": each.queue_length,
+                "largest_request": LARGEST_REQUEST_TOKENS,
+            },
         }
         for each in workspaces
     ]
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -27,6 +27,8 @@
         tokens_per_s: speed of one engine slot.
         busy_ms: busy time of one bookings call.
         list_lag_s: lag of the platform's instance list.
+        limits: the `limits` of the routers' settings.
+        router_command: what `python -m` gets for a router, but its settings.
     """
 
     data_centres: tuple[str, ...] = ("east", "north", "west")
@@ -41,6 +43,7 @@
     limits: dict[str, Any] = dataclasses.field(
         default_factory=lambda: {"address_ttl_s": 2.0}
     )
+    router_command: tuple[str, ...] = ("lentilbeam_router",)
 
 
 class Fleet:
@@ -167,7 +170,10 @@
             path.write_text(json.dumps(settings, indent=2))
             url = self.rows[name]["url"]
             self.processes.start(
-                name, url, "lentilbeam_router", f"--settings={path}"
+                name,
+                url,
+                *self.settings.router_command,
+                f"--settings={path}",
             )
         for name in self.rows:
             await self.list_instance(name, "live")
