Thin node: fair scheduler per pool, grants, reports, heartbeats

Conclusion: messages carry sessions chosen by the router in place of terms chosen by the scheduler, so grants of another session are void.

--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/channel.py
@@ -0,0 +1,81 @@
+"""Copies of keyed state over datagrams that may be lost or reordered.
+
+Every message lists all that changed since the last acknowledged one, so
+any single one brings the receiver up to date.
+"""
+
+from collections.abc import Hashable
+import math
+
+
+class StateSender:
+    """The sender's side: knows what the receiver may not have yet."""
+
+    def __init__(self):
+        self.sequence = 0
+        self.acknowledged = 0
+        self.values: dict[Hashable, object] = {}
+        self.changed: dict[Hashable, int] = {}
+        self.wanted_at = math.inf
+        self.sent_at = -math.inf
+
+    def put(self, key: Hashable, value: object, due: float) -> bool:
+        """Sets the value of `key`; returns whether that is a change.
+
+        A change is sent by `due`, in monotonic seconds.
+        """
+        if self.values.get(key) == value:
+            return False
+        self.values[key] = value
+        self.changed[key] = self.sequence + 1
+        self.want(due)
+        return True
+
+    def want(self, due: float) -> None:
+        """Asks for a message by `due`, even one that lists nothing."""
+        self.wanted_at = min(self.wanted_at, due)
+
+    def collect(self, now: float) -> list[object]:
+        """Returns the values for the next message and counts it as sent."""
+        self.sequence += 1
+        self.sent_at = now
+        self.wanted_at = math.inf
+        return [self.values[key] for key in self.changed]
+
+    def acknowledge(self, sequence: int) -> list[Hashable] | None:
+        """Returns the keys whose value has arrived, or None if no news."""
+        if not self.acknowledged < sequence <= self.sequence:
+            return None
+        self.acknowledged = sequence
+        arrived = [k for k, s in self.changed.items() if s <= sequence]
+        for key in arrived:
+            del self.changed[key]
+        return arrived
+
+    def due(self, batch_s: float, resend_s: float) -> float:
+        """Returns when to send next; infinite if all is acknowledged."""
+        wanted_at = max(self.wanted_at, self.sent_at + batch_s)
+        if not self.changed:
+            return wanted_at
+        return min(wanted_at, self.sent_at + resend_s)
+
+
+class StateReceiver:
+    """The receiver's side: drops what is old and acknowledges what is whole."""
+
+    def __init__(self):
+        self.latest = 0
+        self.parts_seen: set[int] = set()
+        self.complete = 0
+
+    def accept(self, sequence: int, part: int, parts: int) -> bool:
+        """Returns whether the message is to be taken in."""
+        if sequence < self.latest or sequence == self.complete:
+            return False
+        if sequence > self.latest:
+            self.latest = sequence
+            self.parts_seen = set()
+        self.parts_seen.add(part)
+        if len(self.parts_seen) == parts:
+            self.complete = sequence
+        return True
--- a/packages/lentilbeam-core/src/lentilbeam_core/membership.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/membership.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import math
 
 from lentilbeam_core import events
 from lentilbeam_core import ids
@@ -26,10 +27,13 @@
     """Settings of membership.
 
     Attributes:
-        silence_s: a peer unheard for this long is unreachable.
+        silence_s: a pool's scheduler unheard for this long is unreachable.
+        missed_beats: any peer that is overdue by this many of the
+            heartbeat intervals that it announced is unreachable.
     """
 
-    silence_s: float = 0.35
+    silence_s: float = 0.36
+    missed_beats: float = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,7 +42,9 @@
 
     incarnation: ids.Incarnation = ids.Incarnation(0)
     last_heard: float = float("-inf")
+    interval_s: float = 0.0
     said_leaving: bool = False
+    is_ready: bool = False
     catalogue_offset: ids.Offset = ids.Offset(0)
 
 
@@ -69,17 +75,42 @@
         was_restarted = beat.incarnation > peer.incarnation
         peer.incarnation = beat.incarnation
         peer.last_heard = now
+        peer.interval_s = beat.interval_ms / 1000
         peer.said_leaving = beat.leaving
+        peer.is_ready = beat.is_ready
         peer.catalogue_offset = beat.catalogue_offset
         return was_restarted
 
+    def hear_any(self, sender: ids.InstanceId, now: float) -> None:
+        """Takes any other message as a sign of life of a known peer."""
+        peer = self.peers.get(sender)
+        if peer is not None:
+            peer.last_heard = max(peer.last_heard, now)
+
+    def suspect(self, name: ids.InstanceId) -> None:
+        """Takes the peer for unreachable until it is heard again."""
+        peer = self.peers.get(name)
+        if peer is not None:
+            peer.last_heard = float("-inf")
+
+    def bound_s(self, peer: Peer) -> float:
+        """Returns the silence after which `peer` is unreachable."""
+        missed_s = self.settings.missed_beats * peer.interval_s
+        return max(self.settings.silence_s, missed_s)
+
+    def next_silence(self, now: float) -> float:
+        """Returns when the next peer falls silent; infinite if none can."""
+        ends = (p.last_heard + self.bound_s(p) for p in self.peers.values())
+        margin_s = 1e-6
+        return min((e + margin_s for e in ends if e >= now), default=math.inf)
+
     def state(self, name: ids.InstanceId, now: float) -> PeerState:
         """Returns what is believed of the instance `name`."""
         listed = self.listed.get(name)
         if name == self.me:
             return PeerState.LEAVING if self.is_leaving else PeerState.LIVE
         peer = self.peers.get(name, Peer())
-        is_heard = now - peer.last_heard <= self.settings.silence_s
+        is_heard = now - peer.last_heard <= self.bound_s(peer)
         if peer.said_leaving and (is_heard or listed):
             return PeerState.LEAVING
         if listed and listed.state is events.ListedState.LEAVING:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -17,14 +17,18 @@
     Attributes:
         incarnation: the sender's start.
         leaving: whether the sender was told to stop.
+        is_ready: whether the sender has a catalogue and may take a role.
         catalogue_offset: offset of the catalogue in force at the sender.
-        stamp: hybrid logical clock stamp, see `hlc`.
+        interval_ms: the sender's next heartbeat comes within this time.
+        stamp: hybrid logical clock stamp, see `hlc`; set by the driver.
     """
 
     incarnation: ids.Incarnation
     leaving: bool
+    is_ready: bool
     catalogue_offset: ids.Offset
-    stamp: int
+    interval_ms: int
+    stamp: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,16 +36,27 @@
     """One workspace's demand at one router.
 
     Attributes:
+        workspace: whose demand.
         queued: requests that wait at the router.
         oldest_age_ms: how long the oldest of them has waited.
         served: cumulative service given by this router incarnation, in
             cost units, with what running requests have used so far.
+        next_cost: estimated cost of the next request in the queue.
+        preferred: target that likely caches the next request's prefix, or "".
+        virtual_time: highest virtual time seen in grants; only in the first
+            report of a session.
+        unsettled: part of `served` that no scheduler has acknowledged; only
+            in the first report of a session.
     """
 
     workspace: ids.WorkspaceId
     queued: int
     oldest_age_ms: int
     served: float
+    next_cost: float
+    preferred: str = ""
+    virtual_time: float = 0.0
+    unsettled: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,41 +64,76 @@
     """What a router does with slots of one target for one workspace.
 
     Attributes:
-        granted: the highest cumulative grant seen in this term.
-        running: requests of the workspace on the target now.
-        closed: cumulative grants of this term that are used up: ended,
-            returned or expired. `granted - closed` are outstanding.
+        target: where.
+        workspace: for whom.
+        granted: highest cumulative grant seen in this session.
+        spent: cumulative grants of this session that were used or returned.
+        running: requests of the workspace on the target now, whatever
+            permitted them.
         estimate: cost still expected of the running requests.
     """
 
     target: ids.TargetId
     workspace: ids.WorkspaceId
     granted: int
+    spent: int
     running: int
-    closed: int
     estimate: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetUse:
+    """How a target treated a router's requests.
+
+    Attributes:
+        target: which target.
+        completed: requests that it completed since the last failure, up to
+            a small number.
+        failed: cumulative requests that it failed or that did not reach it.
+        is_draining: whether it told this router that it is leaving.
+    """
+
+    target: ids.TargetId
+    completed: int
+    failed: int
+    is_draining: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandReport:
     """A router's demand on one pool, sent to the pool's scheduler.
 
+    A report lists all that changed since the last acknowledged report. One
+    that is too long for a datagram is sent as `parts` parts of one sequence.
+
     Attributes:
-        term: the scheduler term that the router follows; 0 for none.
-        sequence: grows by one with each report of the incarnation.
-        acknowledged: highest `GrantUpdate.sequence` seen in the term.
-        is_full: whether all state is listed, not only what changed since
-            the last acknowledged report.
+        pool: which pool.
+        incarnation: the sender's start.
+        session: identifies the time that the router has followed this
+            scheduler without a break; grants of other sessions are void.
+        sequence: grows by one with each report of the session.
+        part: number of this part, from 0.
+        parts: number of parts.
+        acknowledged: highest `GrantUpdate.sequence` seen in the session.
+        is_full: whether all state since the session's start is listed.
+        floor: highest `GrantUpdate.floor` seen; only in full reports.
+        workspaces: changed demands.
+        slots: changed uses of slots.
+        targets: changed experience with targets.
     """
 
     pool: ids.PoolId
     incarnation: ids.Incarnation
-    term: int
+    session: int
     sequence: int
+    part: int
+    parts: int
     acknowledged: int
     is_full: bool
+    floor: float
     workspaces: tuple[WorkspaceDemand, ...]
     slots: tuple[SlotUse, ...]
+    targets: tuple[TargetUse, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,7 +141,9 @@
     """Cumulative permission to start requests of a workspace on a target.
 
     Attributes:
-        granted: total of grants in this term to the receiver.
+        workspace: whose requests.
+        target: where.
+        granted: total of grants in this session.
         virtual_time: the workspace's virtual time, kept by routers for
             the next scheduler.
     """
@@ -102,21 +154,42 @@
     virtual_time: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedElsewhere:
+    """How many requests of a workspace wait at other routers."""
+
+    workspace: ids.WorkspaceId
+    queued: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantUpdate:
     """A pool scheduler's grants to one router.
 
     Attributes:
-        term: identifies one activation of one scheduler; later is higher.
-        sequence: grows by one with each update to this router in the term.
-        acknowledged: highest `DemandReport.sequence` taken in.
+        pool: which pool.
+        session: the receiver's session that the grants belong to.
+        sequence: grows by one with each update to this router in the
+            session.
+        part: number of this part, from 0.
+        parts: number of parts.
+        acknowledged: highest `DemandReport.sequence` wholly taken in.
+        needs_full: asks the router to begin a new session.
+        floor: least virtual time of workspaces that wait; monotone.
+        grants: changed grants.
+        queues: changed totals of workspaces near their queue limit.
     """
 
     pool: ids.PoolId
-    term: int
+    session: int
     sequence: int
+    part: int
+    parts: int
     acknowledged: int
+    needs_full: bool
+    floor: float
     grants: tuple[Grant, ...]
+    queues: tuple[QueuedElsewhere, ...]
 
 
 PeerMessage = Heartbeat | DemandReport | GrantUpdate
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -0,0 +1,538 @@
+"""The soft scheduler of one pool: turns demand reports into grants.
+
+All of its state is rebuilt from the routers' reports, so it may be lost, or
+held twice for a while, without harm beyond a moment's unfairness.
+"""
+
+import dataclasses
+import math
+
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import events
+from lentilbeam_core import ids
+from lentilbeam_core import messages
+from lentilbeam_core import sessions
+from lentilbeam_core import slots
+from lentilbeam_core import virtual_time
+
+MAX_ITEMS = 32
+"""List items in one datagram."""
+SCAN_LIMIT = 8
+QUEUE_STEPS = 8
+FULL_INTERVAL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of a pool's scheduler.
+
+    Attributes:
+        batch_s: least time between two updates to a router.
+        acknowledge_s: how long an acknowledgement may wait for company.
+        resend_s: unacknowledged grants are sent again after this time.
+        rebuild_s: how long a new scheduler waits for full reports.
+        wake_grace_s: a queue that was empty for less keeps its place.
+        in_flight_factor: a workspace that competes holds at most this many
+            times its share of the slots.
+        book: settings of the use of slots.
+    """
+
+    batch_s: float = 0.002
+    acknowledge_s: float = 0.02
+    resend_s: float = 0.05
+    rebuild_s: float = 0.15
+    wake_grace_s: float = 0.05
+    in_flight_factor: float = 2.0
+    book: slots.Settings = slots.Settings()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Members:
+    """Routers as the scheduler's node sees them.
+
+    Attributes:
+        heard: routers that are heard, with their data centres.
+        fraction: part of the listed routers that is heard, 0 to 1.
+    """
+
+    heard: dict[ids.InstanceId, ids.DataCentreId | None]
+    fraction: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Addressed:
+    """An update and the router that it is for."""
+
+    receiver: ids.InstanceId
+    update: messages.GrantUpdate
+
+
+class Scheduler:
+    """Grants slots of one pool to the least served workspaces."""
+
+    def __init__(self, pool: catalogue_lib.Pool, settings: Settings):
+        self.pool = pool
+        self.settings = settings
+        self.catalogue = catalogue_lib.EMPTY
+        self.ledger = virtual_time.Ledger(settings.wake_grace_s)
+        self.book = slots.Book(settings.book)
+        self.sessions: dict[ids.InstanceId, sessions.Session] = {}
+        self.baselines: dict[ids.InstanceId, sessions.Baseline] = {}
+        self.demanding: dict[ids.WorkspaceId, set[ids.InstanceId]] = {}
+        self.members = Members({}, 1.0)
+        self.strangers: dict[ids.InstanceId, float] = {}
+        self.outbox: list[Addressed] = []
+        self.is_active = False
+        self.is_ready = False
+        self.active_since = -math.inf
+        self.next_token_at = math.inf
+        self.term = 0
+        self.counters: dict[str, int] = {}
+
+    def configure(
+        self, pool: catalogue_lib.Pool, catalogue: catalogue_lib.Catalogue
+    ) -> None:
+        """Takes in a new catalogue."""
+        self.pool = pool
+        self.catalogue = catalogue
+        self.book.configure(pool.targets)
+        for account in self.ledger.accounts.values():
+            workspace = catalogue.workspaces.get(account.name)
+            if workspace is not None:
+                account.weight = catalogue.weight(account.name)
+                account.limits = workspace.limits
+
+    def activate(self, now: float) -> None:
+        """Takes up the role: waits for full reports, then grants."""
+        self.is_active = True
+        self.is_ready = False
+        self.active_since = now
+        self.term += 1
+        for name in list(self.sessions):
+            self._drop(name, now)
+
+    def deactivate(self) -> None:
+        """Gives the role up."""
+        self.is_active = False
+        self.is_ready = False
+
+    def set_members(self, members: Members, now: float) -> None:
+        """Takes in which routers are heard."""
+        self.members = members
+        self.book.fraction = members.fraction
+        for name, session in self.sessions.items():
+            is_counted = name in members.heard
+            if is_counted != session.is_counted:
+                session.is_counted = is_counted
+                self._recount(session, now)
+
+    def receive(
+        self,
+        sender: ids.InstanceId,
+        report: messages.DemandReport,
+        now: float,
+    ) -> None:
+        """Takes in a router's report."""
+        session = self.sessions.get(sender)
+        if session is not None and not _is_newer(report, session):
+            if report.session != session.number:
+                return
+        elif report.is_full:
+            session = self._begin(sender, report, now)
+        else:
+            self._ask_for_full(sender, report, now)
+            return
+        session.sender.acknowledge(report.acknowledged)
+        is_new = session.receiver.accept(
+            report.sequence, report.part, report.parts
+        )
+        if report.workspaces or report.slots or report.targets:
+            session.sender.want(now + self.settings.acknowledge_s)
+        if is_new:
+            self._take_in(session, report, now)
+
+    def hear_target(
+        self, report: events.TargetReported, source: ids.InstanceId
+    ) -> None:
+        """Takes in a target's own load report."""
+        self.book.hear_load(report)
+        self.book.flag_draining(report.target, source, report.draining)
+
+    def run(self, now: float) -> list[Addressed]:
+        """Makes grants and returns the updates that are due."""
+        if not self.is_active:
+            return []
+        self._check_ready(now)
+        if self.is_ready:
+            self._refresh_rated(now)
+            self._grant_all(now)
+            for session in self.sessions.values():
+                if session.is_counted:
+                    self._send(session, now)
+        sent = self.outbox
+        self.outbox = []
+        return sent
+
+    def due(self, now: float) -> float:
+        """Returns when `run` is to be called next."""
+        if not self.is_active:
+            return math.inf
+        if not self.is_ready:
+            return self.active_since + self.settings.rebuild_s
+        settings = self.settings
+        dues = [
+            session.sender.due(settings.batch_s, settings.resend_s)
+            for session in self.sessions.values()
+            if session.is_counted
+        ]
+        trial_at = self.book.ejector.next_trial(now)
+        return min([self.next_token_at, trial_at, *dues])
+
+    def virtual_times(self) -> dict[ids.WorkspaceId, float]:
+        """Returns the virtual time of each workspace."""
+        accounts = self.ledger.accounts.values()
+        return {account.name: account.virtual_time for account in accounts}
+
+    def floor(self) -> float:
+        """Returns the least virtual time of workspaces that wait."""
+        return self.ledger.least()
+
+    def _begin(
+        self, sender: ids.InstanceId, report: messages.DemandReport, now: float
+    ) -> sessions.Session:
+        self._drop(sender, now)
+        session = sessions.Session(sender, report.incarnation, report.session)
+        session.is_counted = sender in self.members.heard
+        self.sessions[sender] = session
+        baseline = self.baselines.get(sender)
+        if baseline is None or baseline.incarnation != report.incarnation:
+            self.baselines[sender] = sessions.Baseline(report.incarnation)
+        return session
+
+    def _drop(self, name: ids.InstanceId, now: float) -> None:
+        session = self.sessions.pop(name, None)
+        if session is None:
+            return
+        session.is_counted = False
+        self._recount(session, now)
+        for workspace in session.demands:
+            self.demanding[workspace].discard(name)
+        for target in session.targets:
+            self.book.flag_draining(target, name, False)
+
+    def _ask_for_full(
+        self, sender: ids.InstanceId, report: messages.DemandReport, now: float
+    ) -> None:
+        asked_at = self.strangers.get(sender, -math.inf)
+        if not self.is_active or now - asked_at < FULL_INTERVAL_S:
+            return
+        self.strangers[sender] = now
+        update = messages.GrantUpdate(
+            pool=self.pool.name,
+            session=report.session,
+            sequence=0,
+            part=0,
+            parts=1,
+            acknowledged=0,
+            needs_full=True,
+            floor=0.0,
+            grants=(),
+            queues=(),
+        )
+        self.outbox.append(Addressed(sender, update))
+
+    def _take_in(
+        self,
+        session: sessions.Session,
+        report: messages.DemandReport,
+        now: float,
+    ) -> None:
+        self.ledger.floor = max(self.ledger.floor, report.floor)
+        for demand in report.workspaces:
+            if demand.workspace in self.catalogue.workspaces:
+                self._take_demand(session, demand, report.is_full, now)
+        ended = 0
+        for use in report.slots:
+            if use.workspace in self.catalogue.workspaces:
+                ended += self._take_use(session, use, now)
+        self.book.measure(ended, now)
+        for use in report.targets:
+            self._take_target(session, use, now)
+
+    def _take_demand(
+        self,
+        session: sessions.Session,
+        demand: messages.WorkspaceDemand,
+        is_full: bool,
+        now: float,
+    ) -> None:
+        workspace = demand.workspace
+        account = self._account(workspace)
+        served = self.baselines[session.name].served
+        if workspace not in served:
+            time = max(account.virtual_time, demand.virtual_time)
+            account.virtual_time = time
+            settled = demand.served - demand.unsettled if is_full else 0.0
+            served[workspace] = settled
+        self.ledger.charge(account, demand.served - served[workspace])
+        served[workspace] = max(served[workspace], demand.served)
+        before = session.demands.get(workspace)
+        session.demands[workspace] = demand
+        session.heard_at[workspace] = now
+        session.oldest_at[workspace] = now - demand.oldest_age_ms / 1000
+        self.demanding.setdefault(workspace, set()).add(session.name)
+        if session.is_counted:
+            account.queued += demand.queued - (before.queued if before else 0)
+        self._update_room(session, workspace, now)
+        self._tell_queues(account, now)
+
+    def _take_use(
+        self, session: sessions.Session, use: messages.SlotUse, now: float
+    ) -> int:
+        key = (use.target, use.workspace)
+        before = session.uses.get(key)
+        session.uses[key] = use
+        granted = max(session.granted.get(key, 0), use.granted)
+        session.granted[key] = granted
+        self._update_cell(session, key, now)
+        if before is None:
+            return 0
+        started = use.spent - before.spent
+        return max(started - (use.running - before.running), 0)
+
+    def _take_target(
+        self, session: sessions.Session, use: messages.TargetUse, now: float
+    ) -> None:
+        before = session.targets.get(use.target)
+        session.targets[use.target] = use
+        self.book.flag_draining(use.target, session.name, use.is_draining)
+        failures = use.failed - (before.failed if before else 0)
+        if before is None and session.receiver.complete <= 1:
+            return
+        if use.completed:
+            self.book.ejector.succeed(use.target)
+        elif failures > 0:
+            ejector = self.book.ejector
+            targets = self.book.targets
+            if ejector.fail(use.target, failures, targets, now):
+                self._count("ejections")
+
+    def _account(self, workspace: ids.WorkspaceId) -> virtual_time.Account:
+        account = self.ledger.accounts.get(workspace)
+        if account is None:
+            account = virtual_time.Account(
+                workspace,
+                self.catalogue.weight(workspace),
+                self.catalogue.workspaces[workspace].limits,
+            )
+            self.ledger.accounts[workspace] = account
+        return account
+
+    def _update_cell(
+        self, session: sessions.Session, key: sessions.CellKey, now: float
+    ) -> None:
+        target, workspace = key
+        account = self._account(workspace)
+        old = session.applied.get(key, sessions.NOTHING)
+        new = session.contribution(key)
+        session.applied[key] = new
+        account.in_flight += new.slots - old.slots
+        account.expected = max(account.expected + new.cost - old.cost, 0.0)
+        self.book.occupy(target, new.slots - old.slots)
+        session.pending[workspace] = sum(
+            session.unseen((name, workspace)) for name in self.book.targets
+        )
+        self._update_room(session, workspace, now)
+
+    def _update_room(
+        self, session: sessions.Session, workspace: ids.WorkspaceId, now: float
+    ) -> None:
+        account = self._account(workspace)
+        room = session.room(workspace)
+        account.room += room - session.rooms.get(workspace, 0)
+        session.rooms[workspace] = room
+        self._refresh(account, now)
+
+    def _recount(self, session: sessions.Session, now: float) -> None:
+        """Adds a session's state to the totals, or takes it out."""
+        sign = 1 if session.is_counted else -1
+        for workspace, demand in session.demands.items():
+            self._account(workspace).queued += sign * demand.queued
+            self._update_room(session, workspace, now)
+        for key in set(session.uses) | set(session.granted):
+            self._update_cell(session, key, now)
+
+    def _refresh(self, account: virtual_time.Account, now: float) -> None:
+        self.ledger.refresh(account, self._is_eligible(account, now), now)
+
+    def _is_eligible(self, account: virtual_time.Account, now: float) -> bool:
+        if account.room <= 0 or not self.is_ready:
+            return False
+        limit = account.limits.concurrency
+        if limit is not None and account.in_flight >= self._part(limit):
+            return False
+        virtual_time.refill(account, now, self.book.fraction)
+        if account.tokens >= 1:
+            return True
+        rate = account.limits.rate_per_s * self.book.fraction
+        ready_at = now + (1 - account.tokens) / rate
+        self.next_token_at = min(self.next_token_at, ready_at)
+        return False
+
+    def _part(self, limit: int) -> int:
+        """Returns this side's part of a fleet-wide limit."""
+        fraction = self.book.fraction
+        if fraction > 0.5:
+            return limit - math.floor(limit * (1 - fraction))
+        return math.floor(limit * fraction)
+
+    def _refresh_rated(self, now: float) -> None:
+        if now < self.next_token_at:
+            return
+        self.next_token_at = math.inf
+        for account in self.ledger.accounts.values():
+            if account.room > 0 and account.limits.rate_per_s is not None:
+                self._refresh(account, now)
+
+    def _check_ready(self, now: float) -> None:
+        if self.is_ready:
+            return
+        has_all = all(
+            name in self.sessions and self.sessions[name].is_full()
+            for name in self.members.heard
+        )
+        if has_all or now >= self.active_since + self.settings.rebuild_s:
+            self.ledger.lift_all()
+            self.is_ready = True
+            for account in self.ledger.accounts.values():
+                self.ledger.refresh(
+                    account, self._is_eligible(account, now), now
+                )
+
+    def _grant_all(self, now: float) -> None:
+        free = self.book.free(now)
+        while free and self.ledger.order:
+            account = self._choose_account()
+            session = self._choose_session(account)
+            demand = session.demands[account.name]
+            data_centre = self.members.heard.get(session.name)
+            target = min(
+                free,
+                key=lambda t: (
+                    self.book.load(t, demand.preferred, data_centre),
+                    t.name,
+                ),
+            )
+            self._grant(account, session, target.name, now)
+            free = self.book.free(now)
+
+    def _choose_account(self) -> virtual_time.Account:
+        """Returns the least served workspace that is under its cap."""
+        names = [name for _, name in self.ledger.order[:SCAN_LIMIT]]
+        accounts = [self.ledger.accounts[name] for name in names]
+        for account in accounts:
+            if account.in_flight < self._cap(account):
+                return account
+        return accounts[0]
+
+    def _cap(self, account: virtual_time.Account) -> int:
+        total = sum(target.slots for target in self.book.targets.values())
+        share = account.weight / max(self.ledger.weight, account.weight)
+        factor = self.settings.in_flight_factor
+        return max(1, math.ceil(total * share * factor))
+
+    def _choose_session(
+        self, account: virtual_time.Account
+    ) -> sessions.Session:
+        """Returns the router whose request has waited the longest."""
+        candidates = [
+            self.sessions[name]
+            for name in self.demanding[account.name]
+            if self.sessions[name].rooms.get(account.name, 0) > 0
+        ]
+        return min(candidates, key=lambda s: (s.oldest(account.name), s.name))
+
+    def _grant(
+        self,
+        account: virtual_time.Account,
+        session: sessions.Session,
+        target: ids.TargetId,
+        now: float,
+    ) -> None:
+        key = (target, account.name)
+        account.tokens -= 1
+        session.granted[key] = session.granted.get(key, 0) + 1
+        self._update_cell(session, key, now)
+        grant = messages.Grant(
+            account.name,
+            target,
+            session.granted[key],
+            account.virtual_time,
+        )
+        session.sender.put(("grant", *key), grant, now)
+        self._count("grants")
+
+    def _tell_queues(self, account: virtual_time.Account, now: float) -> None:
+        """Tells routers of a queue that comes near its fleet-wide limit."""
+        limit = max(account.limits.queue_length, 1)
+        is_near = account.queued * 2 >= limit
+        for name in self.demanding[account.name]:
+            session = self.sessions[name]
+            key = ("queue", account.name)
+            elsewhere = account.queued - session.demands[account.name].queued
+            told = session.sender.values.get(key)
+            if told is None and not is_near:
+                continue
+            change = abs(elsewhere - (told.queued if told else 0))
+            if change * QUEUE_STEPS < limit:
+                continue
+            session.sender.put(
+                key,
+                messages.QueuedElsewhere(account.name, max(elsewhere, 0)),
+                now + self.settings.acknowledge_s,
+            )
+
+    def _send(self, session: sessions.Session, now: float) -> None:
+        settings = self.settings
+        if session.sender.due(settings.batch_s, settings.resend_s) > now:
+            return
+        items = session.sender.collect(now)
+        chunks = [
+            items[i : i + MAX_ITEMS] for i in range(0, len(items), MAX_ITEMS)
+        ] or [[]]
+        for index, part in enumerate(chunks):
+            update = self._make_part(session, part, index, len(chunks))
+            self.outbox.append(Addressed(session.name, update))
+
+    def _make_part(
+        self,
+        session: sessions.Session,
+        items: list[object],
+        part: int,
+        parts: int,
+    ) -> messages.GrantUpdate:
+        def of(kind):
+            return tuple(item for item in items if isinstance(item, kind))
+
+        return messages.GrantUpdate(
+            pool=self.pool.name,
+            session=session.number,
+            sequence=session.sender.sequence,
+            part=part,
+            parts=parts,
+            acknowledged=session.receiver.complete,
+            needs_full=False,
+            floor=self.ledger.least(),
+            grants=of(messages.Grant),
+            queues=of(messages.QueuedElsewhere),
+        )
+
+    def _count(self, name: str) -> None:
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+
+def _is_newer(report: messages.DemandReport, session: sessions.Session) -> bool:
+    return (report.incarnation, report.session) > (
+        session.incarnation,
+        session.number,
+    )
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/slots.py
@@ -0,0 +1,145 @@
+"""How many requests each target of a pool may hold, and holds."""
+
+import dataclasses
+import math
+
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import ejection
+from lentilbeam_core import events
+from lentilbeam_core import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of the use of slots.
+
+    Attributes:
+        control_delay_s: from the end of a request to the next one's start.
+        mean_run_s: mean run time while none was measured.
+        memory_s: how long measured run times count.
+        prefix_bonus: part of a target's slots that a cached prefix is worth.
+        data_centre_bonus: the same for the router's own data centre.
+        ejector: settings of ejection.
+    """
+
+    control_delay_s: float = 0.02
+    mean_run_s: float = 1.0
+    memory_s: float = 20.0
+    prefix_bonus: float = 0.25
+    data_centre_bonus: float = 0.02
+    ejector: ejection.Settings = ejection.Settings()
+
+
+class Book:
+    """Occupancy and limits of all targets of one pool.
+
+    Attributes:
+        occupied: running and granted requests by target.
+        fill: slots that the target's own load report shows to be usable
+            beyond the share of a cut off scheduler.
+        fraction: part of the fleet that this scheduler hears, 0 to 1.
+    """
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.ejector = ejection.Ejector(settings.ejector)
+        self.targets: dict[ids.TargetId, catalogue_lib.Target] = {}
+        self.occupied: dict[ids.TargetId, int] = {}
+        self.fill: dict[ids.TargetId, int] = {}
+        self.draining: dict[ids.TargetId, set[ids.InstanceId]] = {}
+        self.fraction = 1.0
+        self.busy_s = 0.0
+        self.ended = 0.0
+        self.measured_at = -math.inf
+
+    def configure(self, targets: tuple[catalogue_lib.Target, ...]) -> None:
+        """Takes in the pool's targets."""
+        self.targets = {target.name: target for target in targets}
+        self.fill = {t: n for t, n in self.fill.items() if t in self.targets}
+
+    def occupy(self, target: ids.TargetId, change: int) -> None:
+        """Adds `change` to the target's occupancy."""
+        self.occupied[target] = self.occupied.get(target, 0) + change
+
+    def measure(self, ended: int, now: float) -> None:
+        """Learns the mean run time from occupancy and ended requests."""
+        elapsed_s = now - self.measured_at
+        self.measured_at = now
+        if math.isinf(elapsed_s):
+            return
+        keep = math.exp(-elapsed_s / self.settings.memory_s)
+        running = sum(
+            min(self.occupied.get(name, 0), target.slots)
+            for name, target in self.targets.items()
+        )
+        self.busy_s = self.busy_s * keep + running * elapsed_s
+        self.ended = self.ended * keep + ended
+
+    def mean_run_s(self) -> float:
+        """Returns the mean run time of a request."""
+        prior = 4.0
+        busy_s = self.busy_s + prior * self.settings.mean_run_s
+        return busy_s / (self.ended + prior)
+
+    def hear_load(self, report: events.TargetReported) -> None:
+        """Takes in a target's own load, which lags."""
+        target = self.targets.get(report.target)
+        if target is None:
+            return
+        idle = max(target.slots - report.running - report.waiting, 0)
+        excess = max(report.waiting - self._ahead(target), 0)
+        held = self.occupied.get(report.target, 0)
+        self.fill[report.target] = min(held + idle - excess, target.slots)
+
+    def flag_draining(
+        self, target: ids.TargetId, source: ids.InstanceId, is_draining: bool
+    ) -> None:
+        """Notes what `source` says about the target's leaving."""
+        sources = self.draining.setdefault(target, set())
+        if is_draining:
+            sources.add(source)
+        else:
+            sources.discard(source)
+
+    def limit(self, name: ids.TargetId, now: float) -> int:
+        """Returns how many requests the target may hold now."""
+        target = self.targets.get(name)
+        if target is None or self.draining.get(name):
+            return 0
+        if self.ejector.is_ejected(name, now):
+            return 0
+        if self.ejector.is_on_trial(name):
+            return 1
+        share = target.slots
+        if self.fraction < 1:
+            share = max(1, math.floor(target.slots * self.fraction + 0.5))
+            share = max(share, self.fill.get(name, 0))
+        return share + self._ahead(target)
+
+    def free(self, now: float) -> list[catalogue_lib.Target]:
+        """Returns the targets that may take another request."""
+        return [
+            target
+            for name, target in self.targets.items()
+            if self.occupied.get(name, 0) < self.limit(name, now)
+        ]
+
+    def load(
+        self,
+        target: catalogue_lib.Target,
+        preferred: str,
+        data_centre: ids.DataCentreId | None,
+    ) -> float:
+        """Returns the target's load for a request; the least is best."""
+        occupied = self.occupied.get(target.name, 0)
+        load = occupied / target.slots
+        if target.name == preferred and occupied < target.slots:
+            load -= self.settings.prefix_bonus
+        if target.data_centre == data_centre:
+            load -= self.settings.data_centre_bonus
+        return load
+
+    def _ahead(self, target: catalogue_lib.Target) -> int:
+        """Returns requests sent ahead to bridge the control delay."""
+        part = self.settings.control_delay_s / max(self.mean_run_s(), 1e-6)
+        return min(math.ceil(target.slots * part), target.slots)
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/snapshots.py
@@ -0,0 +1,140 @@
+"""What operators see of one router's view of a pool."""
+
+import dataclasses
+
+from lentilbeam_core import agent as agent_lib
+from lentilbeam_core import ids
+from lentilbeam_core import scheduler as scheduler_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceRow:
+    """One workspace at this router; the last two also at its scheduler.
+
+    Attributes:
+        workspace: whose.
+        queued: requests that wait here.
+        running: requests that run through this router.
+        served: service given by this router, in cost units.
+        virtual_time: settled service by weight, as far as known here.
+        in_flight: fleet-wide running and granted requests; 0 unless this
+            router schedules the pool.
+    """
+
+    workspace: ids.WorkspaceId
+    queued: int
+    running: int
+    served: float
+    virtual_time: float
+    in_flight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetRow:
+    """One target as this router sees it.
+
+    Attributes:
+        target: which.
+        slots: requests that run on it at a time.
+        running: requests that run on it through this router.
+        occupied: fleet-wide running and granted requests; 0 unless this
+            router schedules the pool.
+        is_ejected: whether this router's scheduler has ejected it.
+        is_draining: whether it is known here to be leaving.
+    """
+
+    target: ids.TargetId
+    slots: int
+    running: int
+    occupied: int
+    is_ejected: bool
+    is_draining: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSnapshot:
+    """One router's view of a pool.
+
+    Attributes:
+        scheduler: the instance that this router follows.
+        is_scheduler: whether this router schedules the pool.
+        term: how often this router has taken up the pool's role.
+        queued: requests that wait here.
+        running: requests that run through this router.
+        workspaces: by name.
+        targets: in the catalogue's order.
+        counters: decisions of this router since its start.
+    """
+
+    scheduler: ids.InstanceId | None
+    is_scheduler: bool
+    term: int
+    queued: int
+    running: int
+    workspaces: tuple[WorkspaceRow, ...]
+    targets: tuple[TargetRow, ...]
+    counters: dict[str, int]
+
+
+def take(
+    agent: agent_lib.Agent,
+    scheduler: scheduler_lib.Scheduler,
+    followed: ids.InstanceId | None,
+    now: float,
+) -> PoolSnapshot:
+    """Returns the view of one pool at `now`, monotonic seconds."""
+    names = sorted({*agent.queues, *scheduler.ledger.accounts})
+    rows = tuple(_workspace_row(agent, scheduler, name) for name in names)
+    targets = tuple(
+        _target_row(agent, scheduler, name, now) for name in agent.targets
+    )
+    return PoolSnapshot(
+        scheduler=followed,
+        is_scheduler=scheduler.is_active,
+        term=scheduler.term,
+        queued=len(agent.waiting),
+        running=len(agent.running),
+        workspaces=rows,
+        targets=targets,
+        counters=agent.counters | scheduler.counters,
+    )
+
+
+def _workspace_row(
+    agent: agent_lib.Agent,
+    scheduler: scheduler_lib.Scheduler,
+    name: ids.WorkspaceId,
+) -> WorkspaceRow:
+    queue = agent.queues.get(name)
+    is_active = scheduler.is_active
+    account = scheduler.ledger.accounts.get(name) if is_active else None
+    times = [queue.virtual_time if queue else 0.0]
+    times.append(account.virtual_time if account else 0.0)
+    return WorkspaceRow(
+        workspace=name,
+        queued=len(queue.pending) if queue else 0,
+        running=len(agent.by_workspace.get(name, ())),
+        served=queue.served if queue else 0.0,
+        virtual_time=max(times),
+        in_flight=account.in_flight if account else 0,
+    )
+
+
+def _target_row(
+    agent: agent_lib.Agent,
+    scheduler: scheduler_lib.Scheduler,
+    name: ids.TargetId,
+    now: float,
+) -> TargetRow:
+    running = sum(run.target == name for run in agent.running.values())
+    book = scheduler.book
+    is_active = scheduler.is_active
+    is_draining = name in agent.draining or bool(book.draining.get(name))
+    return TargetRow(
+        target=name,
+        slots=agent.targets[name].slots,
+        running=running,
+        occupied=book.occupied.get(name, 0) if is_active else 0,
+        is_ejected=is_active and book.ejector.is_ejected(name, now),
+        is_draining=is_draining,
+    )
