Add the fairness bench with its baselines

The bench runs seven routers in virtual time over fakes of network, engines and instance list, and prints a JSON line per scenario, size and policy.

--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,232 @@
+"""Baseline policies behind the interface of `lentilbeam_core.node.Node`.
+
+Each keeps a fair queue over a number of slots at each target. The ideal one
+has one queue for the whole fleet; the others have one for each router.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from bench import fair_queue
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import events
+from lentilbeam_core import ids
+from lentilbeam_core import messages
+from lentilbeam_core import outcome
+
+AVOIDANCE_S = 1.0
+"""A target that failed a request is passed over for this long."""
+
+FULL_QUEUE_RETRY_S = 1.0
+GOSSIP_PERIOD_S = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class Slots:
+    """The part of a target's slots that one queue may use."""
+
+    target: catalogue_lib.Target
+    limit: int
+    used: int = 0
+    avoided_until: float = 0.0
+    is_draining: bool = False
+
+    def is_usable(self, now: float) -> bool:
+        """Tells whether a request may go there now."""
+        is_open = not self.is_draining and now >= self.avoided_until
+        return is_open and self.used < self.limit
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A dispatched request and what was charged for it so far."""
+
+    request: events.QueuedRequest
+    slots: Slots
+    charged: float
+    served: float = 0.0
+
+
+class Dispatcher:
+    """Puts queued requests on free slots, by the order of a fair queue."""
+
+    def __init__(
+        self,
+        catalogue: catalogue_lib.Catalogue,
+        slots: list[Slots],
+        make_queue: fair_queue.QueueFactory,
+    ):
+        self.catalogue = catalogue
+        names = catalogue.workspaces
+        weights = {name: catalogue.weight(name) for name in names}
+        self.queue = make_queue(weights)
+        self.slots = slots
+        self.runs: dict[ids.RequestId, Run] = {}
+        self.served = dict.fromkeys(names, 0.0)
+
+    def arrive(self, request: events.QueuedRequest) -> list[events.Effect]:
+        """Queues a request, or refuses it when the queue is full."""
+        limits = self.catalogue.workspaces[request.workspace].limits
+        if self.queue.length(request.workspace) >= limits.queue_length:
+            reason = outcome.RefusalReason.QUEUE_FULL
+            refusal = events.RefuseRequest(
+                request.name, reason, FULL_QUEUE_RETRY_S
+            )
+            return [refusal]
+        self.queue.push(request)
+        return []
+
+    def progress(self, event: events.RequestProgressed) -> None:
+        """Takes in how much service a run has had so far."""
+        run = self.runs.get(event.name)
+        if run:
+            self._settle(run, event.cost, max(run.charged, event.cost))
+
+    def end(self, event: events.RequestEnded, now: float) -> None:
+        """Frees the slot and settles the cost."""
+        run = self.runs.pop(event.name, None)
+        if run is None:
+            return
+        run.slots.used -= 1
+        self._settle(run, event.cost, event.cost)
+        if event.end is not events.RunEnd.COMPLETED:
+            run.slots.avoided_until = now + AVOIDANCE_S
+
+    def report(self, event: events.TargetReported) -> None:
+        """Takes in a target's load report."""
+        for slots in self.slots:
+            if slots.target.name == event.target:
+                slots.is_draining = event.draining
+
+    def fill(self, now: float) -> list[events.Effect]:
+        """Dispatches requests while there are usable slots."""
+        effects: list[events.Effect] = []
+        while usable := [s for s in self.slots if s.is_usable(now)]:
+            request = self.queue.pop()
+            if request is None:
+                break
+            slots = min(usable, key=lambda s: s.used / s.limit)
+            slots.used += 1
+            estimate = request.cost_hint or 0.0
+            self.runs[request.name] = Run(request, slots, estimate)
+            self.queue.charge(request.workspace, estimate)
+            effects.append(events.DispatchRequest(request.name, slots.target))
+        return effects
+
+    def _settle(self, run: Run, served: float, charged: float) -> None:
+        workspace = run.request.workspace
+        self.queue.charge(workspace, charged - run.charged)
+        self.served[workspace] += served - run.served
+        run.charged = charged
+        run.served = served
+
+
+class QueueNode:
+    """A router that serves its callers from one dispatcher.
+
+    Attributes:
+        gossip: returns the messages to send now, and takes in a message.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, gossip: "Gossip | None" = None):
+        self.dispatcher = dispatcher
+        self.gossip = gossip
+
+    def handle(self, event: events.Event, now: float) -> list[events.Effect]:
+        """Takes one event in and returns the effects."""
+        effects: list[events.Effect] = []
+        match event:
+            case events.RequestArrived():
+                effects.extend(self.dispatcher.arrive(event.request))
+            case events.RequestProgressed():
+                self.dispatcher.progress(event)
+            case events.RequestEnded():
+                self.dispatcher.end(event, now)
+            case events.RequestWithdrawn():
+                self.dispatcher.queue.remove(event.name)
+            case events.TargetReported():
+                self.dispatcher.report(event)
+            case events.MessageReceived() if self.gossip:
+                self.gossip.hear(event)
+            case events.Ticked() if self.gossip:
+                effects.extend(self.gossip.speak(now))
+        effects.extend(self.dispatcher.fill(now))
+        return effects
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when to gossip again, if at all."""
+        return self.gossip.next_time if self.gossip else None
+
+
+class Gossip:
+    """Exchanges service counters, so that virtual times cover the fleet."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        pool: ids.PoolId,
+        incarnation: ids.Incarnation,
+        peers: list[ids.InstanceId],
+        start: float,
+    ):
+        self.dispatcher = dispatcher
+        self.pool = pool
+        self.incarnation = incarnation
+        self.peers = peers
+        self.next_time = start
+        self.sequence = 0
+        self.told: dict[ids.WorkspaceId, float] = {}
+        self.heard: dict[
+            tuple[ids.InstanceId, ids.Incarnation, ids.WorkspaceId], float
+        ] = {}
+
+    def speak(self, now: float) -> list[events.Effect]:
+        """Returns counters that have changed, for all peers."""
+        if now < self.next_time:
+            return []
+        self.next_time = now + GOSSIP_PERIOD_S
+        served = self.dispatcher.served
+        changed = [n for n in served if self.told.get(n, 0.0) != served[n]]
+        if not changed:
+            return []
+        self.told = {**served}
+        self.sequence += 1
+        report = self._report(changed)
+        return [events.SendMessage(peer, report) for peer in self.peers]
+
+    def hear(self, event: events.MessageReceived) -> None:
+        """Charges the service that a peer has given."""
+        report = event.message
+        if not isinstance(report, messages.DemandReport):
+            return
+        for item in report.workspaces:
+            key = (event.sender, report.incarnation, item.workspace)
+            fresh = item.served - self.heard.get(key, 0.0)
+            if fresh > 0:
+                self.heard[key] = item.served
+                self.dispatcher.queue.charge(item.workspace, fresh)
+
+    def _report(self, names: list[ids.WorkspaceId]) -> messages.DemandReport:
+        queue = self.dispatcher.queue
+        items = tuple(
+            messages.WorkspaceDemand(
+                workspace=name,
+                queued=queue.length(name),
+                oldest_age_ms=0,
+                served=self.dispatcher.served[name],
+            )
+            for name in names
+        )
+        return messages.DemandReport(
+            pool=self.pool,
+            incarnation=self.incarnation,
+            term=0,
+            sequence=self.sequence,
+            acknowledged=0,
+            is_full=False,
+            workspaces=items,
+            slots=(),
+        )
+
+
+NodeFactory = Callable[[ids.InstanceId, ids.Incarnation, float], QueueNode]
--- /dev/null
+++ b/bench/emulator.py
@@ -0,0 +1,354 @@
+"""Drives one node per router over fakes of network, engines and platform."""
+
+import collections
+import dataclasses
+import random
+
+from bench import callers
+from bench import engines
+from bench import hosts
+from bench import listing
+from bench import network
+from bench import policies
+from bench import recorder
+from bench import requests
+from bench import scenarios
+from bench import simulation
+from bench import sizes
+from bench import traffic
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import events
+from lentilbeam_core import ids
+
+LOAD_START_S = 1.0
+MEASURE_START_S = 2.0
+LIST_PERIOD_S = 1.0
+REPORT_PERIOD_S = 0.5
+REPORT_LAG_S = 0.5
+DEADLINE_S = 60.0
+DRAIN_GRACE_S = 3.0
+"""A leaving target may be offered work for this long."""
+
+SCALES = (1.0, 0.7, 1.4, 0.8, 1.2)
+"""Factors on the median cost, given to the workspaces in turn."""
+
+EPOCH_US = 1_700_000_000_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Experiment:
+    """What is run."""
+
+    scenario: scenarios.Scenario
+    size: sizes.Size
+    policy: policies.Policy
+    seed: int
+    seconds: float
+
+
+class Emulator:
+    """One experiment in virtual time.
+
+    Attributes:
+        misuses: dispatches of requests that were not queued.
+        marks: changes of state that nodes recorded, with their times.
+    """
+
+    def __init__(self, experiment: Experiment):
+        self.experiment = experiment
+        self.loop = simulation.Simulation()
+        self.routers = sizes.name_routers()
+        costs = experiment.scenario.costs
+        self.catalogue = sizes.make_catalogue(experiment.size, costs.largest)
+        self.pool = self.catalogue.pools[sizes.POOL]
+        self.requests: dict[ids.RequestId, requests.Request] = {}
+        self.serial = 0
+        self.misuses = 0
+        self.marks: list[tuple[float, str, events.RecordEvent]] = []
+        self.meter = traffic.TrafficMeter(MEASURE_START_S)
+        self.network = self._make_network()
+        self.engines = self._make_engines()
+        self.recorder = self._make_recorder()
+        self.listing = listing.Listing(
+            self.loop, self.routers, experiment.scenario.listing_lag_s
+        )
+        fleet = policies.Fleet(self.catalogue, self.pool, self.routers)
+        self.make_node = experiment.policy.make_factory(fleet)
+        self.hosts = {
+            name: hosts.Host(self.loop, name, self.apply)
+            for name in self.routers
+        }
+
+    def run(self) -> None:
+        """Runs the experiment to its end."""
+        offsets = random.Random(f"{self.experiment.seed}/offsets")
+        for name in self.routers:
+            self.start_router(name)
+            self.loop.every(
+                LIST_PERIOD_S,
+                lambda name=name: self._read_list(name),
+                offsets.uniform(0.0, 0.1),
+            )
+        for engine in self.engines.values():
+            self.loop.every(
+                REPORT_PERIOD_S,
+                lambda engine=engine: self._report_load(engine),
+                offsets.uniform(0.1, REPORT_PERIOD_S),
+            )
+        self._start_callers()
+        self.loop.run(self.experiment.seconds)
+        self.recorder.finish(self.loop.now)
+
+    def start_router(self, name: ids.InstanceId) -> None:
+        """Starts a router process that knows nothing."""
+        now = self.loop.now
+        incarnation = ids.Incarnation(EPOCH_US + round(now * 1e6))
+        host = self.hosts[name]
+        host.start(self.make_node(name, incarnation, now))
+        host.deliver(
+            events.CatalogueChanged(self.catalogue, offset=ids.Offset(1))
+        )
+        self._read_list(name)
+
+    def kill_router(self, name: ids.InstanceId) -> None:
+        """Ends a router process; its requests are lost."""
+        self.hosts[name].kill()
+        lost = [r for r in self.requests.values() if r.router == name]
+        for request in lost:
+            self._drop(request)
+
+    def find_scheduler(self) -> ids.InstanceId:
+        """Returns the router that gave the last grants, or the first."""
+        return self.network.last_grantor or next(iter(self.routers))
+
+    def send_request(
+        self,
+        workspace: ids.WorkspaceId,
+        router: ids.InstanceId,
+        cost: float,
+        hint: float,
+        on_close: requests.OnClose,
+    ) -> None:
+        """Sends a caller's request to its router, or to the next alive."""
+        self.serial += 1
+        now = self.loop.now
+        is_ideal = self.experiment.policy.is_ideal
+        queued = events.QueuedRequest(
+            name=ids.RequestId(f"00000000-0000-7000-8000-{self.serial:012x}"),
+            workspace=workspace,
+            pool=sizes.POOL,
+            call=sizes.CALL,
+            cost_hint=cost if is_ideal else hint,
+            deadline=now + DEADLINE_S,
+        )
+        home = self._next_alive(router)
+        request = requests.Request(queued, cost, home, now, on_close)
+        self.requests[queued.name] = request
+        self.recorder.arrive(request, now)
+        self.hosts[home].deliver(events.RequestArrived(queued))
+
+    def apply(self, sender: ids.InstanceId, effect: events.Effect) -> None:
+        """Carries out what a node wants done."""
+        match effect:
+            case events.SendMessage():
+                self._send(sender, effect)
+            case events.DispatchRequest():
+                self._dispatch(effect)
+            case events.RefuseRequest():
+                self._refuse(effect)
+            case events.RecordEvent():
+                self.marks.append((self.loop.now, sender, effect))
+
+    def _make_network(self) -> network.Network:
+        size = self.experiment.size
+        settings = network.Settings(far_s=size.far_s)
+        if self.experiment.policy.is_ideal:
+            settings = network.Settings(far_s=0.0, near_s=0.0, loss=0.0)
+        places: dict[str, ids.DataCentreId] = {**self.routers}
+        for target in self.pool.targets:
+            places[target.name] = target.data_centre
+        seed = f"{self.experiment.seed}/network"
+        return network.Network(self.loop, settings, seed, places, self.meter)
+
+    def _make_engines(self) -> dict[ids.TargetId, engines.Engine]:
+        return {
+            target.name: engines.Engine(
+                self.loop, target, sizes.TOKENS_PER_S, self._make_hooks(target)
+            )
+            for target in self.pool.targets
+        }
+
+    def _make_hooks(self, target: catalogue_lib.Target) -> engines.Hooks:
+        def start(request: requests.Request) -> None:
+            request.stage = requests.Stage.RUNNING
+            self.recorder.start(request, self.loop.now)
+
+        def stop(request: requests.Request) -> None:
+            request.stage = requests.Stage.ENDED
+            self.recorder.stop(request, self.loop.now)
+
+        def progress(request: requests.Request, cost: float) -> None:
+            event = events.RequestProgressed(request.queued.name, cost)
+            self._tell_router(target, request, event)
+
+        def end(
+            request: requests.Request, cost: float, how: events.RunEnd
+        ) -> None:
+            self.network.call(
+                target.name,
+                request.router,
+                lambda: self._end(request, cost, how),
+            )
+
+        return engines.Hooks(start, stop, progress, end)
+
+    def _make_recorder(self) -> recorder.Recorder:
+        scenario = self.experiment.scenario
+        limits = {
+            name: workspace.limits.concurrency
+            for name, workspace in self.catalogue.workspaces.items()
+            if workspace.limits.concurrency is not None
+        }
+        settings = recorder.Settings(
+            weights=sizes.name_workspaces(),
+            concurrency=limits,
+            largest=scenario.costs.largest,
+            rate=sizes.TOKENS_PER_S,
+            start=MEASURE_START_S,
+        )
+        return recorder.Recorder(settings, [*self.engines.values()])
+
+    def _start_callers(self) -> None:
+        scenario = self.experiment.scenario
+        names = [*sizes.name_workspaces()]
+        sources = scenario.make_load(self.experiment.size)
+        totals = collections.Counter(s.workspace for s in sources)
+        placed: collections.Counter[ids.WorkspaceId] = collections.Counter()
+        for source in sources:
+            name = source.workspace
+            settings = callers.Settings(
+                costs=scenario.costs,
+                scale=SCALES[names.index(name) % len(SCALES)],
+                phase=placed[name] / totals[name],
+                start=LOAD_START_S,
+                seed=str(self.experiment.seed),
+            )
+            placed[name] += 1
+            callers.Callers(
+                self.loop, source, settings, self.send_request
+            ).start()
+
+    def _next_alive(self, router: ids.InstanceId) -> ids.InstanceId:
+        names = collections.deque(self.routers)
+        names.rotate(-names.index(router))
+        return next(name for name in names if self.hosts[name].is_alive)
+
+    def _read_list(self, name: ids.InstanceId) -> None:
+        instances = self.listing.read()
+        self.hosts[name].deliver(events.InstanceListRead(instances))
+
+    def _report_load(self, engine: engines.Engine) -> None:
+        report = engine.report()
+
+        def deliver() -> None:
+            for host in self.hosts.values():
+                host.deliver(report)
+
+        self.loop.after(REPORT_LAG_S, deliver)
+
+    def _send(self, sender: ids.InstanceId, effect: events.SendMessage) -> None:
+        host = self.hosts[effect.receiver]
+        event = events.MessageReceived(sender, effect.message)
+        self.network.send(
+            sender,
+            effect.receiver,
+            effect.message,
+            lambda: host.deliver(event),
+        )
+
+    def _dispatch(self, effect: events.DispatchRequest) -> None:
+        request = self.requests.get(effect.name)
+        if request is None or request.stage is not requests.Stage.QUEUED:
+            self.misuses += 1
+            return
+        request.stage = requests.Stage.SENT
+        engine = self.engines[effect.target.name]
+
+        def admit() -> None:
+            if request.stage is requests.Stage.SENT:
+                engine.admit(request)
+
+        self.network.call(request.router, effect.target.name, admit)
+
+    def _refuse(self, effect: events.RefuseRequest) -> None:
+        request = self.requests.get(effect.name)
+        if request is None or request.stage is not requests.Stage.QUEUED:
+            self.misuses += 1
+            return
+        self.recorder.refuse(request, effect.reason.value)
+        self.recorder.give_up(request, self.loop.now)
+        self._close(request, requests.Closing.REFUSED, effect.retry_after_s)
+
+    def _tell_router(
+        self,
+        target: catalogue_lib.Target,
+        request: requests.Request,
+        event: events.Event,
+    ) -> None:
+        host = self.hosts[request.router]
+
+        def deliver() -> None:
+            if request.queued.name in self.requests:
+                host.deliver(event)
+
+        self.network.call(target.name, request.router, deliver)
+
+    def _end(
+        self, request: requests.Request, cost: float, how: events.RunEnd
+    ) -> None:
+        if request.queued.name not in self.requests:
+            return
+        host = self.hosts[request.router]
+        event = events.RequestEnded(request.queued.name, cost, how)
+        if how is events.RunEnd.UNREACHABLE:
+            request.stage = requests.Stage.QUEUED
+            host.deliver(event)
+            self._offer_again(request)
+            return
+        if request.stage is requests.Stage.SENT:
+            self.recorder.give_up(request, self.loop.now)
+        is_whole = how is events.RunEnd.COMPLETED
+        closing = (
+            requests.Closing.ANSWERED if is_whole else requests.Closing.FAILED
+        )
+        self._close(request, closing, 0.0)
+        host.deliver(event)
+
+    def _offer_again(self, request: requests.Request) -> None:
+        """Queues a request again of which no byte was handed over."""
+        if request.stage is requests.Stage.QUEUED:
+            host = self.hosts[request.router]
+            host.deliver(events.RequestArrived(request.queued))
+
+    def _drop(self, request: requests.Request) -> None:
+        """Ends a request whose router is gone."""
+        is_started = request.stage in (
+            requests.Stage.RUNNING,
+            requests.Stage.ENDED,
+        )
+        for engine in self.engines.values():
+            engine.cancel(request)
+        if not is_started:
+            self.recorder.give_up(request, self.loop.now)
+        self._close(request, requests.Closing.ROUTER_LOST, 0.0)
+
+    def _close(
+        self,
+        request: requests.Request,
+        closing: requests.Closing,
+        retry_after_s: float,
+    ) -> None:
+        request.stage = requests.Stage.ENDED
+        del self.requests[request.queued.name]
+        self.recorder.closings[closing] += 1
+        request.on_close(closing, retry_after_s)
--- /dev/null
+++ b/bench/engines.py
@@ -0,0 +1,137 @@
+"""A fake model engine: slots that run at once, the rest waits in order."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from bench import requests
+from bench import simulation
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import events
+
+PROGRESS_PERIOD_S = 0.25
+FAST_FAILURE_S = 0.005
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hooks:
+    """What an engine tells the emulator.
+
+    Attributes:
+        started: a request got a slot.
+        stopped: a request that held a slot left it at this cost.
+        progressed: cost so far of a running request.
+        ended: a request left the engine, with its cost and how.
+    """
+
+    started: Callable[[requests.Request], None]
+    stopped: Callable[[requests.Request], None]
+    progressed: Callable[[requests.Request, float], None]
+    ended: Callable[[requests.Request, float, events.RunEnd], None]
+
+
+class Engine:
+    """One target; it knows no priorities and admits in arrival order."""
+
+    def __init__(
+        self,
+        loop: simulation.Simulation,
+        target: catalogue_lib.Target,
+        rate: float,
+        hooks: Hooks,
+    ):
+        self.loop = loop
+        self.target = target
+        self.rate = rate
+        self.hooks = hooks
+        self.waiting: collections.deque[requests.Request] = collections.deque()
+        self.running: set[requests.Request] = set()
+        self.is_draining = False
+        self.is_failing = False
+        self.late_admissions = 0
+        self.drained_at = float("inf")
+
+    @property
+    def is_available(self) -> bool:
+        """Whether the slots count as capacity."""
+        return not (self.is_draining or self.is_failing)
+
+    def admit(self, request: requests.Request) -> None:
+        """Takes in a request that a router dispatched."""
+        if self.is_draining:
+            self.late_admissions += self.loop.now > self.drained_at
+            self.hooks.ended(request, 0.0, events.RunEnd.UNREACHABLE)
+        elif self.is_failing:
+            self.loop.after(FAST_FAILURE_S, lambda: self._fail(request))
+        else:
+            self.waiting.append(request)
+            self._fill()
+
+    def cancel(self, request: requests.Request) -> None:
+        """Drops a request whose router is gone."""
+        if request in self.running:
+            self._leave(request)
+            self._fill()
+        elif request in self.waiting:
+            self.waiting.remove(request)
+
+    def drain(self, grace_s: float) -> None:
+        """Takes no new request; those that run or wait are completed."""
+        self.is_draining = True
+        self.drained_at = self.loop.now + grace_s
+
+    def start_failing(self) -> None:
+        """Answers everything with errors, at once."""
+        self.is_failing = True
+        for request in [*self.running]:
+            cost = self._cost(request)
+            self._leave(request)
+            self.hooks.ended(request, cost, events.RunEnd.FAILED)
+        while self.waiting:
+            self._fail(self.waiting.popleft())
+
+    def stop_failing(self) -> None:
+        """Runs requests again."""
+        self.is_failing = False
+
+    def report(self) -> events.TargetReported:
+        """Returns the load as it is now."""
+        return events.TargetReported(
+            target=self.target.name,
+            running=len(self.running),
+            waiting=len(self.waiting),
+            draining=self.is_draining,
+        )
+
+    def _cost(self, request: requests.Request) -> float:
+        used = (self.loop.now - request.started) * self.rate
+        return min(request.cost, used)
+
+    def _fill(self) -> None:
+        while self.waiting and len(self.running) < self.target.slots:
+            self._start(self.waiting.popleft())
+
+    def _start(self, request: requests.Request) -> None:
+        self.running.add(request)
+        request.started = self.loop.now
+        self.hooks.started(request)
+        self.loop.after(request.cost / self.rate, lambda: self._end(request))
+        self.loop.after(PROGRESS_PERIOD_S, lambda: self._progress(request))
+
+    def _progress(self, request: requests.Request) -> None:
+        if request in self.running:
+            self.hooks.progressed(request, self._cost(request))
+            self.loop.after(PROGRESS_PERIOD_S, lambda: self._progress(request))
+
+    def _end(self, request: requests.Request) -> None:
+        if request in self.running:
+            self._leave(request)
+            self.hooks.ended(request, request.cost, events.RunEnd.COMPLETED)
+            self._fill()
+
+    def _leave(self, request: requests.Request) -> None:
+        self.running.remove(request)
+        self.hooks.stopped(request)
+
+    def _fail(self, request: requests.Request) -> None:
+        self.hooks.ended(request, 0.0, events.RunEnd.FAILED)
--- /dev/null
+++ b/bench/fairness.py
@@ -0,0 +1,127 @@
+"""Measures fairness, utilisation and control traffic of the policies.
+
+Prints one JSON line for each scenario, size and policy.
+"""
+
+import concurrent.futures
+import dataclasses
+import itertools
+import json
+import sys
+import time
+from typing import Any
+
+from absl import app
+from absl import flags
+
+from bench import emulator as emulator_lib
+from bench import faults
+from bench import policies
+from bench import report
+from bench import scenarios
+from bench import sizes
+
+ALL = "all"
+
+SCENARIO = flags.DEFINE_enum(
+    "scenario", ALL, [ALL, *scenarios.SCENARIOS], "Scenario to run."
+)
+SIZE = flags.DEFINE_enum("size", ALL, [ALL, *sizes.SIZES], "Fleet to run.")
+POLICY = flags.DEFINE_enum(
+    "policy", ALL, [ALL, *policies.POLICIES], "Policy to run."
+)
+SEED = flags.DEFINE_integer("seed", 1, "Seed of all draws.")
+SECONDS = flags.DEFINE_float(
+    "seconds", None, "Virtual seconds, in place of the scenario's own."
+)
+JOBS = flags.DEFINE_integer("jobs", 4, "Experiments that run at a time.", 1)
+TRACE = flags.DEFINE_bool(
+    "trace", False, "Print changes of state to standard error."
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """One experiment, by names."""
+
+    scenario: str
+    size: str
+    policy: str
+    seed: int
+    seconds: float | None
+    trace: bool
+
+
+def run_experiment(choice: Choice) -> emulator_lib.Emulator:
+    """Runs one experiment and returns its emulator."""
+    scenario = scenarios.SCENARIOS[choice.scenario]
+    experiment = emulator_lib.Experiment(
+        scenario=scenario,
+        size=sizes.SIZES[choice.size],
+        policy=policies.POLICIES[choice.policy],
+        seed=choice.seed,
+        seconds=choice.seconds or scenario.seconds,
+    )
+    emulator = emulator_lib.Emulator(experiment)
+    faults.plan_fault(emulator)
+    emulator.run()
+    return emulator
+
+
+def run_line(choice: Choice) -> dict[str, Any]:
+    """Runs one experiment and returns its line."""
+    started = time.perf_counter()
+    emulator = run_experiment(choice)
+    targets = report.build_targets(emulator)
+    if emulator.experiment.scenario.is_uneven and choice.policy != "static":
+        targets.append(_compare_static(choice, emulator))
+    line = report.build_line(emulator, targets)
+    line["real_seconds"] = round(time.perf_counter() - started, 2)
+    if choice.trace:
+        for when, sender, mark in emulator.marks:
+            text = f"{when:.4f} {sender} {mark.name} {mark.subject}"
+            print(text, mark.detail, file=sys.stderr)
+    return line
+
+
+def _compare_static(
+    choice: Choice, emulator: emulator_lib.Emulator
+) -> report.Target:
+    static = run_experiment(dataclasses.replace(choice, policy="static"))
+    ours = emulator.recorder.gap.worst.gap
+    ratio = static.recorder.gap.worst.gap / ours if ours else float("inf")
+    return report.Target(
+        "gap_static_ratio", report.STATIC_RATIO, ratio, is_upper=False
+    )
+
+
+def _choices() -> list[Choice]:
+    def pick(flag: flags.FlagHolder[str], names: list[str]) -> list[str]:
+        return names if flag.value == ALL else [flag.value]
+
+    product = itertools.product(
+        pick(SCENARIO, [*scenarios.SCENARIOS]),
+        pick(SIZE, [*sizes.SIZES]),
+        pick(POLICY, [*policies.POLICIES]),
+    )
+    return [
+        Choice(*names, SEED.value, SECONDS.value, TRACE.value)
+        for names in product
+    ]
+
+
+def main(argv: list[str]) -> None:
+    """Runs the chosen experiments."""
+    del argv
+    choices = _choices()
+    if JOBS.value == 1 or len(choices) == 1:
+        for choice in choices:
+            print(json.dumps(run_line(choice)), flush=True)
+        return
+    with concurrent.futures.ProcessPoolExecutor(JOBS.value) as executor:
+        for line in executor.map(run_line, choices):
+            print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,102 @@
+"""Brings a scenario's fault about at its times."""
+
+from bench import emulator as emulator_lib
+from bench import scenarios
+from lentilbeam_core import events
+from lentilbeam_core import ids
+
+
+def plan_fault(emulator: emulator_lib.Emulator) -> None:
+    """Puts the scenario's fault on the emulator's loop.
+
+    Faults of routers and links leave an ideal policy alone.
+    """
+    fault = emulator.experiment.scenario.fault
+    is_ideal = emulator.experiment.policy.is_ideal
+    match fault:
+        case scenarios.DrainTarget():
+            _plan_drain(emulator, fault)
+        case scenarios.FailTarget():
+            _plan_failure(emulator, fault)
+        case scenarios.KillScheduler() if not is_ideal:
+            _plan_kill(emulator, fault)
+        case scenarios.PauseScheduler() if not is_ideal:
+            _plan_pause(emulator, fault)
+        case scenarios.Partition() if not is_ideal:
+            _plan_partition(emulator, fault)
+
+
+def _plan_kill(
+    emulator: emulator_lib.Emulator, fault: scenarios.KillScheduler
+) -> None:
+    def kill() -> None:
+        name = emulator.find_scheduler()
+        emulator.kill_router(name)
+        emulator.listing.remove(name)
+        emulator.loop.at(fault.restart_s, lambda: restart(name))
+
+    def restart(name: ids.InstanceId) -> None:
+        row = events.ListedInstance(
+            name, emulator.routers[name], events.ListedState.LIVE
+        )
+        emulator.listing.add(row)
+        emulator.start_router(name)
+
+    emulator.loop.at(fault.at_s, kill)
+
+
+def _plan_pause(
+    emulator: emulator_lib.Emulator, fault: scenarios.PauseScheduler
+) -> None:
+    def pause() -> None:
+        host = emulator.hosts[emulator.find_scheduler()]
+        host.pause()
+        emulator.loop.at(fault.end_s, host.resume)
+
+    emulator.loop.at(fault.at_s, pause)
+
+
+def _plan_partition(
+    emulator: emulator_lib.Emulator, fault: scenarios.Partition
+) -> None:
+    def cut() -> None:
+        scheduler = emulator.find_scheduler()
+        others = [name for name in emulator.routers if name != scheduler]
+        chosen = others[: fault.count]
+        if fault.holds_scheduler:
+            chosen = [scheduler, *others[: fault.count - 1]]
+        emulator.network.cut = frozenset(chosen)
+
+    def heal() -> None:
+        emulator.network.cut = frozenset()
+
+    emulator.loop.at(fault.at_s, cut)
+    emulator.loop.at(fault.end_s, heal)
+
+
+def _plan_drain(
+    emulator: emulator_lib.Emulator, fault: scenarios.DrainTarget
+) -> None:
+    def drain() -> None:
+        engine = next(iter(emulator.engines.values()))
+        engine.drain(emulator_lib.DRAIN_GRACE_S)
+        emulator.recorder.refresh_capacity(emulator.loop.now)
+
+    emulator.loop.at(fault.at_s, drain)
+
+
+def _plan_failure(
+    emulator: emulator_lib.Emulator, fault: scenarios.FailTarget
+) -> None:
+    engine = next(iter(emulator.engines.values()))
+
+    def begin() -> None:
+        engine.start_failing()
+        emulator.recorder.refresh_capacity(emulator.loop.now)
+
+    def end() -> None:
+        engine.stop_failing()
+        emulator.recorder.refresh_capacity(emulator.loop.now)
+
+    emulator.loop.at(fault.at_s, begin)
+    emulator.loop.at(fault.end_s, end)
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,216 @@
+"""Turns one experiment into its report, with the targets beside it."""
+
+import dataclasses
+import math
+from typing import Any
+
+from bench import emulator as emulator_lib
+from bench import requests
+from bench import sizes
+
+SETTLED_GAP = 2.0
+"""Largest requests; after a fault the gap must be back under this."""
+
+SETTLING_S = 3.0
+OVERALL_UTILISATION = 0.98
+WINDOW_UTILISATION = 0.95
+CONTROL_BYTES_PER_S = 2000.0
+STATIC_RATIO = 10.0
+IDLE_GROWTH = 1.1
+"""Idle control traffic may differ by this factor between two halves."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A promised bound and what was measured.
+
+    Attributes:
+        is_upper: whether the measured value must not exceed the bound.
+        measured: None if it never came true within the run.
+    """
+
+    name: str
+    bound: float
+    measured: float | None
+    is_upper: bool = True
+
+    @property
+    def met(self) -> bool:
+        """Whether the promise was kept."""
+        if self.measured is None or math.isnan(self.measured):
+            return False
+        if self.is_upper:
+            return self.measured <= self.bound
+        return self.measured >= self.bound
+
+
+def measure_settling(emulator: emulator_lib.Emulator) -> float | None:
+    """Returns seconds from the fault's end until the gap stays low.
+
+    None if it was still high in the last second of the run.
+    """
+    fault = emulator.experiment.scenario.fault
+    if fault is None:
+        return 0.0
+    meter = emulator.recorder.gap
+    last = meter.last_above(SETTLED_GAP, fault.end_s)
+    if last is None:
+        return 0.0
+    if last > emulator.experiment.seconds - 1.0:
+        return None
+    return last - fault.end_s
+
+
+def build_targets(emulator: emulator_lib.Emulator) -> list[Target]:
+    """Returns the targets that hold for the experiment."""
+    scenario = emulator.experiment.scenario
+    records = emulator.recorder
+    sent = _rates(emulator)
+    targets = [Target("control_bytes_per_s", CONTROL_BYTES_PER_S, max(sent))]
+    if scenario.name == "idle":
+        return targets
+    longest = scenario.costs.largest / sizes.TOKENS_PER_S
+    targets += [
+        Target("gap", scenario.largest_gap, records.gap.worst.gap),
+        Target(
+            "utilisation",
+            OVERALL_UTILISATION,
+            records.usage.overall(),
+            is_upper=False,
+        ),
+        Target("late_s", longest, records.turns.worst.seconds),
+    ]
+    if scenario.fault:
+        targets += _build_fault_targets(emulator)
+    if scenario.flooding:
+        names = [*sizes.name_workspaces()]
+        others = sum(
+            count
+            for (name, _), count in records.refusals.items()
+            if name != names[-1]
+        )
+        targets.append(Target("refusals_of_others", 0, others))
+    return targets
+
+
+def build_line(
+    emulator: emulator_lib.Emulator, targets: list[Target]
+) -> dict[str, Any]:
+    """Returns the report as an object for JSON."""
+    experiment = emulator.experiment
+    records = emulator.recorder
+    worst = records.gap.worst
+    late = records.turns.worst
+    end = experiment.seconds
+    line: dict[str, Any] = {
+        "scenario": experiment.scenario.name,
+        "size": experiment.size.name,
+        "policy": experiment.policy.name,
+        "seed": experiment.seed,
+        "seconds": end,
+        "met": all(target.met for target in targets),
+        "targets": [_describe(target) for target in targets],
+        "gap": _round(worst.gap),
+        "gap_strict": _round(records.gap.strict),
+        "gap_at_s": _round(worst.time),
+        "gap_ahead": worst.ahead,
+        "gap_behind": worst.behind,
+        "utilisation": _round(records.usage.overall()),
+        "utilisation_worst_2s": _round(records.usage.worst_window(0, end)),
+        "late_s": _round(late.seconds),
+        "late_at_s": _round(late.time),
+        "late_workspace": late.workspace,
+        "wait_p50_ms": records.waits.get_value_at_percentile(50),
+        "wait_p99_ms": records.waits.get_value_at_percentile(99),
+        "wait_longest_s": _round(records.longest_wait_s),
+        "misuses": emulator.misuses,
+    }
+    line |= _describe_fault(emulator)
+    line |= _describe_traffic(emulator)
+    line |= _describe_ends(emulator)
+    return line
+
+
+def _build_fault_targets(emulator: emulator_lib.Emulator) -> list[Target]:
+    fault = emulator.experiment.scenario.fault
+    records = emulator.recorder
+    begin = fault.at_s - emulator_lib.REPORT_PERIOD_S
+    worst = records.usage.worst_window(begin, fault.end_s + SETTLING_S)
+    late = sum(e.late_admissions for e in emulator.engines.values())
+    return [
+        Target("settling_s", SETTLING_S, measure_settling(emulator)),
+        Target("utilisation_2s", WINDOW_UTILISATION, worst, is_upper=False),
+        Target("late_dispatches", 0, late),
+    ]
+
+
+def _describe_fault(emulator: emulator_lib.Emulator) -> dict[str, Any]:
+    fault = emulator.experiment.scenario.fault
+    if fault is None:
+        return {}
+    meter = emulator.recorder.gap
+    end = fault.end_s + SETTLING_S
+    return {
+        "gap_before_fault": _round(meter.highest(0.0, fault.at_s)),
+        "gap_through_fault": _round(meter.highest(fault.at_s, end)),
+        "settling_s": _round(measure_settling(emulator)),
+    }
+
+
+def _describe_traffic(emulator: emulator_lib.Emulator) -> dict[str, Any]:
+    meter = emulator.meter
+    seconds = emulator.experiment.seconds - meter.start
+    sent = _rates(emulator)
+    received = [meter.received[name] / seconds for name in emulator.routers]
+    total = sum(meter.sent.values())
+    answered = emulator.recorder.closings[requests.Closing.ANSWERED]
+    return {
+        "control_bytes_per_s_mean": _round(sum(sent) / len(sent)),
+        "control_bytes_per_s_worst": _round(max(sent)),
+        "control_received_per_s_worst": _round(max(received)),
+        "control_bytes_per_s_between_data_centres": _round(
+            meter.crossing / seconds
+        ),
+        "control_bytes_per_request": _round(
+            total / answered if answered else None
+        ),
+        "control_bytes_by_kind": dict(meter.kinds),
+        "control_messages_by_kind": dict(meter.counts),
+    }
+
+
+def _describe_ends(emulator: emulator_lib.Emulator) -> dict[str, Any]:
+    records = emulator.recorder
+    answered = records.closings[requests.Closing.ANSWERED]
+    reasons: dict[str, dict[str, int]] = {}
+    for (name, reason), count in sorted(records.refusals.items()):
+        reasons.setdefault(reason, {})[name] = count
+    cpu = [host.cpu_s for host in emulator.hosts.values()]
+    return {
+        "closings": {how.value: n for how, n in records.closings.items()},
+        "refusals": reasons,
+        "cpu_us_per_request": _round(
+            sum(cpu) * 1e6 / answered if answered else None
+        ),
+        "cpu_share_worst": _round(max(cpu) / emulator.experiment.seconds),
+    }
+
+
+def _rates(emulator: emulator_lib.Emulator) -> list[float]:
+    meter = emulator.meter
+    seconds = emulator.experiment.seconds - meter.start
+    return [meter.sent[name] / seconds for name in emulator.routers]
+
+
+def _describe(target: Target) -> dict[str, Any]:
+    return {
+        "name": target.name,
+        "bound": target.bound,
+        "at": "most" if target.is_upper else "least",
+        "measured": _round(target.measured),
+        "met": target.met,
+    }
+
+
+def _round(value: float | None) -> float | None:
+    return None if value is None else round(value, 4)
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,149 @@
+"""The scenarios: a load, its costs and the faults that come."""
+
+from collections.abc import Callable
+import dataclasses
+
+from bench import load
+from bench import sizes
+
+FAULT_AT_S = 10.0
+LISTING_LAG_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KillScheduler:
+    """The pool's scheduler dies and starts again, empty, later on."""
+
+    at_s: float
+    restart_s: float
+
+    @property
+    def end_s(self) -> float:
+        """When the fault itself is over."""
+        return self.at_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseScheduler:
+    """The pool's scheduler stands still for a while."""
+
+    at_s: float
+    end_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Partition:
+    """Two routers are cut off from the others.
+
+    Attributes:
+        holds_scheduler: whether the scheduler is one of the two.
+    """
+
+    at_s: float
+    end_s: float
+    holds_scheduler: bool
+    count: int = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainTarget:
+    """A target leaves: it completes what it has and takes nothing new."""
+
+    at_s: float
+    end_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailTarget:
+    """A target answers errors at once for a while."""
+
+    at_s: float
+    end_s: float
+
+
+Fault = KillScheduler | PauseScheduler | Partition | DrainTarget | FailTarget
+
+PLAIN_COSTS = load.Costs(
+    median=370.0, sigma=0.8, largest=2048.0, hint_factor=1.5
+)
+WRONG_HINTS = load.Costs(
+    median=240.0, sigma=1.2, largest=4096.0, hint_factor=4.0
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """One experiment.
+
+    Attributes:
+        seconds: virtual time that it takes.
+        largest_gap: target for the fairness gap, in largest requests.
+        flooding: whether the last workspace floods the fleet.
+        is_uneven: whether it is compared with static shares.
+        listing_lag_s: age of the instance list when it is read.
+    """
+
+    name: str
+    make_load: Callable[[sizes.Size], tuple[load.Load, ...]]
+    costs: load.Costs = PLAIN_COSTS
+    fault: Fault | None = None
+    seconds: float = 30.0
+    largest_gap: float = 4.0
+    flooding: bool = False
+    is_uneven: bool = False
+    listing_lag_s: float = LISTING_LAG_S
+
+
+SCENARIOS = {
+    scenario.name: scenario
+    for scenario in (
+        Scenario("idle", load.make_idle, seconds=20.0),
+        Scenario("steady", load.make_even, largest_gap=2.0),
+        Scenario(
+            "uneven",
+            load.make_uneven,
+            largest_gap=2.0,
+            is_uneven=True,
+            seconds=60.0,
+        ),
+        Scenario("flood", load.make_flood, largest_gap=2.0, flooding=True),
+        Scenario("hints", load.make_even, costs=WRONG_HINTS, largest_gap=2.0),
+        Scenario(
+            "scheduler_killed",
+            load.make_even,
+            fault=KillScheduler(FAULT_AT_S, restart_s=20.0),
+        ),
+        Scenario(
+            "scheduler_paused",
+            load.make_even,
+            fault=PauseScheduler(FAULT_AT_S, end_s=15.0),
+        ),
+        Scenario(
+            "partition",
+            load.make_even,
+            fault=Partition(FAULT_AT_S, end_s=15.0, holds_scheduler=False),
+        ),
+        Scenario(
+            "partition_scheduler",
+            load.make_even,
+            fault=Partition(FAULT_AT_S, end_s=15.0, holds_scheduler=True),
+        ),
+        Scenario(
+            "list_stale",
+            load.make_even,
+            fault=KillScheduler(FAULT_AT_S, restart_s=60.0),
+            listing_lag_s=30.0,
+            seconds=45.0,
+        ),
+        Scenario(
+            "target_leaves",
+            load.make_even,
+            fault=DrainTarget(FAULT_AT_S, end_s=FAULT_AT_S),
+        ),
+        Scenario(
+            "target_fails_fast",
+            load.make_even,
+            fault=FailTarget(FAULT_AT_S, end_s=15.0),
+        ),
+    )
+}
--- /dev/null
+++ b/bench/sizes.py
@@ -0,0 +1,103 @@
+"""The fleets of the two users, as catalogues and places."""
+
+import dataclasses
+
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import ids
+
+POOL = ids.PoolId("assistant")
+CALL = "generate"
+SLOTS_PER_TARGET = 8
+TOKENS_PER_S = 425.0
+"""Service of one slot."""
+
+DATA_CENTRES = tuple(ids.DataCentreId(name) for name in ("dc1", "dc2", "dc3"))
+ROUTERS = 7
+WORKSPACES = 16
+LARGE_WORKSPACES = 3
+LARGE_WEIGHT = 3.0
+SMALL = ids.ClassId("small")
+LARGE = ids.ClassId("large")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """One user's fleet.
+
+    Attributes:
+        targets: number of targets.
+        far_s: one-way delay between data centres, in seconds.
+    """
+
+    name: str
+    targets: int
+    far_s: float
+
+    @property
+    def slots(self) -> int:
+        """Slots of all targets."""
+        return self.targets * SLOTS_PER_TARGET
+
+
+SIZES = {
+    size.name: size
+    for size in (
+        Size("kettleford", targets=6, far_s=0.0035),
+        Size("golfslag", targets=5, far_s=0.004),
+    )
+}
+
+
+def name_routers() -> dict[ids.InstanceId, ids.DataCentreId]:
+    """Returns the data centre of each router."""
+    return {
+        ids.InstanceId(f"router{i + 1}"): DATA_CENTRES[i % len(DATA_CENTRES)]
+        for i in range(ROUTERS)
+    }
+
+
+def name_workspaces() -> dict[ids.WorkspaceId, float]:
+    """Returns the weight of each workspace; the first ones are large."""
+    return {
+        ids.WorkspaceId(f"ws{i + 1:02}"): (
+            LARGE_WEIGHT if i < LARGE_WORKSPACES else 1.0
+        )
+        for i in range(WORKSPACES)
+    }
+
+
+def make_catalogue(size: Size, largest: float) -> catalogue_lib.Catalogue:
+    """Returns the catalogue of the fleet.
+
+    Args:
+        size: the fleet.
+        largest: highest accepted cost hint, in tokens.
+    """
+    limits = catalogue_lib.Limits(largest_request=largest)
+    classes = {
+        SMALL: catalogue_lib.WorkspaceClass(SMALL, "operator", 1.0),
+        LARGE: catalogue_lib.WorkspaceClass(LARGE, "operator", LARGE_WEIGHT),
+    }
+    workspaces = {
+        name: catalogue_lib.Workspace(
+            name, "operator", SMALL if weight == 1.0 else LARGE, limits
+        )
+        for name, weight in name_workspaces().items()
+    }
+    pool = catalogue_lib.Pool(
+        name=POOL,
+        owner="operator",
+        kind=catalogue_lib.ServiceKind.MODEL,
+        targets=tuple(_make_target(i) for i in range(size.targets)),
+        idempotent_calls=frozenset({CALL}),
+    )
+    return catalogue_lib.Catalogue(classes, workspaces, {POOL: pool})
+
+
+def _make_target(index: int) -> catalogue_lib.Target:
+    return catalogue_lib.Target(
+        name=ids.TargetId(f"engine{index + 1}"),
+        url=f"http://192.0.2.{index + 1}:8000",
+        data_centre=DATA_CENTRES[index % len(DATA_CENTRES)],
+        slots=SLOTS_PER_TARGET,
+    )
