Evaluate catalogue changes in log order

A change names the version (log offset) of each entry it was based on. The verdict depends only on the records before it: lost races name the winner, all findings come back with JSON pointers, a repeated change id gets its first verdict, and one too old to be known is rejected, never applied twice.

--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue.py
@@ -1,6 +1,8 @@
 """Typed entries of the catalogue that operators edit.
 
 All limits hold for the whole fleet. A limit of `None` means unlimited.
+The `version` of an entry is the offset of the log record that last changed
+it. `extra` holds fields that this release does not know, as JSON text.
 """
 
 import dataclasses
@@ -24,6 +26,7 @@
     owner: str
     weight: float
     version: int = 1
+    extra: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +38,7 @@
     queue_length: int = 64
     largest_request: float = 4096.0
     """Highest accepted cost hint, in units of the pool's cost."""
+    extra: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +50,7 @@
     class_name: ids.ClassId
     limits: Limits
     version: int = 1
+    extra: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +61,7 @@
     url: str
     data_centre: ids.DataCentreId
     slots: int
+    extra: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +77,42 @@
     targets: tuple[Target, ...]
     idempotent_calls: frozenset[str] = frozenset()
     version: int = 1
+    extra: str = ""
+
+
+Entry = WorkspaceClass | Workspace | Pool
+
+
+class EntryKind(enum.Enum):
+    """The kinds of entries."""
+
+    CLASS = "class"
+    WORKSPACE = "workspace"
+    POOL = "pool"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryKey:
+    """What names an entry: names are unique within a kind."""
+
+    kind: EntryKind
+    name: str
+
+    def __str__(self) -> str:
+        """Returns the kind and the name, for people."""
+        return f"{self.kind.value} {self.name}"
+
+
+_KINDS = {
+    WorkspaceClass: EntryKind.CLASS,
+    Workspace: EntryKind.WORKSPACE,
+    Pool: EntryKind.POOL,
+}
+
+
+def key_of(entry: Entry) -> EntryKey:
+    """Returns the key of an entry."""
+    return EntryKey(_KINDS[type(entry)], entry.name)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,5 +127,31 @@
         """Returns the weight of the workspace's class."""
         return self.classes[self.workspaces[workspace].class_name].weight
 
+    def table(self, kind: EntryKind) -> dict[str, Entry]:
+        """Returns the entries of one kind by name."""
+        if kind is EntryKind.CLASS:
+            return self.classes
+        if kind is EntryKind.WORKSPACE:
+            return self.workspaces
+        return self.pools
+
+    def find(self, key: EntryKey) -> Entry | None:
+        """Returns the entry of a key, if there is one."""
+        return self.table(key.kind).get(key.name)
+
+    def entries(self) -> list[Entry]:
+        """Returns all entries: classes, workspaces, pools, each by name."""
+        return [
+            table[name]
+            for table in (self.classes, self.workspaces, self.pools)
+            for name in sorted(table)
+        ]
+
+    def copy(self) -> "Catalogue":
+        """Returns a catalogue that later changes to this one leave alone."""
+        return Catalogue(
+            dict(self.classes), dict(self.workspaces), dict(self.pools)
+        )
+
 
 EMPTY = Catalogue(classes={}, workspaces={}, pools={})
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_change.py
@@ -0,0 +1,232 @@
+"""Change records of the catalogue's log stream, and verdicts on them.
+
+A change names the version of each entry that it was based on; version 0
+stands for an entry that did not exist. Records are plain JSON objects whose
+field `record` tells their kind.
+"""
+
+import dataclasses
+import enum
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import NewType
+
+import expression
+import msgspec
+
+from lentilbeam_core import catalogue
+from lentilbeam_core import catalogue_json
+from lentilbeam_core import findings as findings_lib
+from lentilbeam_core import ids
+from lentilbeam_core import uuid7
+
+ChangeId = NewType("ChangeId", str)
+"""A UUIDv7 (RFC 9562) in its canonical text form."""
+
+RECORD_FIELD = "record"
+CHANGE = "change"
+
+_MAX_OPERATOR = 128
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Base:
+    """The version of an entry that a change was based on."""
+
+    key: catalogue.EntryKey
+    version: ids.Offset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One operator's change of one or more entries, taken whole or not.
+
+    Attributes:
+        upserts: entries as JSON data, not validated yet.
+    """
+
+    name: ChangeId
+    operator: str
+    bases: tuple[Base, ...]
+    upserts: tuple[Any, ...]
+    deletes: tuple[catalogue.EntryKey, ...]
+
+
+class Status(enum.Enum):
+    """Whether a change is in force."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Winner:
+    """The change that won a race.
+
+    `name` and `operator` are None if its verdict is no longer kept.
+    """
+
+    offset: ids.Offset
+    name: ChangeId | None = None
+    operator: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What all readers of the log conclude about a change."""
+
+    name: ChangeId
+    operator: str
+    offset: ids.Offset
+    status: Status
+    findings: tuple[findings_lib.Finding, ...] = ()
+    winner: Winner | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MalformedChange:
+    """A change record that cannot be read beyond its name and operator."""
+
+    name: ChangeId
+    operator: str
+    findings: tuple[findings_lib.Finding, ...]
+
+
+class _WireFinding(msgspec.Struct):
+    pointer: str
+    message: str
+
+
+class _WireWinner(msgspec.Struct, omit_defaults=True):
+    offset: int
+    id: str | None = None
+    operator: str | None = None
+
+
+class _WireVerdict(msgspec.Struct, omit_defaults=True):
+    id: Annotated[str, msgspec.Meta(pattern=uuid7.PATTERN)]
+    operator: str
+    offset: Annotated[int, msgspec.Meta(ge=1)]
+    status: Literal["accepted", "rejected"]
+    findings: list[_WireFinding] = []
+    winner: _WireWinner | None = None
+
+
+class _WireKey(msgspec.Struct):
+    kind: Literal["class", "workspace", "pool"]
+    name: str
+
+
+class _WireBase(_WireKey):
+    version: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _WireChange(msgspec.Struct):
+    id: Annotated[str, msgspec.Meta(pattern=uuid7.PATTERN)]
+    operator: catalogue_json.Name
+    bases: list[_WireBase]
+    upserts: list[Any]
+    deletes: list[_WireKey]
+
+
+def dump_change(change: Change) -> dict[str, Any]:
+    """Returns the record of a change."""
+    return {
+        RECORD_FIELD: CHANGE,
+        "id": change.name,
+        "operator": change.operator,
+        "bases": [
+            {**dump_key(base.key), "version": base.version}
+            for base in change.bases
+        ],
+        "upserts": list(change.upserts),
+        "deletes": [dump_key(key) for key in change.deletes],
+    }
+
+
+def parse_change(
+    value: dict[str, Any],
+) -> expression.Result[Change, MalformedChange | None]:
+    """Returns the change of a record.
+
+    The error is None if the record does not even hold a valid change id, so
+    that there is nothing to give a verdict on.
+    """
+    parsed = catalogue_json.parse_struct(value, _WireChange, "")
+    if parsed.is_error():
+        return expression.Error(_find_name(value, parsed.error))
+    wire = parsed.ok
+    return expression.Ok(
+        Change(
+            ChangeId(wire.id),
+            wire.operator,
+            tuple(
+                Base(_to_key(base), ids.Offset(base.version))
+                for base in wire.bases
+            ),
+            tuple(wire.upserts),
+            tuple(_to_key(key) for key in wire.deletes),
+        )
+    )
+
+
+def dump_key(key: catalogue.EntryKey) -> dict[str, str]:
+    """Returns a key as JSON data."""
+    return {"kind": key.kind.value, "name": key.name}
+
+
+def dump_verdict(verdict: Verdict) -> dict[str, Any]:
+    """Returns a verdict as JSON data."""
+    winner = verdict.winner
+    wire = _WireVerdict(
+        verdict.name,
+        verdict.operator,
+        verdict.offset,
+        verdict.status.value,
+        [_WireFinding(f.pointer, f.message) for f in verdict.findings],
+        winner and _WireWinner(winner.offset, winner.name, winner.operator),
+    )
+    return msgspec.to_builtins(wire)
+
+
+def parse_verdict(
+    raw: Any, pointer: str
+) -> expression.Result[Verdict, tuple[findings_lib.Finding, ...]]:
+    """Returns the verdict of JSON data, or all findings below `pointer`."""
+    parsed = catalogue_json.parse_struct(raw, _WireVerdict, pointer)
+    return parsed.map(_to_verdict)
+
+
+def _to_verdict(wire: _WireVerdict) -> Verdict:
+    winner = wire.winner
+    return Verdict(
+        ChangeId(wire.id),
+        wire.operator,
+        ids.Offset(wire.offset),
+        Status(wire.status),
+        tuple(
+            findings_lib.Finding(f.pointer, f.message) for f in wire.findings
+        ),
+        winner
+        and Winner(
+            ids.Offset(winner.offset),
+            winner.id and ChangeId(winner.id),
+            winner.operator,
+        ),
+    )
+
+
+def _to_key(wire: _WireKey) -> catalogue.EntryKey:
+    return catalogue.EntryKey(catalogue.EntryKind(wire.kind), wire.name)
+
+
+def _find_name(
+    value: dict[str, Any], found: tuple[findings_lib.Finding, ...]
+) -> MalformedChange | None:
+    name = value.get("id")
+    if not isinstance(name, str) or not uuid7.is_valid(name):
+        return None
+    operator = value.get("operator")
+    operator = operator[:_MAX_OPERATOR] if isinstance(operator, str) else ""
+    return MalformedChange(ChangeId(name), operator, found)
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_follow.py
@@ -0,0 +1,168 @@
+"""Follows the catalogue's log stream over expiry, snapshots and gaps.
+
+A follower that knows a state applies records in log order. One that knows
+none, or that fell behind the oldest retained record, looks through all
+retained records for the snapshot with the highest `as_of` that reaches the
+oldest of them, and goes on from there. What is in force never goes back.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+from typing import Any
+from typing import Protocol
+
+from lentilbeam_core import catalogue_change
+from lentilbeam_core import catalogue_log
+from lentilbeam_core import catalogue_snapshot
+from lentilbeam_core import catalogue_state
+from lentilbeam_core import ids
+
+FIRST = ids.Offset(1)
+
+
+class Record(Protocol):
+    """One record of a stream."""
+
+    offset: ids.Offset
+    value: Any
+
+
+class Page(Protocol):
+    """Consecutive records of a stream, as read from the log.
+
+    `next_offset` is where the next read starts; a page without records
+    ends at the end of the stream.
+    """
+
+    records: Sequence[Record]
+    oldest: ids.Offset
+    next_offset: ids.Offset
+
+
+class Phase(enum.Enum):
+    """What the follower does with the pages that it reads."""
+
+    SEARCHING = "searching"  # For a snapshot to start from.
+    FOLLOWING = "following"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """What a page changed.
+
+    Attributes:
+        verdicts: on the changes in the page, in log order.
+        is_changed: whether the entries in force are others than before.
+        snapshot: highest `as_of` of the snapshots in the page, or None.
+    """
+
+    verdicts: tuple[catalogue_change.Verdict, ...] = ()
+    is_changed: bool = False
+    snapshot: ids.Offset | None = None
+
+
+class Follower:
+    """Reads pages of the stream; `next_read` is where the next one starts.
+
+    Attributes:
+        state: what is in force, or None if nothing is known yet.
+        gaps: how often records expired before they were read.
+    """
+
+    def __init__(self) -> None:
+        self.state: catalogue_state.State | None = None
+        self.phase = Phase.SEARCHING
+        self.next_read = FIRST
+        self.gaps = 0
+        self._best: catalogue_state.State | None = None
+
+    @property
+    def offset(self) -> ids.Offset:
+        """The last record evaluated; 0 if nothing is known yet."""
+        return self.state.offset if self.state else ids.Offset(0)
+
+    def take_page(self, page: Page) -> Progress:
+        """Takes in the page that was read from `next_read`."""
+        if self.phase is Phase.FOLLOWING:
+            return self._follow(page)
+        return self._search(page)
+
+    def take_offer(self, state: catalogue_state.State) -> bool:
+        """Takes a peer's state if it is ahead; returns whether it was.
+
+        The state becomes the follower's own.
+        """
+        if self.state is not None and state.offset <= self.state.offset:
+            return False
+        self._start_from(state)
+        return True
+
+    def _follow(self, page: Page) -> Progress:
+        if _starts_after(page, self.offset):
+            self.gaps += 1
+            self.phase = Phase.SEARCHING
+            self.next_read = page.oldest
+            return Progress()
+        verdicts = []
+        is_changed = False
+        for record in page.records:
+            verdict = catalogue_log.apply_record(
+                self.state, record.offset, record.value
+            )
+            if verdict is not None:
+                verdicts.append(verdict)
+                is_changed |= _is_applied(verdict, record.offset)
+        self.next_read = ids.Offset(self.offset + 1)
+        return Progress(tuple(verdicts), is_changed, _newest_snapshot(page))
+
+    def _search(self, page: Page) -> Progress:
+        if self.state is None and page.oldest == FIRST:
+            self._start_from(catalogue_state.State())
+            progress = self._follow(page)
+            return dataclasses.replace(progress, is_changed=True)
+        for record in page.records:
+            self._consider(record)
+        self.next_read = page.next_offset
+        snapshot = _newest_snapshot(page)
+        if page.records or not self._reaches(page.oldest):
+            return Progress(snapshot=snapshot)
+        self._start_from(self._best)
+        return Progress(is_changed=True, snapshot=snapshot)
+
+    def _consider(self, record: Record) -> None:
+        as_of = _read_as_of(record)
+        best = self._best.offset if self._best else self.offset
+        if as_of is None or as_of <= best:
+            return
+        parsed = catalogue_snapshot.parse_snapshot(record.value)
+        self._best = parsed.default_value(self._best)
+
+    def _reaches(self, oldest: ids.Offset) -> bool:
+        return self._best is not None and self._best.offset >= oldest - 1
+
+    def _start_from(self, state: catalogue_state.State) -> None:
+        self.state = state
+        self.phase = Phase.FOLLOWING
+        self.next_read = ids.Offset(state.offset + 1)
+        self._best = None
+
+
+def _starts_after(page: Page, offset: ids.Offset) -> bool:
+    first = page.records[0].offset if page.records else page.oldest
+    return max(first, page.oldest) > offset + 1
+
+
+def _is_applied(verdict: catalogue_change.Verdict, offset: ids.Offset) -> bool:
+    is_accepted = verdict.status is catalogue_change.Status.ACCEPTED
+    return is_accepted and verdict.offset == offset
+
+
+def _newest_snapshot(page: Page) -> ids.Offset | None:
+    offsets = [_read_as_of(record) for record in page.records]
+    return max((o for o in offsets if o is not None), default=None)
+
+
+def _read_as_of(record: Record) -> ids.Offset | None:
+    as_of = catalogue_snapshot.read_as_of(record.value)
+    return as_of if as_of is not None and as_of < record.offset else None
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_json.py
@@ -0,0 +1,279 @@
+"""Entries of the catalogue to and from JSON, with findings.
+
+The shape of each kind is a `msgspec` structure, which decides whether an
+entry is well-formed. Its JSON schema is derived from it and serves to find
+all faults of an entry that is not.
+"""
+
+import functools
+import sys
+from typing import Annotated
+from typing import Any
+from typing import Literal
+
+import expression
+import jsonschema
+from jsonschema import exceptions as schema_exceptions
+import msgspec
+
+from lentilbeam_core import catalogue
+from lentilbeam_core import findings
+from lentilbeam_core import ids
+
+MAX_WEIGHT = 1e6
+MAX_COUNT = 1_000_000
+MAX_COST = 1e12
+MAX_MESSAGE_LENGTH = 200
+
+Name = Annotated[
+    str,
+    msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:@-]*\Z", max_length=128),
+]
+Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+Version = Annotated[int, msgspec.Meta(ge=0)]
+
+Parsed = expression.Result[catalogue.Entry, tuple[findings.Finding, ...]]
+
+
+class WireClass(msgspec.Struct):
+    """JSON shape of a class."""
+
+    name: Name
+    owner: Name
+    weight: Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
+    kind: Literal["class"] = "class"
+    version: Version = 0
+
+
+class WireLimits(msgspec.Struct):
+    """JSON shape of a workspace's limits."""
+
+    concurrency: Count | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(gt=0, le=MAX_COUNT)] | None = None
+    queue_length: Count = 64
+    largest_request: Annotated[float, msgspec.Meta(gt=0, le=MAX_COST)] = 4096.0
+
+
+class WireWorkspace(msgspec.Struct, rename={"class_name": "class"}):
+    """JSON shape of a workspace."""
+
+    name: Name
+    owner: Name
+    class_name: Name
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    kind: Literal["workspace"] = "workspace"
+    version: Version = 0
+
+
+class WireTarget(msgspec.Struct):
+    """JSON shape of a target."""
+
+    name: Name
+    url: Annotated[
+        str, msgspec.Meta(pattern=r"^https?://[^\s/?#]+\S*\Z", max_length=2048)
+    ]
+    data_centre: Name
+    slots: Count
+
+
+class WirePool(msgspec.Struct):
+    """JSON shape of a pool."""
+
+    name: Name
+    owner: Name
+    service: Literal["model", "plain"]
+    targets: list[WireTarget]
+    idempotent_calls: list[Name] = []
+    kind: Literal["pool"] = "pool"
+    version: Version = 0
+
+
+WireEntry = WireClass | WireWorkspace | WirePool
+
+WIRE_TYPES = {
+    catalogue.EntryKind.CLASS.value: WireClass,
+    catalogue.EntryKind.WORKSPACE.value: WireWorkspace,
+    catalogue.EntryKind.POOL.value: WirePool,
+}
+
+
+def parse_entry(raw: Any, pointer: str) -> Parsed:
+    """Returns the typed entry, or all findings below `pointer`."""
+    kind = raw.get("kind") if isinstance(raw, dict) else None
+    wire_type = WIRE_TYPES.get(kind) if isinstance(kind, str) else None
+    if wire_type is None:
+        return expression.Error((_find_kind_fault(raw, pointer),))
+    parsed = parse_struct(raw, wire_type, pointer)
+    return parsed.map(lambda wire: _to_entry(wire, raw))
+
+
+def parse_struct(
+    raw: Any, wire_type: type, pointer: str
+) -> expression.Result[Any, tuple[findings.Finding, ...]]:
+    """Returns `raw` as a structure, or all findings below `pointer`."""
+    try:
+        return expression.Ok(msgspec.convert(raw, type=wire_type))
+    except msgspec.ValidationError as error:
+        found = _find_schema_faults(raw, wire_type, pointer)
+        fallback = findings.Finding(pointer, str(error))
+        return expression.Error(found or (fallback,))
+
+
+def read_key(raw: Any) -> catalogue.EntryKey | None:
+    """Returns the key of an entry that may have other faults, if it can."""
+    if not isinstance(raw, dict):
+        return None
+    kind, name = raw.get("kind"), raw.get("name")
+    if not isinstance(name, str) or not isinstance(kind, str):
+        return None
+    if kind not in WIRE_TYPES:
+        return None
+    return catalogue.EntryKey(catalogue.EntryKind(kind), name)
+
+
+def dump_entry(entry: catalogue.Entry) -> dict[str, Any]:
+    """Returns the entry as JSON data, with the fields not known here."""
+    if isinstance(entry, catalogue.WorkspaceClass):
+        fields = {"weight": entry.weight}
+    elif isinstance(entry, catalogue.Workspace):
+        fields = {"class": entry.class_name, "limits": _dump_limits(entry)}
+    else:
+        fields = {
+            "service": entry.kind.value,
+            "targets": [_dump_target(target) for target in entry.targets],
+            "idempotent_calls": sorted(entry.idempotent_calls),
+        }
+    return {
+        "kind": catalogue.key_of(entry).kind.value,
+        "name": entry.name,
+        "owner": entry.owner,
+        **fields,
+        "version": entry.version,
+        **load_extra(entry.extra),
+    }
+
+
+def _dump_limits(workspace: catalogue.Workspace) -> dict[str, Any]:
+    limits = workspace.limits
+    return {
+        "concurrency": limits.concurrency,
+        "rate_per_s": limits.rate_per_s,
+        "queue_length": limits.queue_length,
+        "largest_request": limits.largest_request,
+        **load_extra(limits.extra),
+    }
+
+
+def _dump_target(target: catalogue.Target) -> dict[str, Any]:
+    return {
+        "name": target.name,
+        "url": target.url,
+        "data_centre": target.data_centre,
+        "slots": target.slots,
+        **load_extra(target.extra),
+    }
+
+
+def load_extra(extra: str) -> dict[str, Any]:
+    """Returns the unknown fields that were kept as JSON text."""
+    return msgspec.json.decode(extra) if extra else {}
+
+
+def dump_extra(raw: dict[str, Any], wire_type: type) -> str:
+    """Returns the fields of `raw` not known to the type, as JSON text."""
+    unknown = raw.keys() - _known_fields(wire_type)
+    if not unknown:
+        return ""
+    fields = {name: raw[name] for name in unknown}
+    return msgspec.json.encode(fields, order="deterministic").decode()
+
+
+@functools.cache
+def _known_fields(wire_type: type) -> frozenset[str]:
+    return frozenset(wire_type.__struct_encode_fields__)
+
+
+def _to_entry(wire: WireEntry, raw: dict[str, Any]) -> catalogue.Entry:
+    extra = dump_extra(raw, type(wire))
+    if isinstance(wire, WireClass):
+        return catalogue.WorkspaceClass(
+            ids.ClassId(wire.name),
+            sys.intern(wire.owner),
+            wire.weight,
+            wire.version,
+            extra,
+        )
+    if isinstance(wire, WireWorkspace):
+        return catalogue.Workspace(
+            ids.WorkspaceId(wire.name),
+            sys.intern(wire.owner),
+            ids.ClassId(sys.intern(wire.class_name)),
+            _to_limits(wire.limits, raw.get("limits", {})),
+            wire.version,
+            extra,
+        )
+    return catalogue.Pool(
+        ids.PoolId(wire.name),
+        sys.intern(wire.owner),
+        catalogue.ServiceKind(wire.service),
+        tuple(map(_to_target, wire.targets, raw["targets"])),
+        frozenset(wire.idempotent_calls),
+        wire.version,
+        extra,
+    )
+
+
+def _to_limits(wire: WireLimits, raw: dict[str, Any]) -> catalogue.Limits:
+    return catalogue.Limits(
+        wire.concurrency,
+        wire.rate_per_s,
+        wire.queue_length,
+        wire.largest_request,
+        dump_extra(raw, WireLimits),
+    )
+
+
+def _to_target(wire: WireTarget, raw: dict[str, Any]) -> catalogue.Target:
+    return catalogue.Target(
+        ids.TargetId(wire.name),
+        wire.url,
+        ids.DataCentreId(wire.data_centre),
+        wire.slots,
+        dump_extra(raw, WireTarget),
+    )
+
+
+def _find_kind_fault(raw: Any, pointer: str) -> findings.Finding:
+    if not isinstance(raw, dict):
+        return findings.Finding(pointer, "is not an object")
+    kinds = ", ".join(WIRE_TYPES)
+    if "kind" not in raw:
+        return findings.Finding(pointer, f"'kind' is missing; one of {kinds}")
+    return findings.Finding(
+        findings.join_pointer(pointer, "kind"), f"is not one of {kinds}"
+    )
+
+
+def _find_schema_faults(
+    raw: Any, wire_type: type, pointer: str
+) -> tuple[findings.Finding, ...]:
+    errors = _validator(wire_type).iter_errors(raw)
+    found = [_to_finding(error, pointer) for error in errors]
+    return tuple(sorted(found, key=lambda f: (f.pointer, f.message)))
+
+
+def _to_finding(
+    error: schema_exceptions.ValidationError, pointer: str
+) -> findings.Finding:
+    deepest = schema_exceptions.best_match([error])
+    path = deepest.absolute_path
+    message = deepest.message
+    if len(message) > MAX_MESSAGE_LENGTH:
+        message = message[:MAX_MESSAGE_LENGTH] + "…"
+    return findings.Finding(findings.join_pointer(pointer, *path), message)
+
+
+@functools.cache
+def _validator(wire_type: type) -> jsonschema.Draft202012Validator:
+    schema = msgspec.json.schema(wire_type)
+    return jsonschema.Draft202012Validator(schema)
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_log.py
@@ -0,0 +1,262 @@
+"""Evaluation of the catalogue's log stream, in log order.
+
+The verdict on a change depends on nothing but the records up to it, so that
+all readers of the log agree and an accepted change is never taken back.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+from typing import Any
+
+from lentilbeam_core import catalogue
+from lentilbeam_core import catalogue_change
+from lentilbeam_core import catalogue_json
+from lentilbeam_core import catalogue_rules
+from lentilbeam_core import catalogue_state
+from lentilbeam_core import findings
+from lentilbeam_core import ids
+
+STREAM = "catalogue"
+MAX_FINDINGS = 64
+"""Findings that a verdict keeps."""
+
+
+def apply_record(
+    state: catalogue_state.State, offset: ids.Offset, value: Any
+) -> catalogue_change.Verdict | None:
+    """Takes the next record of the log into the state.
+
+    Returns the verdict if the record is a change, for a repeated change id
+    the first verdict. All other records change nothing but the offset.
+    """
+    if offset <= state.offset:
+        return None
+    state.offset = offset
+    if not isinstance(value, dict):
+        return None
+    if value.get(catalogue_change.RECORD_FIELD) != catalogue_change.CHANGE:
+        return None
+    parsed = catalogue_change.parse_change(value)
+    if parsed.is_ok():
+        return _judge(state, offset, parsed.ok)
+    if parsed.error is None:
+        return None
+    return _judge_malformed(state, offset, parsed.error)
+
+
+def evaluate(
+    state: catalogue_state.State, change: catalogue_change.Change
+) -> list[findings.Finding]:
+    """Returns everything that stands against the change, without effect."""
+    edit, found = _parse_edit(change)
+    return [*found, *_check_edit(state, change, edit)]
+
+
+def _judge(
+    state: catalogue_state.State,
+    offset: ids.Offset,
+    change: catalogue_change.Change,
+) -> catalogue_change.Verdict:
+    known = _find_known(state, offset, change.name, change.operator)
+    if known is not None:
+        return known
+    edit, found = _parse_edit(change)
+    found.extend(_check_edit(state, change, edit))
+    if found:
+        winner = _find_winner(state, change)
+        verdict = _reject(offset, change.name, change.operator, found, winner)
+    else:
+        _apply(state, offset, edit)
+        verdict = catalogue_change.Verdict(
+            change.name,
+            change.operator,
+            offset,
+            catalogue_change.Status.ACCEPTED,
+        )
+    state.judge(verdict)
+    return verdict
+
+
+def _judge_malformed(
+    state: catalogue_state.State,
+    offset: ids.Offset,
+    change: catalogue_change.MalformedChange,
+) -> catalogue_change.Verdict:
+    known = _find_known(state, offset, change.name, change.operator)
+    if known is not None:
+        return known
+    verdict = _reject(
+        offset, change.name, change.operator, list(change.findings)
+    )
+    state.judge(verdict)
+    return verdict
+
+
+def _find_known(
+    state: catalogue_state.State,
+    offset: ids.Offset,
+    name: catalogue_change.ChangeId,
+    operator: str,
+) -> catalogue_change.Verdict | None:
+    known = state.verdicts.get(name)
+    if known is not None or name > state.forgotten:
+        return known
+    finding = findings.Finding(
+        "/id", "is too old: the verdict on it may have been forgotten"
+    )
+    return _reject(offset, name, operator, [finding])
+
+
+def _reject(
+    offset: ids.Offset,
+    name: catalogue_change.ChangeId,
+    operator: str,
+    found: list[findings.Finding],
+    winner: catalogue_change.Winner | None = None,
+) -> catalogue_change.Verdict:
+    kept = found[:MAX_FINDINGS]
+    left_out = len(found) - len(kept)
+    if left_out:
+        kept.append(findings.Finding("", f"{left_out} more findings"))
+    return catalogue_change.Verdict(
+        name,
+        operator,
+        offset,
+        catalogue_change.Status.REJECTED,
+        tuple(kept),
+        winner,
+    )
+
+
+def _parse_edit(
+    change: catalogue_change.Change,
+) -> tuple[catalogue_rules.Edit, list[findings.Finding]]:
+    upserts, found = [], []
+    for index, raw in enumerate(change.upserts):
+        pointer = f"/upserts/{index}"
+        parsed = catalogue_json.parse_entry(raw, pointer)
+        if parsed.is_ok():
+            upserts.append(catalogue_rules.Upsert(pointer, parsed.ok))
+        else:
+            found.extend(parsed.error)
+    deletions = [
+        catalogue_rules.Deletion(f"/deletes/{index}", key)
+        for index, key in enumerate(change.deletes)
+    ]
+    named = {catalogue_json.read_key(raw) for raw in change.upserts} - {None}
+    edit = catalogue_rules.Edit(
+        tuple(upserts), tuple(deletions), frozenset(named)
+    )
+    return edit, found
+
+
+def _check_edit(
+    state: catalogue_state.State,
+    change: catalogue_change.Change,
+    edit: catalogue_rules.Edit,
+) -> Iterator[findings.Finding]:
+    yield from _check_keys(change, edit)
+    yield from _check_bases(state, change, edit)
+    yield from _check_owners(state, change.operator, edit)
+    yield from _check_deletions(state, edit)
+    yield from catalogue_rules.check_edit(state, edit)
+
+
+def _check_keys(
+    change: catalogue_change.Change, edit: catalogue_rules.Edit
+) -> Iterator[findings.Finding]:
+    if not change.upserts and not change.deletes:
+        yield findings.Finding("", "changes nothing")
+    seen = set()
+    for place in _places(edit):
+        if place.key in seen:
+            yield findings.Finding(
+                place.pointer, f"{place.key} is there more than once"
+            )
+        seen.add(place.key)
+
+
+def _places(
+    edit: catalogue_rules.Edit,
+) -> Iterator[catalogue_rules.Deletion]:
+    for upsert in edit.upserts:
+        key = catalogue.key_of(upsert.entry)
+        yield catalogue_rules.Deletion(upsert.pointer, key)
+    yield from edit.deletions
+
+
+def _check_bases(
+    state: catalogue_state.State,
+    change: catalogue_change.Change,
+    edit: catalogue_rules.Edit,
+) -> Iterator[findings.Finding]:
+    for index, base in enumerate(change.bases):
+        version = state.version(base.key)
+        if version != base.version:
+            now = f"at version {version}" if version else "not there"
+            was = f"version {base.version}" if base.version else "its absence"
+            yield findings.Finding(
+                f"/bases/{index}",
+                f"{base.key} is {now}, the change was based on {was}",
+            )
+    based = {base.key for base in change.bases}
+    for place in _places(edit):
+        if place.key not in based:
+            yield findings.Finding(
+                place.pointer, f"no base is given for {place.key}"
+            )
+
+
+def _find_winner(
+    state: catalogue_state.State, change: catalogue_change.Change
+) -> catalogue_change.Winner | None:
+    offsets = [
+        state.changed_at(base.key)
+        for base in change.bases
+        if state.version(base.key) != base.version
+    ]
+    latest = max(offsets, default=ids.Offset(0))
+    return state.author(latest) if latest else None
+
+
+def _check_owners(
+    state: catalogue_state.State,
+    operator: str,
+    edit: catalogue_rules.Edit,
+) -> Iterator[findings.Finding]:
+    for upsert in edit.upserts:
+        old = state.catalogue.find(catalogue.key_of(upsert.entry))
+        owner = old.owner if old else upsert.entry.owner
+        if owner != operator:
+            yield findings.Finding(
+                findings.join_pointer(upsert.pointer, "owner"),
+                f"owned by {owner}, so {operator} may not change it",
+            )
+    for deletion in edit.deletions:
+        old = state.catalogue.find(deletion.key)
+        if old and old.owner != operator:
+            yield findings.Finding(
+                deletion.pointer,
+                f"owned by {old.owner}, so {operator} may not delete it",
+            )
+
+
+def _check_deletions(
+    state: catalogue_state.State, edit: catalogue_rules.Edit
+) -> Iterator[findings.Finding]:
+    for deletion in edit.deletions:
+        if state.catalogue.find(deletion.key) is None:
+            yield findings.Finding(
+                deletion.pointer, f"there is no {deletion.key}"
+            )
+
+
+def _apply(
+    state: catalogue_state.State,
+    offset: ids.Offset,
+    edit: catalogue_rules.Edit,
+) -> None:
+    for deletion in edit.deletions:
+        state.delete(deletion.key, offset)
+    for upsert in edit.upserts:
+        state.put(dataclasses.replace(upsert.entry, version=offset))
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_rules.py
@@ -0,0 +1,141 @@
+"""Rules that entries must keep among each other after a change."""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+from urllib import parse
+
+from lentilbeam_core import catalogue
+from lentilbeam_core import catalogue_state
+from lentilbeam_core import findings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Upsert:
+    """A well-formed entry of a change and its place in it."""
+
+    pointer: str
+    entry: catalogue.Entry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deletion:
+    """A key that a change deletes and its place in it."""
+
+    pointer: str
+    key: catalogue.EntryKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Edit:
+    """What a change does, as far as it is well-formed.
+
+    Attributes:
+        named: keys of all upserts, the malformed ones included.
+    """
+
+    upserts: tuple[Upsert, ...]
+    deletions: tuple[Deletion, ...]
+    named: frozenset[catalogue.EntryKey]
+
+
+def check_edit(
+    state: catalogue_state.State, edit: Edit
+) -> Iterator[findings.Finding]:
+    """Yields all findings about the catalogue that the edit results in."""
+    deleted = {deletion.key for deletion in edit.deletions}
+    for upsert in edit.upserts:
+        if isinstance(upsert.entry, catalogue.Workspace):
+            yield from _check_class(state, edit, deleted, upsert)
+        elif isinstance(upsert.entry, catalogue.Pool):
+            yield from _check_urls(upsert)
+    yield from _check_targets(state, edit, deleted)
+    yield from _check_deleted_classes(state, edit)
+
+
+def _check_class(
+    state: catalogue_state.State,
+    edit: Edit,
+    deleted: set[catalogue.EntryKey],
+    upsert: Upsert,
+) -> Iterator[findings.Finding]:
+    name = upsert.entry.class_name
+    key = catalogue.EntryKey(catalogue.EntryKind.CLASS, name)
+    if key in edit.named:
+        return
+    if key in deleted or name not in state.catalogue.classes:
+        yield findings.Finding(
+            findings.join_pointer(upsert.pointer, "class"),
+            f"there is no class {name}",
+        )
+
+
+def _check_urls(upsert: Upsert) -> Iterator[findings.Finding]:
+    for index, target in enumerate(upsert.entry.targets):
+        if not _is_address(target.url):
+            yield findings.Finding(
+                findings.join_pointer(upsert.pointer, "targets", index, "url"),
+                "has no valid host and port",
+            )
+
+
+def _is_address(url: str) -> bool:
+    try:
+        parts = parse.urlsplit(url)
+        return bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        return False
+
+
+def _check_targets(
+    state: catalogue_state.State,
+    edit: Edit,
+    deleted: set[catalogue.EntryKey],
+) -> Iterator[findings.Finding]:
+    touched = {key.name for key in edit.named | deleted if _is_pool(key)}
+    pools: dict[str, str] = {}
+    for upsert in edit.upserts:
+        if not isinstance(upsert.entry, catalogue.Pool):
+            continue
+        for index, target in enumerate(upsert.entry.targets):
+            holder = state.target_pool(target.name)
+            if holder in touched:
+                holder = None
+            holder = pools.get(target.name, holder)
+            pools[target.name] = upsert.entry.name
+            if holder is not None:
+                yield findings.Finding(
+                    findings.join_pointer(
+                        upsert.pointer, "targets", index, "name"
+                    ),
+                    f"target {target.name} is in pool {holder} already",
+                )
+
+
+def _is_pool(key: catalogue.EntryKey) -> bool:
+    return key.kind is catalogue.EntryKind.POOL
+
+
+def _check_deleted_classes(
+    state: catalogue_state.State, edit: Edit
+) -> Iterator[findings.Finding]:
+    deletions = [
+        deletion
+        for deletion in edit.deletions
+        if deletion.key.kind is catalogue.EntryKind.CLASS
+    ]
+    if not deletions:
+        return
+    keys = edit.named | {deletion.key for deletion in edit.deletions}
+    released = collections.Counter(
+        entry.class_name
+        for entry in catalogue_state.touched_entries(state, keys)
+        if isinstance(entry, catalogue.Workspace)
+    )
+    for deletion in deletions:
+        name = deletion.key.name
+        uses = state.class_uses(name) - released[name]
+        if uses > 0:
+            yield findings.Finding(
+                deletion.pointer, f"class {name} has {uses} workspaces"
+            )
