Add at-most-once claims through the log

Claims are appended and read back; the first claim of a key in log order holds it until its maker, who has barred it, releases it. Keys are UUIDv7 and claimed only within a window well below the log's retention.

--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_requests.py
@@ -0,0 +1,99 @@
+"""What a claim book does when a request wants its key."""
+
+from lentilbeam_core import claim_attempts
+from lentilbeam_core import claim_events
+from lentilbeam_core import claim_records
+from lentilbeam_core import claim_state
+from lentilbeam_core import outcome
+from lentilbeam_core import request_key
+
+Reason = outcome.RefusalReason
+
+
+def request(
+    state: claim_state.ClaimState, event: claim_events.ClaimRequested
+) -> None:
+    """Starts or joins an attempt, or tells the waiter why not."""
+    attempt = state.attempts.by_key.get(event.key)
+    if attempt is not None:
+        _join(state, attempt, event)
+        return
+    refusal = _find_refusal(state, event.key)
+    if refusal is None:
+        _open_attempt(state, event)
+        return
+    holder = state.get_other_holder(event.key)
+    if holder is None:
+        state.tell(event.waiter, refusal)
+        return
+    state.tell(event.waiter, state.build_loss(event.key, holder))
+
+
+def leave(
+    state: claim_state.ClaimState,
+    key: request_key.RequestKey,
+    waiter: int,
+) -> None:
+    """Drops a waiter; bars the claim that nobody waits for any more."""
+    attempt = state.attempts.by_key.get(key)
+    if attempt is None or waiter not in attempt.waiters:
+        return
+    attempt.waiters.remove(waiter)
+    if not attempt.waiters and attempt.is_undecided:
+        state.bar(attempt)
+
+
+def _find_refusal(
+    state: claim_state.ClaimState, key: request_key.RequestKey
+) -> claim_events.ClaimRefused | None:
+    if state.is_leaving:
+        return claim_events.ClaimRefused(key, Reason.DRAINING, state.pause_s)
+    fault = state.find_age_fault(key)
+    if fault is request_key.KeyFault.TOO_OLD:
+        return claim_events.ClaimRefused(key, Reason.KEY_TOO_OLD, None)
+    if fault is not None:
+        return claim_events.ClaimRefused(key, Reason.BAD_REQUEST, None)
+    if state.stream.is_blocked(state.now):
+        return state.build_outage_refusal(key)
+    if state.attempts.undecided_count >= state.settings.max_pending:
+        return claim_events.ClaimRefused(key, Reason.QUEUE_FULL, state.pause_s)
+    return None
+
+
+def _join(
+    state: claim_state.ClaimState,
+    attempt: claim_attempts.Attempt,
+    event: claim_events.ClaimRequested,
+) -> None:
+    if not attempt.is_undecided:
+        state.tell(event.waiter, claim_state.build_local_loss(attempt))
+        return
+    give_up_at = _compute_give_up(state, event.deadline)
+    state.attempts.join(attempt, event.waiter, event.deadline, give_up_at)
+
+
+def _open_attempt(
+    state: claim_state.ClaimState, event: claim_events.ClaimRequested
+) -> None:
+    is_free = state.get_other_holder(event.key) is None
+    is_ready = is_free and state.stream.is_covered
+    first = claim_attempts.AttemptState.QUEUED
+    if not is_ready:
+        first = claim_attempts.AttemptState.CHECKING
+    state.claims_made += 1
+    attempt = claim_attempts.Attempt(
+        key=event.key,
+        claim=claim_records.ClaimId(
+            state.me, state.incarnation, state.claims_made
+        ),
+        state=first,
+        waiters=[event.waiter],
+        deadline=event.deadline,
+        give_up_at=_compute_give_up(state, event.deadline),
+        fresh_read=None if is_ready else state.stream.reads_started + 1,
+    )
+    state.attempts.add(attempt)
+
+
+def _compute_give_up(state: claim_state.ClaimState, deadline: float) -> float:
+    return min(deadline, state.now + state.settings.patience_s)
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_state.py
@@ -0,0 +1,164 @@
+"""State of a claim book, and the steps that its parts share."""
+
+from lentilbeam_core import claim_attempts
+from lentilbeam_core import claim_events
+from lentilbeam_core import claim_index
+from lentilbeam_core import claim_records
+from lentilbeam_core import claim_stream
+from lentilbeam_core import ids
+from lentilbeam_core import outcome
+from lentilbeam_core import request_key
+
+Reason = outcome.RefusalReason
+
+
+class ClaimState:
+    """Everything that one incarnation of a router knows of claims.
+
+    Attributes:
+        now: monotonic time of the event at hand.
+        wall_ms: wall clock, in milliseconds since 1970; never goes back.
+        effects: what is to be done about the event at hand.
+    """
+
+    def __init__(
+        self,
+        settings: claim_events.Settings,
+        me: ids.InstanceId,
+        incarnation: ids.Incarnation,
+    ):
+        self.settings = settings
+        self.me = me
+        self.incarnation = incarnation
+        self.stream = claim_stream.ClaimStream(settings)
+        self.index = claim_index.ClaimIndex(settings.max_keys)
+        self.attempts = claim_attempts.AttemptTable()
+        self.claims_made = 0
+        self.is_leaving = False
+        self.now = float("-inf")
+        self.wall_ms = 0
+        self.effects: list[claim_events.Effect] = []
+
+    @property
+    def pause_s(self) -> float:
+        """Shortest Retry-After, in seconds."""
+        return self.settings.outage.min_pause_s
+
+    def set_time(self, now: claim_events.Instant) -> None:
+        """Takes in the time.
+
+        A wall clock that is set back must not make old keys young again.
+        """
+        self.now = max(self.now, now.monotonic)
+        self.wall_ms = max(self.wall_ms, now.wall_ms)
+
+    def is_mine(self, claim: claim_records.ClaimId) -> bool:
+        """Returns whether this incarnation made the claim."""
+        start = (claim.instance, claim.incarnation)
+        return start == (self.me, self.incarnation)
+
+    def get_other_holder(
+        self, key: request_key.RequestKey
+    ) -> claim_records.ClaimId | None:
+        """Returns the claim of another process that holds the key, if any."""
+        holder = self.index.get_holder(key)
+        if holder is None or self.is_mine(holder):
+            return None
+        return holder
+
+    def find_age_fault(
+        self, key: request_key.RequestKey
+    ) -> request_key.KeyFault | None:
+        """Returns why the key's age forbids to run it now, if it does."""
+        if not self.index.is_trusted(key):
+            return request_key.KeyFault.TOO_OLD
+        return request_key.find_age_fault(
+            key.request, self.settings.window, self.wall_ms
+        )
+
+    def tell(self, waiter: int, result: claim_events.Result) -> None:
+        """Tells one waiter its result."""
+        self.effects.append(claim_events.Decided(waiter, result))
+
+    def tell_all(
+        self, attempt: claim_attempts.Attempt, result: claim_events.Result
+    ) -> None:
+        """Tells all waiters of an attempt the same result."""
+        for waiter in attempt.waiters:
+            self.tell(waiter, result)
+        attempt.waiters = []
+
+    def build_loss(
+        self, key: request_key.RequestKey, winner: claim_records.ClaimId
+    ) -> claim_events.ClaimLost:
+        """Returns the result for a key that another process holds."""
+        ended = self.index.get_ended(key)
+        return claim_events.ClaimLost(key, winner, False, ended)
+
+    def build_outage_refusal(
+        self, key: request_key.RequestKey
+    ) -> claim_events.ClaimRefused:
+        """Returns the refusal for a log that is out of reach."""
+        retry_after_s = self.stream.get_retry_after_s(self.now)
+        return claim_events.ClaimRefused(
+            key, Reason.CLAIM_LOG_UNAVAILABLE, retry_after_s
+        )
+
+    def bar(self, attempt: claim_attempts.Attempt) -> None:
+        """Makes sure that the claim is never run, and releases it."""
+        self.attempts.remove(attempt)
+        if attempt.uncertain_appends:
+            self.release(attempt.key, attempt.claim)
+
+    def release(
+        self, key: request_key.RequestKey, claim: claim_records.ClaimId
+    ) -> None:
+        """Lets a later claim have the key; the claim must be barred."""
+        release = claim_records.Release(key, claim)
+        self.stream.notices.append(release)
+
+    def refuse(
+        self,
+        attempt: claim_attempts.Attempt,
+        refusal: claim_events.ClaimRefused,
+    ) -> None:
+        """Bars the claim, then tells the refusal, or who holds the key."""
+        self.bar(attempt)
+        holder = self.get_other_holder(attempt.key)
+        if holder is None:
+            self.tell_all(attempt, refusal)
+            return
+        self.tell_all(attempt, self.build_loss(attempt.key, holder))
+
+    def refuse_for_outage(self, attempt: claim_attempts.Attempt) -> None:
+        """Refuses an attempt because the log is out of reach."""
+        self.refuse(attempt, self.build_outage_refusal(attempt.key))
+
+    def give_up(self, attempt: claim_attempts.Attempt) -> None:
+        """Refuses an attempt that was undecided for too long."""
+        key = attempt.key
+        reason = self._find_give_up_reason(attempt)
+        if reason is Reason.CLAIM_LOG_UNAVAILABLE:
+            if attempt.state is claim_attempts.AttemptState.SENT:
+                self.stream.append_outage.note_failure(self.now)
+            self.refuse_for_outage(attempt)
+            return
+        refusal = claim_events.ClaimRefused(key, reason, self.pause_s)
+        self.refuse(attempt, refusal)
+
+    def _find_give_up_reason(self, attempt: claim_attempts.Attempt) -> Reason:
+        if attempt.deadline <= self.now:
+            return Reason.DEADLINE_UNREACHABLE
+        is_read_working = not self.stream.read_outage.is_on
+        if not self.stream.is_covered and is_read_working:
+            return Reason.NOT_READY
+        return Reason.CLAIM_LOG_UNAVAILABLE
+
+
+def build_local_loss(
+    attempt: claim_attempts.Attempt,
+) -> claim_events.ClaimLost:
+    """Returns the result for a key that this process holds already."""
+    return claim_events.ClaimLost(
+        attempt.key, attempt.claim, True, attempt.ended
+    )
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claims.py
@@ -0,0 +1,172 @@
+"""At-most-once claims of one router, through the platform's log.
+
+A request that must not be repeated is run only by the router whose claim of
+its key is first in log order, which the router learns by reading the log
+back. A claim that was given up is barred before its caller is told that the
+request was not run, and is released in the log wherever it turns up.
+"""
+
+from lentilbeam_core import claim_attempts
+from lentilbeam_core import claim_events
+from lentilbeam_core import claim_readback
+from lentilbeam_core import claim_records
+from lentilbeam_core import claim_requests
+from lentilbeam_core import claim_state
+from lentilbeam_core import ids
+from lentilbeam_core import outcome
+from lentilbeam_core import request_key
+
+AttemptState = claim_attempts.AttemptState
+
+
+class ClaimBook:
+    """The claims of one incarnation of a router."""
+
+    def __init__(
+        self,
+        settings: claim_events.Settings,
+        me: ids.InstanceId,
+        incarnation: ids.Incarnation,
+    ):
+        self.state = claim_state.ClaimState(settings, me, incarnation)
+
+    @property
+    def is_flushed(self) -> bool:
+        """Whether no release and no end of a run waits to be appended."""
+        stream = self.state.stream
+        return not stream.notices and not stream.in_flight
+
+    def handle(
+        self, event: claim_events.Event, now: claim_events.Instant
+    ) -> list[claim_events.Effect]:
+        """Takes in one event; returns what is to be done."""
+        state = self.state
+        state.set_time(now)
+        state.effects = []
+        _take_event(state, event)
+        for attempt in state.attempts.pop_overdue(state.now):
+            state.give_up(attempt)
+        _start_append(state)
+        _start_read(state)
+        return state.effects
+
+    def start_run(
+        self,
+        key: request_key.RequestKey,
+        claim: claim_records.ClaimId,
+        now: claim_events.Instant,
+    ) -> bool:
+        """Returns whether the winner may hand over the request now.
+
+        To be asked right before each try at a target. After a refusal the
+        request is to be settled as one of which no byte was handed over.
+        """
+        state = self.state
+        state.set_time(now)
+        attempt = state.attempts.find(key, claim)
+        if attempt is None or attempt.state not in claim_attempts.RUNNABLE:
+            return False
+        if state.find_age_fault(key):
+            return False
+        state.attempts.move(attempt, AttemptState.RUNNING)
+        return True
+
+    def next_wakeup(self) -> float | None:
+        """Returns the monotonic time at which to send `Ticked`, if any."""
+        state = self.state
+        times = [
+            state.stream.get_next_read_at(_is_read_awaited(state)),
+            state.attempts.get_next_give_up(),
+        ]
+        if _has_records_to_append(state):
+            times.append(state.stream.get_next_append_at())
+        first = min(times)
+        return None if first == float("inf") else first
+
+
+def _take_event(
+    state: claim_state.ClaimState, event: claim_events.Event
+) -> None:
+    match event:
+        case claim_events.ClaimRequested():
+            claim_requests.request(state, event)
+        case claim_events.WaiterLeft(key, waiter):
+            claim_requests.leave(state, key, waiter)
+        case claim_events.RunSettled():
+            _settle(state, event)
+        case claim_events.AppendEnded(answer):
+            claim_readback.end_append(state, answer)
+        case claim_events.PageRead():
+            claim_readback.take_page(state, event)
+        case claim_events.ReadFailed():
+            state.stream.fail_read(state.now)
+        case claim_events.StopRequested():
+            _stop(state)
+
+
+def _settle(
+    state: claim_state.ClaimState, event: claim_events.RunSettled
+) -> None:
+    attempt = state.attempts.find(event.key, event.claim)
+    if attempt is None or attempt.state not in claim_attempts.RUNNABLE:
+        return
+    ended = outcome.decide_outcome(event.exchange)
+    if ended is outcome.Outcome.REFUSED_NOT_RUN:
+        state.bar(attempt)
+        return
+    attempt.ended = ended
+    state.attempts.move(attempt, AttemptState.ENDED)
+    done = claim_records.Done(event.key, event.claim, ended)
+    state.stream.notices.append(done)
+    if event.key not in state.index.keys:
+        state.attempts.remove(attempt)
+
+
+def _stop(state: claim_state.ClaimState) -> None:
+    state.is_leaving = True
+    reason = outcome.RefusalReason.DRAINING
+    for attempt in list(state.attempts.by_key.values()):
+        if attempt.is_undecided:
+            refusal = claim_events.ClaimRefused(
+                attempt.key, reason, state.pause_s
+            )
+            state.refuse(attempt, refusal)
+        elif attempt.state is AttemptState.WON:
+            state.bar(attempt)
+
+
+def _has_records_to_append(state: claim_state.ClaimState) -> bool:
+    queued = state.attempts.undecided[AttemptState.QUEUED]
+    return bool(queued or state.stream.notices)
+
+
+def _start_append(state: claim_state.ClaimState) -> None:
+    if not _has_records_to_append(state):
+        return
+    if state.now < state.stream.get_next_append_at():
+        return
+    space = state.settings.batch_records - len(state.stream.notices)
+    batch = state.attempts.collect(AttemptState.QUEUED)[: max(0, space)]
+    for attempt in batch:
+        attempt.uncertain_appends += 1
+        state.attempts.move(attempt, AttemptState.SENT)
+    claims = [claim_records.Claim(a.key, a.claim) for a in batch]
+    state.effects.append(state.stream.start_append(claims, state.now))
+
+
+def _is_read_awaited(state: claim_state.ClaimState) -> bool:
+    undecided = state.attempts.undecided
+    is_checking = bool(undecided[AttemptState.CHECKING])
+    return is_checking or bool(undecided[AttemptState.SENT])
+
+
+def _start_read(state: claim_state.ClaimState) -> None:
+    is_awaited = _is_read_awaited(state)
+    if state.now < state.stream.get_next_read_at(is_awaited):
+        return
+    undecided = state.attempts.undecided
+    sent = undecided[AttemptState.SENT].values()
+    is_due = bool(sent) and all(a.fresh_read is None for a in sent)
+    can_wait = is_due and not undecided[AttemptState.CHECKING]
+    wait_s = state.settings.read_wait_s if can_wait else 0.0
+    state.effects.append(state.stream.start_read(wait_s, state.now))
--- /dev/null
+++ b/tests/unit/test_request_key.py
@@ -0,0 +1,41 @@
+"""Which idempotency keys can be claimed."""
+
+import uuid
+
+import pytest
+
+from lentilbeam_core import request_key
+
+NOW_MS = 1_800_000_000_000
+WINDOW = request_key.KeyWindow()
+Fault = request_key.KeyFault
+
+
+@pytest.mark.parametrize(
+    ("age_s", "fault"),
+    [
+        (0, None),
+        (600, None),
+        (601, Fault.TOO_OLD),
+        (-30, None),
+        (-31, Fault.FROM_THE_FUTURE),
+    ],
+)
+def test_age_of_keys(age_s, fault):
+    key = request_key.build_request_id(NOW_MS - age_s * 1000, 7)
+    assert request_key.find_form_faults(key) == []
+    assert request_key.find_age_fault(key, WINDOW, NOW_MS) is fault
+
+
+def test_all_faults_of_form_are_found():
+    both = str(uuid.UUID(int=0xABC << 64)).upper()
+    assert request_key.find_form_faults(both) == [
+        Fault.NOT_VERSION_7,
+        Fault.NOT_CANONICAL,
+    ]
+    assert request_key.find_form_faults("x") == [Fault.NOT_A_UUID]
+
+
+def test_window_must_stay_below_retention():
+    with pytest.raises(ValueError, match="retention"):
+        request_key.KeyWindow(claim_window_s=1800, log_retention_s=3600)
