--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_events.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_events.py
@@ -33,7 +33,7 @@
     """
 
     window: request_key.KeyWindow = request_key.KeyWindow()
-    outage: outage.Settings = outage.Settings()
+    log_outage: outage.Settings = outage.Settings()
     append_interval_s: float = 0.05
     read_interval_s: float = 0.01
     idle_read_interval_s: float = 1.0
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_state.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_state.py
@@ -42,7 +42,7 @@
     @property
     def pause_s(self) -> float:
         """Shortest Retry-After, in seconds."""
-        return self.settings.outage.min_pause_s
+        return self.settings.log_outage.min_pause_s
 
     def set_time(self, now: claim_events.Instant) -> None:
         """Takes in the time.
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_stream.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_stream.py
@@ -28,13 +28,13 @@
         self.is_reading = False
         self.may_have_more = True
         self.read_at = float("-inf")
-        self.read_outage = outage.Outage(settings.outage)
+        self.read_outage = outage.Outage(settings.log_outage)
         self.notices: collections.deque[claim_records.Record] = (
             collections.deque(maxlen=settings.max_notices)
         )
         self.in_flight: tuple[claim_records.Record, ...] = ()
         self.append_at = float("-inf")
-        self.append_outage = outage.Outage(settings.outage)
+        self.append_outage = outage.Outage(settings.log_outage)
 
     @property
     def is_covered(self) -> bool:
--- a/packages/lentilbeam-core/src/lentilbeam_core/claims.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claims.py
@@ -36,6 +36,12 @@
         stream = self.state.stream
         return not stream.notices and not stream.in_flight
 
+    @property
+    def is_log_failing(self) -> bool:
+        """Whether the last append or the last read failed."""
+        stream = self.state.stream
+        return stream.append_outage.is_on or stream.read_outage.is_on
+
     def handle(
         self, event: claim_events.Event, now: claim_events.Instant
     ) -> list[claim_events.Effect]:
