--- a/packages/lentilbeam-router/src/lentilbeam_router/claim_task.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/claim_task.py
@@ -202,9 +202,10 @@
             claim_events.StoredRecord(record.offset, record.value)
             for record in page.records
         )
-        self._post(
-            claim_events.PageRead(records, page.oldest, page.next_offset)
-        )
+        next_offset = max(read.start, page.oldest)
+        if records:
+            next_offset = ids.Offset(records[-1].offset + 1)
+        self._post(claim_events.PageRead(records, page.oldest, next_offset))
 
     def _note_reachability(self) -> None:
         is_reachable = not self.book.is_log_failing
--- /dev/null
+++ b/tests/unit/test_claim_task.py
@@ -0,0 +1,130 @@
+"""The claim task against the log stand-in, in one process."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+import httpx
+
+from lentilbeam_core import claim_events
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import ids
+from lentilbeam_core import outcome
+from lentilbeam_core import request_key
+from lentilbeam_router import claim_task
+from lentilbeam_router import platform_log
+from tests.standins import log as log_standin
+
+RETENTION_S = 3600.0
+DEADLINE_S = 60.0
+NOT_RUN = outcome.Exchange(False, outcome.TargetEnd.NOT_STARTED)
+WHOLE = outcome.Exchange(True, outcome.TargetEnd.WHOLE_ANSWER)
+CLOCK = clock_lib.SystemClock()
+
+
+class AnswerLosingTransport(httpx.AsyncBaseTransport):
+    """Loses the answers of the first appends after they took effect."""
+
+    def __init__(self, inner: httpx.AsyncBaseTransport, count: int):
+        self.inner = inner
+        self.count = count
+
+    async def handle_async_request(self, request):
+        """Passes the request on; fails if its answer is to be lost."""
+        response = await self.inner.handle_async_request(request)
+        if request.method == "POST" and self.count:
+            self.count -= 1
+            raise httpx.ReadError("lost")
+        return response
+
+
+class Fleet:
+    """Claim tasks of several routers on one log."""
+
+    def __init__(self, lost_answers: int):
+        log = log_standin.build(CLOCK, RETENTION_S)
+        transport = httpx.ASGITransport(log)
+        losing = AnswerLosingTransport(transport, lost_answers)
+        self.http = httpx.AsyncClient(transport=losing)
+        client = platform_log.LogClient("http://log", self.http)
+        self.routers = [
+            claim_task.ClaimTask(
+                claim_events.Settings(),
+                ids.InstanceId(name),
+                ids.Incarnation(1),
+                client,
+                CLOCK,
+            )
+            for name in "ab"
+        ]
+
+    async def obtain(self, router: int, key) -> claim_events.Result:
+        """Claims the key at one of the routers."""
+        deadline = CLOCK.monotonic() + DEADLINE_S
+        return await self.routers[router].obtain(key, deadline)
+
+
+def with_fleet(test: Callable[[Fleet], Awaitable[None]], lost_answers: int):
+    async def run():
+        fleet = Fleet(lost_answers)
+        for router in fleet.routers:
+            router.start()
+        await test(fleet)
+        assert all([await router.stop(DEADLINE_S) for router in fleet.routers])
+        await fleet.http.aclose()
+
+    asyncio.run(run())
+
+
+def new_key() -> request_key.RequestKey:
+    wall_ms = int(CLOCK.now().timestamp() * 1000)
+    request = request_key.build_request_id(wall_ms, random.getrandbits(74))
+    return request_key.RequestKey(ids.WorkspaceId("w"), request)
+
+
+def test_one_of_two_routers_wins_and_the_other_learns_the_end():
+    async def test(fleet: Fleet):
+        key = new_key()
+        results = await asyncio.gather(
+            fleet.obtain(0, key), fleet.obtain(1, key), fleet.obtain(0, key)
+        )
+        wins = [r for r in results if isinstance(r, claim_events.ClaimWon)]
+        losses = [r for r in results if isinstance(r, claim_events.ClaimLost)]
+        assert (len(wins), len(losses)) == (1, 2)
+        winner = fleet.routers[wins[0].claim.instance == "b"]
+        assert winner.start_run(wins[0])
+        assert winner.settle(wins[0], WHOLE) is outcome.Outcome.COMPLETED
+        await winner.flushed.wait()
+        for router in range(2):
+            again = await fleet.obtain(router, key)
+            assert again.ended is outcome.Outcome.COMPLETED
+
+    with_fleet(test, lost_answers=2)
+
+
+def test_a_released_key_can_be_won_elsewhere():
+    async def test(fleet: Fleet):
+        key = new_key()
+        first = await fleet.obtain(0, key)
+        fleet.routers[0].settle(first, NOT_RUN)
+        assert not fleet.routers[0].start_run(first)
+        await fleet.routers[0].flushed.wait()
+        second = await fleet.obtain(1, key)
+        assert isinstance(second, claim_events.ClaimWon)
+
+    with_fleet(test, lost_answers=0)
+
+
+def test_a_withdrawn_request_leaves_the_key_free():
+    async def test(fleet: Fleet):
+        key = new_key()
+        waiting = asyncio.create_task(fleet.obtain(0, key))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        await asyncio.wait([waiting])
+        assert not fleet.routers[0].book.state.attempts.by_key
+        second = await fleet.obtain(0, key)
+        assert isinstance(second, claim_events.ClaimWon)
+
+    with_fleet(test, lost_answers=0)
