--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/answers.py
@@ -0,0 +1,184 @@
+"""Puts a target's pieces together into the whole answer to one request.
+
+Only what is next in line is passed on; pieces of other answers and repeated
+pieces are dropped. An answer is complete only after an end mark whose length
+and digest fit all that was passed on.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import enum
+import hashlib
+
+from lentilbeam_core import ids
+
+MAX_FINDINGS = 16
+"""Most findings that are kept for one answer; all are counted."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """A part of an answer, as a target sent it.
+
+    Attributes:
+        offset: where it starts in the answer, in bytes of UTF-8.
+        cost: what the request has cost so far, in the pool's unit.
+    """
+
+    request_id: str
+    offset: int
+    text: str
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndMark:
+    """The end of an answer, as a target sent it.
+
+    Attributes:
+        length: of the whole answer, in bytes of UTF-8.
+        sha256: hex digest of the whole answer.
+        cost: what the request cost, in the pool's unit.
+    """
+
+    request_id: str
+    length: int
+    sha256: str
+    cost: float
+
+
+Piece = Chunk | EndMark
+
+
+class PieceFault(enum.Enum):
+    """What is wrong with a piece."""
+
+    CROSSED = "crossed"  # Belongs to another request's answer.
+    REPEATED = "repeated"  # Holds nothing that is new.
+    GAP = "gap"  # Starts beyond what was passed on.
+    TRUNCATED = "truncated"  # The end mark names a longer answer.
+    AFTER_END = "after_end"  # Came after the answer was complete.
+    MALFORMED = "malformed"  # Negative offset, or text that is not Unicode.
+    CONFLICT = "conflict"  # Differs from what was passed on.
+    WRONG_LENGTH = "wrong_length"  # The end mark names a shorter answer.
+    WRONG_DIGEST = "wrong_digest"
+
+
+DAMAGE = frozenset(
+    {PieceFault.CONFLICT, PieceFault.WRONG_LENGTH, PieceFault.WRONG_DIGEST}
+)
+"""Faults after which no end mark can make the answer whole."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PieceFinding:
+    """A fault and its place in the answer, in bytes of UTF-8."""
+
+    fault: PieceFault
+    offset: int
+
+
+class AnswerAssembler:
+    """The answer to one request, as far as it was passed on."""
+
+    def __init__(
+        self,
+        request_id: ids.RequestId,
+        read_kept: Callable[[int, int], bytes] | None = None,
+    ):
+        """Starts an answer.
+
+        Args:
+            request_id: the id that every piece must carry.
+            read_kept: returns the kept answer from an offset up to another
+                one, to check repeated parts against; may return less.
+        """
+        self.request_id = request_id
+        self.read_kept = read_kept
+        self.length = 0
+        self.is_complete = False
+        self.is_damaged = False
+        self.findings: list[PieceFinding] = []
+        self.counts: collections.Counter[PieceFault] = collections.Counter()
+        self.digest = hashlib.sha256()
+
+    @property
+    def sha256(self) -> str:
+        """Hex digest of what was passed on."""
+        return self.digest.hexdigest()
+
+    @property
+    def can_resume(self) -> bool:
+        """Whether further pieces could still make the answer whole."""
+        return not self.is_complete and not self.is_damaged
+
+    def take(self, piece: Piece) -> bytes:
+        """Takes in a piece; returns the part of it to pass on, if any."""
+        if piece.request_id != self.request_id:
+            self._note(PieceFault.CROSSED, self.length)
+            return b""
+        if self.is_damaged:
+            return b""
+        if self.is_complete:
+            self._note(PieceFault.AFTER_END, self.length)
+            return b""
+        if isinstance(piece, EndMark):
+            self._take_end(piece)
+            return b""
+        return self._take_chunk(piece)
+
+    def describe_fault(self) -> str:
+        """Returns why the answer is not complete, in words."""
+        if not self.findings:
+            return f"no end mark after {self.length} bytes"
+        last = self.findings[-1]
+        return f"{last.fault.value} at {last.offset}, passed on {self.length}"
+
+    def _take_chunk(self, chunk: Chunk) -> bytes:
+        try:
+            data = chunk.text.encode()
+        except UnicodeEncodeError:
+            self._note(PieceFault.MALFORMED, self.length)
+            return b""
+        if chunk.offset < 0:
+            self._note(PieceFault.MALFORMED, chunk.offset)
+            return b""
+        if chunk.offset > self.length:
+            self._note(PieceFault.GAP, chunk.offset)
+            return b""
+        known = self.length - chunk.offset
+        if not self._is_as_kept(chunk.offset, data[:known]):
+            self._note(PieceFault.CONFLICT, chunk.offset)
+            return b""
+        if known and known >= len(data):
+            self._note(PieceFault.REPEATED, chunk.offset)
+        return self._pass_on(data[known:])
+
+    def _is_as_kept(self, offset: int, data: bytes) -> bool:
+        if self.read_kept is None:
+            return True
+        kept = self.read_kept(offset, offset + len(data))
+        return not kept or kept == data
+
+    def _pass_on(self, data: bytes) -> bytes:
+        self.length += len(data)
+        self.digest.update(data)
+        return data
+
+    def _take_end(self, mark: EndMark) -> None:
+        if mark.length > self.length:
+            self._note(PieceFault.TRUNCATED, self.length)
+        elif mark.length < self.length:
+            self._note(PieceFault.WRONG_LENGTH, mark.length)
+        elif mark.sha256 != self.sha256:
+            self._note(PieceFault.WRONG_DIGEST, self.length)
+        else:
+            self.is_complete = True
+
+    def _note(self, fault: PieceFault, offset: int) -> None:
+        self.counts[fault] += 1
+        if len(self.findings) < MAX_FINDINGS:
+            self.findings.append(PieceFinding(fault, offset))
+        if fault in DAMAGE:
+            self.is_damaged = True
