--- a/tests/unit/test_catalogue_follow.py
+++ b/tests/unit/test_catalogue_follow.py
@@ -191,6 +191,20 @@
     assert dump(follower.state) == dump(replay(log))
 
 
+def test_a_snapshot_that_leaves_a_gap_is_not_started_from():
+    log = ModelLog()
+    for number, name in enumerate(["a", "b", "c"]):
+        log.append(cases.make_change(number, [cases.make_class(name)]))
+    log.append(dump(replay(log, 1)))
+    log.oldest = 3
+    follower = catalogue_follow.Follower()
+    catch_up(follower, log)
+    assert follower.state is None
+    log.append(dump(replay(log, 2)))
+    catch_up(follower, log)
+    assert dump(follower.state) == dump(replay(log))
+
+
 def test_a_snapshot_keeps_verdicts_findings_winners_and_tombstones():
     key = cases.key("class", "gold")
     state = cases.evaluate(
