Model a fleet that claims keys, and generate its histories

The model found that a reader behind the log's oldest record dropped claims that it had read: it now keeps them, and only refuses to win on such keys.

--- /dev/null
+++ b/bench/claims_model.py
@@ -0,0 +1,353 @@
+"""A model of a fleet that claims keys through one log, in virtual time.
+
+Routers are real claim books; log, callers and targets are modelled. Every
+exchange with the log has separate steps for its effect and for its answer,
+either of which may be late or lost. A broken promise raises at once.
+"""
+
+import collections
+import dataclasses
+from typing import Any
+
+from lentilbeam_core import claim_events
+from lentilbeam_core import claim_index
+from lentilbeam_core import claim_records
+from lentilbeam_core import claims
+from lentilbeam_core import ids
+from lentilbeam_core import outcome
+from lentilbeam_core import request_key
+
+EPOCH_MS = 1_800_000_000_000
+DEADLINE_S = 5.0
+WORKSPACE = ids.WorkspaceId("w")
+SETTINGS = claim_events.Settings(page_records=3, batch_records=4)
+NOT_RUN = outcome.Exchange(False, outcome.TargetEnd.NOT_STARTED)
+ENDS = tuple(outcome.TargetEnd)[1:]
+
+
+class BrokenPromiseError(AssertionError):
+    """The fleet did what it must never do."""
+
+
+@dataclasses.dataclass(slots=True)
+class CallerAttempt:
+    """One try of a caller to have a key's request run."""
+
+    number: int
+    key: request_key.RequestKey
+    router: "RouterModel"
+    incarnation: int
+    asked_at: int
+    won: claim_events.ClaimWon | None = None
+    told_not_run_at: int | None = None
+    has_run: bool = False
+    told: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class AppendInFlight:
+    """An append, with its effect and its answer still to come."""
+
+    values: list[Any]
+    is_applied: bool = False
+
+
+class LogModel:
+    """The platform's log: records with the time of their append."""
+
+    def __init__(self, retention_s: float):
+        self.retention_s = retention_s
+        self.oldest = 1
+        self.records: collections.deque[tuple[float, Any]] = collections.deque()
+        self.late: list[AppendInFlight] = []
+        self.is_down = False
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the next record to come."""
+        return self.oldest + len(self.records)
+
+    def apply(self, append: AppendInFlight, now: float) -> None:
+        """Lets an append take effect."""
+        append.is_applied = True
+        self.records.extend((now, value) for value in append.values)
+
+    def expire(self, now: float) -> None:
+        """Drops records that are older than the retention."""
+        while self.records and now - self.records[0][0] > self.retention_s:
+            self.records.popleft()
+            self.oldest += 1
+
+    def read(self, start: int, limit: int) -> claim_events.PageRead:
+        """Returns the page that a read from `start` finds now."""
+        start = max(start, self.oldest)
+        end = min(start + limit, self.next_offset)
+        rows = tuple(
+            claim_events.StoredRecord(
+                ids.Offset(offset), self.records[offset - self.oldest][1]
+            )
+            for offset in range(start, end)
+        )
+        following = max(start, end)
+        return claim_events.PageRead(rows, self.oldest, following)
+
+
+class RouterModel:
+    """A router: its claim book, its calls to the log and what it has read."""
+
+    def __init__(self, fleet: "FleetModel", name: str):
+        self.fleet = fleet
+        self.name = ids.InstanceId(name)
+        self.incarnation = 0
+        self.is_paused = False
+        self.restart()
+
+    def restart(self) -> None:
+        """Starts again with nothing kept."""
+        self.incarnation += 1
+        self.book = claims.ClaimBook(
+            SETTINGS, self.name, ids.Incarnation(self.incarnation)
+        )
+        self.append: AppendInFlight | None = None
+        self.read: claim_events.ReadLog | None = None
+        self.page: claim_events.PageRead | None = None
+        self.known = claim_index.ClaimIndex(SETTINGS.max_keys)
+        self.post(claim_events.Ticked())
+
+    def post(self, event: claim_events.Event) -> None:
+        """Hands an event to the book and takes its effects in."""
+        for effect in self.book.handle(event, self.fleet.instant):
+            match effect:
+                case claim_events.Decided(waiter, result):
+                    self.fleet.take_result(waiter, result)
+                case claim_events.AppendRecords(records):
+                    values = [claim_records.export_record(r) for r in records]
+                    self.append = AppendInFlight(values)
+                case claim_events.ReadLog():
+                    self.read = effect
+
+    def answer_append(self, is_lost: bool, is_late: bool) -> None:
+        """Ends the append in flight.
+
+        A lost answer leaves it open whether the append took effect: it did,
+        it never will, or it will later (`is_late`), perhaps once more.
+        """
+        append, self.append = self.append, None
+        if append is None:
+            return
+        if append.is_applied:
+            answer = claim_events.AppendAnswer.APPENDED
+        else:
+            answer = claim_events.AppendAnswer.NOT_APPENDED
+        if is_lost:
+            answer = claim_events.AppendAnswer.UNKNOWN
+            if is_late:
+                self.fleet.log.late.append(append)
+        self.post(claim_events.AppendEnded(answer))
+
+    def serve_append(self) -> None:
+        """Lets the append in flight take effect; its answer comes later."""
+        append = self.append
+        if append and not append.is_applied and not self.fleet.log.is_down:
+            self.fleet.log.apply(append, self.fleet.elapsed_s)
+
+    def serve_read(self) -> None:
+        """Lets the log answer the read in flight; it arrives later."""
+        if self.read and self.page is None and not self.fleet.log.is_down:
+            self.page = self.fleet.log.read(self.read.start, self.read.limit)
+
+    def answer_read(self) -> None:
+        """Ends the read in flight, as failed if the log has not answered."""
+        if self.read is None:
+            return
+        page, self.read, self.page = self.page, None, None
+        if page is None:
+            self.post(claim_events.ReadFailed())
+            return
+        for stored in page.records:
+            self.known.apply(claim_records.parse_record(stored.value))
+        self.post(page)
+
+
+class FleetModel:
+    """Routers, log, callers and targets; counts broken promises.
+
+    Attributes:
+        step: how many steps were taken, which orders all that happens.
+        runs: for each key, the attempts whose request a target got.
+        counts: what happened, by name.
+    """
+
+    def __init__(self, names: str = "abc"):
+        self.elapsed_s = 0.0
+        self.step = 0
+        self.log = LogModel(SETTINGS.window.log_retention_s)
+        self.keys: list[request_key.RequestKey] = []
+        self.attempts: dict[int, CallerAttempt] = {}
+        self.winners: list[CallerAttempt] = []
+        self.runs: dict[request_key.RequestKey, list[CallerAttempt]] = {}
+        self.ends: dict[request_key.RequestKey, outcome.Outcome] = {}
+        self.refused: collections.defaultdict[
+            request_key.RequestKey, list[CallerAttempt]
+        ] = collections.defaultdict(list)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.routers = [RouterModel(self, name) for name in names]
+
+    @property
+    def instant(self) -> claim_events.Instant:
+        """The time now."""
+        wall_ms = EPOCH_MS + int(self.elapsed_s * request_key.MS_PER_S)
+        return claim_events.Instant(self.elapsed_s, wall_ms)
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass; routers that aren't paused notice."""
+        self.elapsed_s += seconds
+        self.log.expire(self.elapsed_s)
+        for router in self.routers:
+            if not router.is_paused:
+                router.post(claim_events.Ticked())
+
+    def ask(self, router: RouterModel, key_choice: int, age_s: float) -> None:
+        """A caller asks for a new key (choice 0) or retries a recent one."""
+        if key_choice == 0 or not self.keys:
+            timestamp_ms = self.instant.wall_ms - int(age_s * 1000)
+            request = request_key.build_request_id(timestamp_ms, self.step)
+            self.keys.append(request_key.RequestKey(WORKSPACE, request))
+            key_choice = 1
+        key = self.keys[-min(key_choice, len(self.keys))]
+        number = len(self.attempts) + 1
+        self.attempts[number] = CallerAttempt(
+            number, key, router, router.incarnation, self.step
+        )
+        self.counts["asked"] += 1
+        deadline = self.elapsed_s + DEADLINE_S
+        router.post(claim_events.ClaimRequested(key, number, deadline))
+
+    def withdraw(self, number: int) -> None:
+        """A caller hangs up; its router drops the waiter."""
+        attempt = self.attempts.get(number)
+        if attempt is None or attempt.won or attempt.told:
+            return
+        if attempt.router.incarnation == attempt.incarnation:
+            attempt.told = True
+            left = claim_events.WaiterLeft(attempt.key, number)
+            attempt.router.post(left)
+
+    def take_result(self, waiter: int, result: claim_events.Result) -> None:
+        """A router tells an attempt its result."""
+        attempt = self.attempts[waiter]
+        self.counts[type(result).__name__] += 1
+        if attempt.told or attempt.won:
+            raise BrokenPromiseError(f"told twice: {result}")
+        match result:
+            case claim_events.ClaimWon():
+                attempt.won = result
+                self.winners.append(attempt)
+                return
+            case claim_events.ClaimLost(_, _, _, ended):
+                if ended is not None and ended is not self.ends[attempt.key]:
+                    raise BrokenPromiseError(f"wrong end told: {result}")
+            case claim_events.ClaimRefused(_, reason, _):
+                self.counts[f"refused.{reason.value}"] += 1
+                self._check_nothing_known(attempt, reason)
+                self._note_not_run(attempt)
+        attempt.told = True
+
+    def dispatch(self, index: int, is_reached: bool) -> None:
+        """A winner tries a target, which is reached or refuses to connect."""
+        attempt = self._find_winner(index)
+        if attempt is None or attempt.has_run:
+            return
+        won = attempt.won
+        book = attempt.router.book
+        if not book.start_run(won.key, won.claim, self.instant):
+            self._end(attempt, NOT_RUN)
+            return
+        if not is_reached:
+            self.counts["connection refused"] += 1
+            return
+        attempt.has_run = True
+        self.counts["runs"] += 1
+        runs = self.runs.setdefault(attempt.key, [])
+        runs.append(attempt)
+        self._check_run(attempt, runs)
+
+    def finish(self, index: int, end: outcome.TargetEnd) -> None:
+        """A winner's exchange ends, or the winner gives up before one."""
+        attempt = self._find_winner(index)
+        if attempt is None:
+            return
+        exchange = NOT_RUN
+        if attempt.has_run:
+            exchange = outcome.Exchange(True, end)
+        self._end(attempt, exchange)
+
+    def kill(self, router: RouterModel) -> None:
+        """A router dies and starts again with nothing kept."""
+        if router.append is not None and not router.append.is_applied:
+            self.log.late.append(router.append)
+        self.winners = [w for w in self.winners if w.router is not router]
+        self.counts["kills"] += 1
+        router.restart()
+
+    def stop(self, router: RouterModel) -> None:
+        """A router is told to stop; it goes on with what it runs."""
+        self.counts["stops"] += 1
+        router.post(claim_events.StopRequested())
+
+    def _find_winner(self, index: int) -> CallerAttempt | None:
+        if not self.winners:
+            return None
+        attempt = self.winners[index % len(self.winners)]
+        return None if attempt.router.is_paused else attempt
+
+    def _end(self, attempt: CallerAttempt, exchange: outcome.Exchange) -> None:
+        self.winners.remove(attempt)
+        attempt.told = True
+        told = outcome.decide_outcome(exchange)
+        self.counts[f"ended.{told.value}"] += 1
+        if told is outcome.Outcome.REFUSED_NOT_RUN:
+            if attempt.has_run:
+                raise BrokenPromiseError("told not run, but it had run")
+            self._note_not_run(attempt)
+        else:
+            self.ends[attempt.key] = told
+        won = attempt.won
+        attempt.router.post(
+            claim_events.RunSettled(won.key, won.claim, exchange)
+        )
+
+    def _note_not_run(self, attempt: CallerAttempt) -> None:
+        attempt.told_not_run_at = self.step
+        self.refused[attempt.key].append(attempt)
+
+    def _check_nothing_known(
+        self, attempt: CallerAttempt, reason: outcome.RefusalReason
+    ) -> None:
+        router = attempt.router
+        memory_ms = SETTINGS.window.memory_ms
+        if self._get_age_ms(attempt.key) > memory_ms:
+            return
+        holder = router.known.get_holder(attempt.key)
+        mine = (router.name, router.incarnation)
+        if holder and (holder.instance, holder.incarnation) != mine:
+            raise BrokenPromiseError(f"{reason} although a claim was known")
+
+    def _get_age_ms(self, key: request_key.RequestKey) -> int:
+        timestamp_ms = request_key.read_timestamp_ms(key.request)
+        return self.instant.wall_ms - timestamp_ms
+
+    def _check_run(
+        self, attempt: CallerAttempt, runs: list[CallerAttempt]
+    ) -> None:
+        if len(runs) > 1:
+            raise BrokenPromiseError(f"run twice: {attempt.key}")
+        start = (attempt.router.name, attempt.incarnation)
+        for refused in self.refused[attempt.key]:
+            is_here = (refused.router.name, refused.incarnation) == start
+            if refused is attempt or (
+                is_here and refused.told_not_run_at >= attempt.asked_at
+            ):
+                raise BrokenPromiseError(f"run after refusal: {attempt.key}")
+            if refused.told_not_run_at >= attempt.asked_at:
+                self.counts["ran beside a refusal elsewhere"] += 1
--- /dev/null
+++ b/bench/claims_steps.py
@@ -0,0 +1,168 @@
+"""The steps that a modelled fleet can take, for generated histories.
+
+Each step is a function of the fleet and two small numbers that say which
+router, key or delay is meant, so that any tool can generate and shrink them.
+"""
+
+from collections.abc import Callable
+import random
+
+from bench import claims_model
+
+MAX_CHOICE = 63
+
+AGES_S = (0.0, 0.0, 0.0, 0.1, 1.0, 300.0, 590.0, 599.9, 601.0, -20.0, -40.0)
+SHORT_DELAYS_S = (0.01, 0.02, 0.05, 0.1)
+LONG_DELAYS_S = (1.0, 10.0, 60.0, 400.0, 1900.0)
+RECENT_KEYS = 4
+
+Step = Callable[[claims_model.FleetModel, int, int], None]
+
+
+def _find_awake(
+    fleet: claims_model.FleetModel, choice: int
+) -> list[claims_model.RouterModel]:
+    router = fleet.routers[choice % len(fleet.routers)]
+    return [] if router.is_paused else [router]
+
+
+def ask_new(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A caller asks for a new key."""
+    for router in _find_awake(fleet, a):
+        fleet.ask(router, 0, AGES_S[b % len(AGES_S)])
+
+
+def ask_again(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A caller retries one of the latest keys."""
+    for router in _find_awake(fleet, a):
+        fleet.ask(router, 1 + b % RECENT_KEYS, 0.0)
+
+
+def append(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """An append works."""
+    for router in _find_awake(fleet, a):
+        router.serve_append()
+        router.answer_append(is_lost=False, is_late=False)
+
+
+def serve_append(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """An append takes effect."""
+    fleet.routers[a % len(fleet.routers)].serve_append()
+
+
+def answer_append(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """An append's answer arrives, or is lost."""
+    for router in _find_awake(fleet, a):
+        router.answer_append(is_lost=b % 4 > 0, is_late=b % 4 > 1)
+
+
+def land_late(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """An append whose answer was lost takes effect after all."""
+    if fleet.log.late:
+        late = fleet.log.late.pop(a % len(fleet.log.late))
+        fleet.log.apply(late, fleet.elapsed_s)
+
+
+def read(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A read works."""
+    for router in _find_awake(fleet, a):
+        router.serve_read()
+        router.answer_read()
+
+
+def serve_read(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """The log answers a read; the answer is on its way."""
+    fleet.routers[a % len(fleet.routers)].serve_read()
+
+
+def answer_read(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A read's answer arrives, or it fails."""
+    for router in _find_awake(fleet, a):
+        router.answer_read()
+
+
+def dispatch(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A winner tries a target."""
+    fleet.dispatch(a, is_reached=b % 4 > 0)
+
+
+def finish(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A winner's exchange ends."""
+    fleet.finish(a, claims_model.ENDS[b % len(claims_model.ENDS)])
+
+
+def withdraw(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A caller hangs up."""
+    fleet.withdraw(len(fleet.attempts) - a % RECENT_KEYS)
+
+
+def advance(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A little time passes."""
+    fleet.advance(SHORT_DELAYS_S[a % len(SHORT_DELAYS_S)])
+
+
+def advance_far(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """Much time passes."""
+    fleet.advance(LONG_DELAYS_S[a % len(LONG_DELAYS_S)])
+
+
+def switch_log(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """The log goes down (seldom) or comes back."""
+    fleet.log.is_down = not fleet.log.is_down and a % 4 == 0
+
+
+def switch_pause(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A router is paused or goes on."""
+    router = fleet.routers[a % len(fleet.routers)]
+    router.is_paused = not router.is_paused and b % 2 == 0
+
+
+def kill(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A router restarts empty."""
+    router = fleet.routers[a % len(fleet.routers)]
+    router.is_paused = False
+    fleet.kill(router)
+
+
+def stop(fleet: claims_model.FleetModel, a: int, b: int) -> None:
+    """A router is told to stop (seldom)."""
+    for router in _find_awake(fleet, a):
+        if b % 4 == 0:
+            fleet.stop(router)
+
+
+WEIGHTS: dict[Step, int] = {
+    ask_new: 12,
+    ask_again: 12,
+    append: 16,
+    serve_append: 6,
+    answer_append: 4,
+    land_late: 2,
+    read: 40,
+    serve_read: 6,
+    answer_read: 3,
+    dispatch: 12,
+    finish: 8,
+    withdraw: 1,
+    advance: 40,
+    advance_far: 1,
+    switch_log: 1,
+    switch_pause: 1,
+    kill: 1,
+    stop: 1,
+}
+STEPS: tuple[Step, ...] = tuple(
+    step for step, weight in WEIGHTS.items() for _ in range(weight)
+)
+
+
+def take(fleet: claims_model.FleetModel, step: Step, a: int, b: int) -> None:
+    """Takes a step and counts it."""
+    fleet.step += 1
+    step(fleet, a, b)
+
+
+def take_random(fleet: claims_model.FleetModel, rng: random.Random) -> None:
+    """Takes one step of the generator's choice."""
+    step = rng.choice(STEPS)
+    take(fleet, step, rng.randint(0, MAX_CHOICE), rng.randint(0, MAX_CHOICE))
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_events.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_events.py
@@ -43,7 +43,7 @@
     page_records: int = 1000
     max_pending: int = 4096
     max_notices: int = 65536
-    max_keys: int = 262144
+    max_keys: int = 65536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_index.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_index.py
@@ -66,8 +66,6 @@
     def apply(self, record: claim_records.Record) -> None:
         """Takes in the next record in log order."""
         state = self._ensure_state(record.key)
-        if state is None:
-            return
         match record:
             case claim_records.Claim(_, claim):
                 if state.holder is None and not state.is_dead(claim):
@@ -101,9 +99,9 @@
         del self.keys[key]
         return key
 
-    def _ensure_state(self, key: request_key.RequestKey) -> KeyState | None:
+    def _ensure_state(self, key: request_key.RequestKey) -> KeyState:
         state = self.keys.get(key)
-        if state is None and self.is_trusted(key):
+        if state is None:
             state = self.keys[key] = KeyState()
             timestamp_ms = request_key.read_timestamp_ms(key.request)
             heapq.heappush(self.by_age, (timestamp_ms, key))
--- a/packages/lentilbeam-core/src/lentilbeam_core/claims.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claims.py
@@ -77,6 +77,22 @@
         state.attempts.move(attempt, AttemptState.RUNNING)
         return True
 
+    def look_up(
+        self, key: request_key.RequestKey
+    ) -> claim_events.ClaimLost | None:
+        """Returns whose claim is known to hold the key, if anyone's.
+
+        To be asked before a request is refused as not run for whatever
+        reason, since an earlier attempt may have run or may be running.
+        """
+        attempt = self.state.attempts.by_key.get(key)
+        if attempt is not None and not attempt.is_undecided:
+            return claim_state.build_local_loss(attempt)
+        holder = self.state.get_other_holder(key)
+        if holder is None:
+            return None
+        return self.state.build_loss(key, holder)
+
     def next_wakeup(self) -> float | None:
         """Returns the monotonic time at which to send `Ticked`, if any."""
         state = self.state
--- a/packages/lentilbeam-core/src/lentilbeam_core/request_key.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/request_key.py
@@ -48,8 +48,11 @@
 
     @property
     def memory_ms(self) -> int:
-        """Age at which a key can be forgotten, in milliseconds."""
-        return round((self.claim_window_s + self.future_bound_s) * MS_PER_S)
+        """Age at which a key is forgotten, in milliseconds.
+
+        Later than needed to win claims, so that late retries learn more.
+        """
+        return round(self.log_retention_s * MS_PER_S)
 
 
 class KeyFault(enum.Enum):
--- a/packages/lentilbeam-router/src/lentilbeam_router/claim_task.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/claim_task.py
@@ -90,6 +90,15 @@
         finally:
             self.waiters.pop(waiter, None)
 
+    def look_up(
+        self, key: request_key.RequestKey
+    ) -> claim_events.ClaimLost | None:
+        """Returns whose claim is known to hold the key, without waiting.
+
+        To be asked before any refusal as not run, for whatever reason.
+        """
+        return self.book.look_up(key)
+
     def start_run(self, won: claim_events.ClaimWon) -> bool:
         """Returns whether the request may be handed to a target now."""
         return self.book.start_run(won.key, won.claim, self._read_clocks())
