--- a/bench/claims_model.py
+++ b/bench/claims_model.py
@@ -342,6 +342,9 @@
     ) -> None:
         if len(runs) > 1:
             raise BrokenPromiseError(f"run twice: {attempt.key}")
+        window_ms = SETTINGS.window.claim_window_s * request_key.MS_PER_S
+        if self._get_age_ms(attempt.key) > window_ms:
+            raise BrokenPromiseError(f"run after the window: {attempt.key}")
         start = (attempt.router.name, attempt.incarnation)
         for refused in self.refused[attempt.key]:
             is_here = (refused.router.name, refused.incarnation) == start
--- a/bench/claims_steps.py
+++ b/bench/claims_steps.py
@@ -13,8 +13,8 @@
 
 AGES_S = (0.0, 0.0, 0.0, 0.1, 1.0, 300.0, 590.0, 599.9, 601.0, -20.0, -40.0)
 SHORT_DELAYS_S = (0.01, 0.02, 0.05, 0.1)
-LONG_DELAYS_S = (1.0, 10.0, 60.0, 400.0, 1900.0)
-RECENT_KEYS = 4
+LONG_DELAYS_S = (1.0, 10.0, 400.0, 1900.0, 4000.0)
+RECENT_KEYS = 8
 
 Step = Callable[[claims_model.FleetModel, int, int], None]
 
