--- a/packages/lentilbeam-core/src/lentilbeam_core/findings.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/findings.py
@@ -1,6 +1,9 @@
 """Findings: what is wrong with a document, and where."""
 
 import dataclasses
+from typing import Any
+
+import jsonschema
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,6 +18,9 @@
     pointer: str
     message: str
 
+    def __str__(self) -> str:
+        return f"{self.pointer or '/'}: {self.message}"
+
 
 def join_pointer(base: str, *parts: str | int) -> str:
     """Returns the pointer of a member below `base`."""
@@ -22,3 +28,13 @@
         str(part).replace("~", "~0").replace("/", "~1") for part in parts
     ]
     return "/".join([base, *escaped])
+
+
+def collect_findings(schema: dict[str, Any], value: Any) -> list[Finding]:
+    """Returns all places where `value` breaks the JSON schema, in order."""
+    validator = jsonschema.Draft202012Validator(schema)
+    found = [
+        Finding(join_pointer("", *error.absolute_path), error.message)
+        for error in validator.iter_errors(value)
+    ]
+    return sorted(found, key=lambda f: (f.pointer, f.message))
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/answer_store.py
@@ -0,0 +1,87 @@
+"""Answers kept for callers that attach again, bounded in bytes and age."""
+
+import dataclasses
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import kept_answers
+from lentilbeam_core import outcome
+from lentilbeam_core import request_key
+from lentilbeam_router import answer_feed
+from lentilbeam_router import problems
+from lentilbeam_router import requests
+from lentilbeam_router import settings as settings_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A kept answer and the fingerprint of what was asked for."""
+
+    feed: answer_feed.AnswerFeed
+    fingerprint: str
+
+    @property
+    def is_final(self) -> bool:
+        """Whether a request with the same key must get this answer.
+
+        A request that was refused as not run may be tried again.
+        """
+        end = self.feed.end
+        if isinstance(end, problems.Problem):
+            return end.outcome is not outcome.Outcome.REFUSED_NOT_RUN
+        return True
+
+
+class AnswerStore:
+    """Answers by workspace and request id."""
+
+    def __init__(self, limits: settings_lib.Limits, clock: clock_lib.Clock):
+        self.clock = clock
+        self.entries: dict[request_key.RequestKey, Entry] = {}
+        self.kept = kept_answers.KeptAnswers(
+            kept_answers.Settings(
+                max_bytes=limits.kept_answer_bytes,
+                max_age_s=limits.kept_answer_s,
+            )
+        )
+
+    def find(self, workspace: str, name: str) -> Entry | None:
+        """Returns the kept answer of a request, if there is one."""
+        self._evict()
+        return self.entries.get(request_key.RequestKey(workspace, name))
+
+    def open(self, request: requests.CallerRequest) -> answer_feed.AnswerFeed:
+        """Returns a new feed for a request, in place of any refused one."""
+        feed = answer_feed.AnswerFeed(request.name)
+        self.entries[request.key] = Entry(feed, request.fingerprint)
+        self.kept.open(request.key)
+        return feed
+
+    def grow(
+        self,
+        request: requests.CallerRequest,
+        feed: answer_feed.AnswerFeed,
+        data: bytes,
+    ) -> None:
+        """Adds the next part of an answer."""
+        feed.append(data)
+        if self._holds(request, feed):
+            self.kept.grow(request.key, len(data))
+            self._evict()
+
+    def close(
+        self, request: requests.CallerRequest, feed: answer_feed.AnswerFeed
+    ) -> None:
+        """Notes that the request's answer has ended."""
+        if self._holds(request, feed):
+            self.kept.end(request.key, self.clock.monotonic())
+            self._evict()
+
+    def _holds(
+        self, request: requests.CallerRequest, feed: answer_feed.AnswerFeed
+    ) -> bool:
+        entry = self.entries.get(request.key)
+        return entry is not None and entry.feed is feed
+
+    def _evict(self) -> None:
+        for key in self.kept.evict(self.clock.monotonic()):
+            del self.entries[key]
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/caller_api.py
@@ -0,0 +1,204 @@
+"""HTTP handlers for callers."""
+
+from collections.abc import Callable
+import random
+from typing import Annotated
+
+import expression
+import litestar
+from litestar import params
+from litestar.openapi import datastructures
+
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import membership as membership_lib
+from lentilbeam_core import outcome
+from lentilbeam_router import answer_store
+from lentilbeam_router import api_types
+from lentilbeam_router import attach as attach_lib
+from lentilbeam_router import fleet
+from lentilbeam_router import metrics as metrics_lib
+from lentilbeam_router import pipeline as pipeline_lib
+from lentilbeam_router import problems
+from lentilbeam_router import requests
+from lentilbeam_router import responses
+from lentilbeam_router import settings as settings_lib
+
+NOT_READY_RETRY_S = 1.0
+
+PROBLEM_SPEC = datastructures.ResponseSpec(
+    data_container=api_types.ProblemBody,
+    media_type=problems.MEDIA_TYPE,
+    description="Refused or failed; `outcome` says whether it ran.",
+)
+
+
+class CallerApi:
+    """State that the callers' handlers share."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        fleet_view: fleet.Fleet,
+        store: answer_store.AnswerStore,
+        pipeline: pipeline_lib.Pipeline,
+        attacher: attach_lib.Attacher,
+        metrics: metrics_lib.Metrics,
+        shuffle: random.Random,
+    ):
+        self.settings = settings
+        self.fleet = fleet_view
+        self.store = store
+        self.pipeline = pipeline
+        self.attacher = attacher
+        self.metrics = metrics
+        self.shuffle = shuffle
+
+    def collect_addresses(self) -> list[api_types.Address]:
+        """Returns routers to use, same data centre first, leaving left out.
+
+        Routers of one data centre come in random order, to spread callers.
+        """
+        rows = [
+            row
+            for row in self.fleet.rows.values()
+            if self.fleet.state(row.name) is membership_lib.PeerState.LIVE
+        ]
+        self.shuffle.shuffle(rows)
+        home = self.settings.data_centre
+        rows.sort(key=lambda row: row.data_centre != home)
+        return [
+            api_types.Address(row.name, row.data_centre, row.url)
+            for row in rows
+        ]
+
+    async def serve(self, body: bytes) -> litestar.Response:
+        """Admits a request and answers it."""
+        if not self.fleet.is_ready:
+            return responses.build_problem(
+                problems.build_refusal(
+                    outcome.RefusalReason.NOT_READY,
+                    "catalogue or instance list not read yet",
+                    retry_after_s=NOT_READY_RETRY_S,
+                )
+            )
+        parsed = requests.parse_request(
+            body,
+            self.fleet.catalogue,
+            self.settings.limits.default_deadline_s,
+        )
+        match parsed:
+            case expression.Result(tag="error", error=rejection):
+                return self._reject(rejection)
+            case expression.Result(tag="ok", ok=request):
+                return await self._serve_checked(request)
+
+    async def _serve_checked(
+        self, request: requests.CallerRequest
+    ) -> litestar.Response:
+        refusal = self._find_refusal(request)
+        if refusal is not None:
+            return responses.build_problem(refusal)
+        entry = self.store.find(request.workspace, request.name)
+        if entry is not None and entry.is_final:
+            feed = entry.feed
+        else:
+            feed = self.pipeline.start(request)
+        if request.is_streamed:
+            return await responses.build_stream(feed, 0)
+        return await responses.build_whole(feed)
+
+    def _find_refusal(
+        self, request: requests.CallerRequest
+    ) -> problems.Problem | None:
+        entry = self.store.find(request.workspace, request.name)
+        if entry is not None and entry.fingerprint != request.fingerprint:
+            return problems.build_refusal(
+                outcome.RefusalReason.KEY_IN_USE,
+                "the request_id was used for another request",
+                request.name,
+            )
+        if self._is_too_large(request):
+            return problems.build_refusal(
+                outcome.RefusalReason.TOO_LARGE,
+                "the cost hint is above the workspace's largest request",
+                request.name,
+            )
+        if self.fleet.is_closed:
+            return problems.build_refusal(
+                outcome.RefusalReason.DRAINING,
+                "this router is stopping; ask for addresses again",
+                request.name,
+                retry_after_s=0.0,
+            )
+        return None
+
+    def _is_too_large(self, request: requests.CallerRequest) -> bool:
+        if request.cost_hint is None:
+            return False
+        if request.pool.kind is not catalogue_lib.ServiceKind.MODEL:
+            return False
+        workspace = self.fleet.catalogue.workspaces[request.workspace]
+        return request.cost_hint > workspace.limits.largest_request
+
+    def _reject(self, rejection: requests.Rejection) -> litestar.Response:
+        self.metrics.count(f"refused.{rejection.reason.value}")
+        return responses.build_problem(
+            problems.build_refusal(
+                rejection.reason,
+                "; ".join(str(finding) for finding in rejection.findings),
+                findings=tuple(rejection.findings),
+            )
+        )
+
+
+def build_handlers(api: CallerApi) -> list[Callable]:
+    """Returns the litestar handlers for callers."""
+
+    @litestar.get("/v1/addresses", summary="Routers that callers may use")
+    async def get_addresses() -> litestar.Response[api_types.Addresses]:
+        return litestar.Response(
+            api_types.Addresses(
+                api.collect_addresses(), api.settings.limits.address_ttl_s
+            )
+        )
+
+    @litestar.post(
+        "/v1/requests",
+        status_code=200,
+        summary="Run a request",
+        operation_class=api_types.RequestOperation,
+        responses={
+            200: datastructures.ResponseSpec(
+                data_container=api_types.WholeAnswer,
+                description="The whole answer, or a stream of events.",
+            ),
+            400: PROBLEM_SPEC,
+            404: PROBLEM_SPEC,
+            409: PROBLEM_SPEC,
+            413: PROBLEM_SPEC,
+            422: PROBLEM_SPEC,
+            429: PROBLEM_SPEC,
+            502: PROBLEM_SPEC,
+            503: PROBLEM_SPEC,
+            504: PROBLEM_SPEC,
+        },
+    )
+    async def post_request(request: litestar.Request) -> litestar.Response:
+        return await api.serve(await request.body())
+
+    @litestar.get(
+        "/v1/requests/{name:str}",
+        summary="Attach again to a request's answer",
+        responses={404: PROBLEM_SPEC},
+    )
+    async def get_request(
+        name: params.FromPath[str],
+        workspace: params.FromQuery[str],
+        offset: Annotated[int, params.QueryParameter(ge=0)] = 0,
+        local: params.FromQuery[bool] = False,
+        fingerprint: params.FromQuery[str | None] = None,
+    ) -> litestar.Response:
+        wanted = attach_lib.Wanted(workspace, name, offset, fingerprint)
+        return await api.attacher.attach(wanted, is_local=local)
+
+    return [get_addresses, post_request, get_request]
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/core.py
@@ -0,0 +1,66 @@
+"""The daemon's program: arguments, settings, and the event loop."""
+
+import asyncio
+import pathlib
+
+from absl import flags
+import expression
+
+from lentilbeam_router import daemon
+from lentilbeam_router import environment
+from lentilbeam_router import exit_status
+from lentilbeam_router import logs
+from lentilbeam_router import settings as settings_lib
+
+
+def program(
+    args: list[str], env: environment.Environment
+) -> exit_status.ExitStatus:
+    """Runs the daemon until it is stopped.
+
+    Args:
+        args: the command line, with the program's name first.
+        env: clock and streams.
+    """
+    options = _define_flags()
+    try:
+        rest = options(args)
+    except flags.Error as error:
+        print(f"lentilbeamd: {error}", file=env.stderr)
+        return exit_status.ExitStatus.USAGE
+    if len(rest) > 1 or options.settings is None:
+        print("usage: lentilbeamd --settings=FILE", file=env.stderr)
+        return exit_status.ExitStatus.USAGE
+    return _run(pathlib.Path(options.settings), env)
+
+
+def _define_flags() -> flags.FlagValues:
+    options = flags.FlagValues()
+    flags.DEFINE_string(
+        "settings", None, "JSON file of settings.", flag_values=options
+    )
+    return options
+
+
+def _run(
+    path: pathlib.Path, env: environment.Environment
+) -> exit_status.ExitStatus:
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"lentilbeamd: {path}: {error}", file=env.stderr)
+        return exit_status.ExitStatus.BAD_SETTINGS
+    match settings_lib.parse_settings(text):
+        case expression.Result(tag="ok", ok=settings):
+            return asyncio.run(_serve(settings, env))
+        case expression.Result(tag="error", error=found):
+            for finding in found:
+                print(f"lentilbeamd: {path}: {finding}", file=env.stderr)
+    return exit_status.ExitStatus.BAD_SETTINGS
+
+
+async def _serve(
+    settings: settings_lib.Settings, env: environment.Environment
+) -> exit_status.ExitStatus:
+    log = logs.build_logger(env.stdout, settings.instance)
+    return await daemon.Daemon(settings, env, log).run()
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/lost_claims.py
@@ -0,0 +1,105 @@
+"""What a caller is told when another process holds its key.
+
+The request is never run again here. If the winner's router still has the
+answer, it is passed on; else the outcome is what the log says of it.
+"""
+
+import httpx
+import httpx_sse
+import msgspec
+
+from lentilbeam_core import answers
+from lentilbeam_core import claim_events
+from lentilbeam_core import endings
+from lentilbeam_core import outcome
+from lentilbeam_router import answer_feed
+from lentilbeam_router import fleet
+from lentilbeam_router import problems
+from lentilbeam_router import runs
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 15.0
+
+
+class _Event(msgspec.Struct):
+    request_id: str
+    offset: int = 0
+    text: str = ""
+    length: int = 0
+    sha256: str = ""
+    cost: float = 0.0
+
+
+class LostClaims:
+    """Finds out what became of requests that others hold."""
+
+    def __init__(self, fleet_view: fleet.Fleet, http: httpx.AsyncClient):
+        self.fleet = fleet_view
+        self.http = http
+
+    async def resolve(
+        self, run: runs.Run, lost: claim_events.ClaimLost
+    ) -> answer_feed.End:
+        """Returns the end of a request whose key another claim holds."""
+        if not lost.is_here:
+            whole = await self._fetch(run, lost)
+            if whole is not None:
+                return whole
+        decided = endings.decide_lost_claim(lost.outcome)
+        if decided is outcome.Outcome.COMPLETED:
+            # It ran, but its answer is gone: never a whole answer.
+            decided = outcome.Outcome.OUTCOME_UNKNOWN
+        known = lost.outcome.value if lost.outcome else "not known"
+        return problems.build_failure(
+            decided,
+            "claimed_elsewhere",
+            f"instance {lost.winner.instance} holds the request; its outcome"
+            f" there is {known}",
+            run.request.name,
+        )
+
+    async def _fetch(
+        self, run: runs.Run, lost: claim_events.ClaimLost
+    ) -> answer_feed.Whole | None:
+        """Returns the winner's whole answer, or None if it can't be had."""
+        row = self.fleet.rows.get(lost.winner.instance)
+        if row is None:
+            return None
+        url = f"{row.url}/v1/requests/{run.request.name}"
+        params = {
+            "workspace": run.request.workspace,
+            "local": "true",
+            "fingerprint": run.request.fingerprint,
+        }
+        timeout = httpx.Timeout(IDLE_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        assembler = answers.AnswerAssembler(run.request.name)
+        data = bytearray()
+        cost = 0.0
+        try:
+            async with httpx_sse.aconnect_sse(
+                self.http, "GET", url, params=params, timeout=timeout
+            ) as source:
+                source.response.raise_for_status()
+                async for event in source.aiter_sse():
+                    piece = _build_piece(event)
+                    if piece is None:
+                        return None
+                    data += assembler.take(piece)
+                    cost = max(cost, piece.cost)
+        except (httpx.HTTPError, httpx_sse.SSEError, msgspec.DecodeError):
+            return None
+        if not assembler.is_complete:
+            return None
+        run.feed.append(bytes(data))
+        return answer_feed.Whole(assembler.length, assembler.sha256, cost)
+
+
+def _build_piece(event: httpx_sse.ServerSentEvent) -> answers.Piece | None:
+    if event.event == "problem":
+        return None
+    body = msgspec.json.decode(event.data, type=_Event)
+    if event.event == "end":
+        return answers.EndMark(
+            body.request_id, body.length, body.sha256, body.cost
+        )
+    return answers.Chunk(body.request_id, body.offset, body.text, body.cost)
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/metrics.py
@@ -0,0 +1,37 @@
+"""Counters and HDR histograms of one process."""
+
+import collections
+
+from hdrh import histogram as hdr
+
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+
+
+class Metrics:
+    """Counters by name, and histograms of times in microseconds by name."""
+
+    def __init__(self):
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.histograms: dict[str, hdr.HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Adds `amount` to the counter `name`."""
+        self.counters[name] += amount
+
+    def time(self, name: str, seconds: float) -> None:
+        """Records a duration in the histogram `name`."""
+        if name not in self.histograms:
+            self.histograms[name] = hdr.HdrHistogram(
+                1, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+        micros = max(1, min(HIGHEST_US, int(seconds * 1_000_000)))
+        self.histograms[name].record_value(micros)
+
+    def export(self) -> dict[str, dict]:
+        """Returns all values for JSON; histograms are base64 text."""
+        encoded = {
+            name: histogram.encode().decode("ascii")
+            for name, histogram in self.histograms.items()
+        }
+        return {"counters": dict(self.counters), "histograms": encoded}
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/problems.py
@@ -0,0 +1,110 @@
+"""Problem bodies (RFC 9457) for every refusal and failure."""
+
+import dataclasses
+import math
+from typing import Any
+
+from lentilbeam_core import findings as findings_lib
+from lentilbeam_core import outcome
+
+MEDIA_TYPE = "application/problem+json"
+
+REFUSAL_STATUS = {
+    outcome.RefusalReason.BAD_REQUEST: 400,
+    outcome.RefusalReason.UNKNOWN_WORKSPACE: 404,
+    outcome.RefusalReason.UNKNOWN_POOL: 404,
+    outcome.RefusalReason.TOO_LARGE: 413,
+    outcome.RefusalReason.QUEUE_FULL: 429,
+    outcome.RefusalReason.RATE_LIMITED: 429,
+    outcome.RefusalReason.DEADLINE_UNREACHABLE: 503,
+    outcome.RefusalReason.NO_TARGET: 503,
+    outcome.RefusalReason.KEY_TOO_OLD: 422,
+    outcome.RefusalReason.KEY_IN_USE: 409,
+    outcome.RefusalReason.CLAIM_LOG_UNAVAILABLE: 503,
+    outcome.RefusalReason.NOT_READY: 503,
+    outcome.RefusalReason.DRAINING: 503,
+    outcome.RefusalReason.CANCELLED: 409,
+}
+OUTCOME_STATUS = {
+    outcome.Outcome.FAILED_BY_TARGET: 502,
+    outcome.Outcome.OUTCOME_UNKNOWN: 504,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """Why a caller gets no answer, and whether its request ran.
+
+    Attributes:
+        outcome: what became of the request.
+        reason: machine-readable cause, such as a refusal reason's value.
+        detail: the cause in words.
+        status: HTTP status code.
+        retry_after_s: when to come back, or None where that won't help.
+    """
+
+    outcome: outcome.Outcome
+    reason: str
+    detail: str
+    status: int
+    request_id: str | None = None
+    retry_after_s: float | None = None
+    findings: tuple[findings_lib.Finding, ...] = ()
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """HTTP headers that go with the problem."""
+        if self.retry_after_s is None:
+            return {}
+        return {"Retry-After": str(math.ceil(self.retry_after_s))}
+
+    def export(self) -> dict[str, Any]:
+        """Returns the body for JSON; absent members are left out."""
+        body = {
+            "type": f"urn:lentilbeam:problem:{self.reason}",
+            "title": self.reason.replace("_", " "),
+            "status": self.status,
+            "detail": self.detail,
+            "outcome": self.outcome.value,
+            "reason": self.reason,
+            "request_id": self.request_id,
+            "retry_after_s": _round(self.retry_after_s),
+            "findings": [dataclasses.asdict(f) for f in self.findings],
+        }
+        return {key: value for key, value in body.items() if value is not None}
+
+
+def build_refusal(
+    reason: outcome.RefusalReason,
+    detail: str,
+    request_id: str | None = None,
+    retry_after_s: float | None = None,
+    findings: tuple[findings_lib.Finding, ...] = (),
+) -> Problem:
+    """Returns the problem of a request that was not run."""
+    return Problem(
+        outcome=outcome.Outcome.REFUSED_NOT_RUN,
+        reason=reason.value,
+        detail=detail,
+        status=REFUSAL_STATUS[reason],
+        request_id=request_id,
+        retry_after_s=retry_after_s,
+        findings=findings,
+    )
+
+
+def build_failure(
+    ended: outcome.Outcome, reason: str, detail: str, request_id: str
+) -> Problem:
+    """Returns the problem of a request that ran, or may have run."""
+    return Problem(
+        outcome=ended,
+        reason=reason,
+        detail=detail,
+        status=OUTCOME_STATUS[ended],
+        request_id=request_id,
+    )
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/requests.py
@@ -0,0 +1,180 @@
+"""Callers' requests: their checked form and what is wrong with bad ones."""
+
+import dataclasses
+import hashlib
+import json
+import pathlib
+from typing import Any
+import uuid
+
+import expression
+
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import findings as findings_lib
+from lentilbeam_core import ids
+from lentilbeam_core import outcome
+from lentilbeam_core import request_key
+
+SCHEMA = json.loads(
+    pathlib.Path(__file__).with_name("request_schema.json").read_text()
+)
+MODEL_INPUT_SCHEMA = SCHEMA["$defs"]["model_input"]
+PREFIX_LENGTH = 256
+"""Characters of a prompt that decide its cache affinity."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A checked request.
+
+    Attributes:
+        deadline_s: how long the caller waits, from the arrival on.
+        input: the call's arguments, passed on to the target as they are.
+    """
+
+    name: ids.RequestId
+    workspace: ids.WorkspaceId
+    pool: catalogue_lib.Pool
+    call: str
+    input: dict[str, Any]
+    cost_hint: float | None
+    deadline_s: float
+    is_streamed: bool
+
+    @property
+    def key(self) -> request_key.RequestKey:
+        """The idempotency key, scoped by workspace."""
+        return request_key.RequestKey(self.workspace, self.name)
+
+    @property
+    def target_name(self) -> str:
+        """The id that the target repeats on each piece of the answer.
+
+        Model engines are not told the workspace, so the id names it.
+        """
+        if self.pool.kind is catalogue_lib.ServiceKind.MODEL:
+            return self.run_name
+        return self.name
+
+    @property
+    def run_name(self) -> ids.RequestId:
+        """The id within the fleet: keys are scoped by workspace."""
+        return ids.RequestId(f"{self.workspace}/{self.name}")
+
+    @property
+    def fingerprint(self) -> str:
+        """Digest of what is asked, to tell a retry from another request."""
+        content = json.dumps(
+            [self.pool.name, self.call, self.input], sort_keys=True
+        )
+        return hashlib.sha256(content.encode()).hexdigest()
+
+    @property
+    def prefix(self) -> str | None:
+        """Digest of the start of the prompt, for cache affinity."""
+        prompt = self.input.get("prompt")
+        if not isinstance(prompt, str):
+            return None
+        start = prompt[:PREFIX_LENGTH].encode()
+        return hashlib.blake2b(start, digest_size=8).hexdigest()
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the call may be run more than once."""
+        return self.call in self.pool.idempotent_calls
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejection:
+    """Why a request was not admitted, with all findings."""
+
+    reason: outcome.RefusalReason
+    findings: list[findings_lib.Finding]
+
+
+def parse_request(
+    body: bytes,
+    catalogue: catalogue_lib.Catalogue,
+    default_deadline_s: float,
+) -> expression.Result[CallerRequest, Rejection]:
+    """Returns the request in a JSON body, or all that is wrong with it."""
+    try:
+        value = json.loads(body)
+    except (json.JSONDecodeError, UnicodeDecodeError) as error:
+        fault = findings_lib.Finding("", f"not JSON: {error}")
+        return _reject(outcome.RefusalReason.BAD_REQUEST, [fault])
+    found = findings_lib.collect_findings(SCHEMA, value)
+    if found:
+        return _reject(outcome.RefusalReason.BAD_REQUEST, found)
+    unknown = _collect_unknown_names(value, catalogue)
+    if unknown:
+        return expression.Error(unknown)
+    pool = catalogue.pools[value["pool"]]
+    found = _collect_call_findings(value, pool)
+    if found:
+        return _reject(outcome.RefusalReason.BAD_REQUEST, found)
+    return expression.Ok(_build_request(value, pool, default_deadline_s))
+
+
+def _reject(
+    reason: outcome.RefusalReason, found: list[findings_lib.Finding]
+) -> expression.Result[CallerRequest, Rejection]:
+    return expression.Error(Rejection(reason, found))
+
+
+def _collect_unknown_names(
+    value: dict[str, Any], catalogue: catalogue_lib.Catalogue
+) -> Rejection | None:
+    found = []
+    reason = outcome.RefusalReason.UNKNOWN_WORKSPACE
+    if value["pool"] not in catalogue.pools:
+        message = f"no pool {value['pool']!r} in the catalogue"
+        found.append(findings_lib.Finding("/pool", message))
+        reason = outcome.RefusalReason.UNKNOWN_POOL
+    if value["workspace"] not in catalogue.workspaces:
+        message = f"no workspace {value['workspace']!r} in the catalogue"
+        found.append(findings_lib.Finding("/workspace", message))
+        reason = outcome.RefusalReason.UNKNOWN_WORKSPACE
+    return Rejection(reason, found) if found else None
+
+
+def _collect_call_findings(
+    value: dict[str, Any], pool: catalogue_lib.Pool
+) -> list[findings_lib.Finding]:
+    found = []
+    if pool.kind is catalogue_lib.ServiceKind.MODEL:
+        for fault in findings_lib.collect_findings(
+            MODEL_INPUT_SCHEMA, value["input"]
+        ):
+            pointer = f"/input{fault.pointer}"
+            found.append(findings_lib.Finding(pointer, fault.message))
+    is_idempotent = value["call"] in pool.idempotent_calls
+    if "request_id" in value:
+        found.extend(_collect_key_findings(value["request_id"]))
+    elif not is_idempotent:
+        message = "required: the call must not be repeated"
+        found.append(findings_lib.Finding("/request_id", message))
+    return found
+
+
+def _collect_key_findings(text: str) -> list[findings_lib.Finding]:
+    return [
+        findings_lib.Finding("/request_id", fault.value)
+        for fault in request_key.find_form_faults(text)
+    ]
+
+
+def _build_request(
+    value: dict[str, Any], pool: catalogue_lib.Pool, default_deadline_s: float
+) -> CallerRequest:
+    deadline_ms = value.get("deadline_ms", default_deadline_s * 1000)
+    return CallerRequest(
+        name=ids.RequestId(value.get("request_id") or str(uuid.uuid4())),
+        workspace=ids.WorkspaceId(value["workspace"]),
+        pool=pool,
+        call=value["call"],
+        input=value["input"],
+        cost_hint=value.get("cost_hint", value["input"].get("max_tokens")),
+        deadline_s=deadline_ms / 1000,
+        is_streamed=value.get("stream", False),
+    )
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/responses.py
@@ -0,0 +1,102 @@
+"""HTTP forms of answers, problems and streams."""
+
+from collections.abc import AsyncIterator
+
+import litestar
+from litestar import response as litestar_response
+import msgspec
+
+from lentilbeam_router import answer_feed
+from lentilbeam_router import problems
+
+EVENT_STREAM = "text/event-stream"
+JSON = "application/json"
+
+
+def build_problem(problem: problems.Problem) -> litestar.Response[bytes]:
+    """Returns a problem as a response."""
+    return litestar.Response(
+        msgspec.json.encode(problem.export()),
+        status_code=problem.status,
+        media_type=problems.MEDIA_TYPE,
+        headers=problem.headers,
+    )
+
+
+def build_json(value: object, status: int = 200) -> litestar.Response[bytes]:
+    """Returns a JSON response."""
+    return litestar.Response(
+        msgspec.json.encode(value), status_code=status, media_type=JSON
+    )
+
+
+async def build_whole(
+    feed: answer_feed.AnswerFeed,
+) -> litestar.Response[bytes]:
+    """Waits for the end of the answer and returns it in one piece."""
+    end = await feed.wait_for_end()
+    if isinstance(end, problems.Problem):
+        return build_problem(end)
+    output = feed.data.decode()
+    return build_json({**_export_end(feed, end), "output": output})
+
+
+async def build_stream(
+    feed: answer_feed.AnswerFeed, offset: int
+) -> litestar.Response:
+    """Returns the answer from `offset` on as server-sent events.
+
+    A problem that comes before any part of the answer is a plain problem
+    response, with its HTTP status.
+    """
+    await feed.wait_for_start()
+    if isinstance(feed.end, problems.Problem) and not feed.data:
+        return build_problem(feed.end)
+    return litestar_response.Stream(
+        stream_events(feed, offset),
+        status_code=200,
+        media_type=EVENT_STREAM,
+        headers={"Cache-Control": "no-store"},
+    )
+
+
+async def stream_events(
+    feed: answer_feed.AnswerFeed, offset: int
+) -> AsyncIterator[bytes]:
+    """Yields the answer from `offset` on as encoded server-sent events."""
+    async for item in feed.follow(offset):
+        yield _encode_event(feed, item)
+
+
+def _encode_event(
+    feed: answer_feed.AnswerFeed, item: answer_feed.Item
+) -> bytes:
+    match item:
+        case answer_feed.Text(offset, data):
+            chunk = {
+                "request_id": feed.request_id,
+                "offset": offset,
+                "text": data.decode(),
+            }
+            return _encode("chunk", chunk)
+        case answer_feed.Whole():
+            return _encode("end", _export_end(feed, item))
+        case problems.Problem():
+            return _encode("problem", item.export())
+
+
+def _encode(event: str, value: dict) -> bytes:
+    data = msgspec.json.encode(value)
+    return b"event: %s\ndata: %s\n\n" % (event.encode(), data)
+
+
+def _export_end(
+    feed: answer_feed.AnswerFeed, end: answer_feed.Whole
+) -> dict[str, object]:
+    return {
+        "request_id": feed.request_id,
+        "outcome": "completed",
+        "length": end.length,
+        "sha256": end.sha256,
+        "cost": end.cost,
+    }
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
@@ -0,0 +1,109 @@
+"""The HTTP server: litestar application on uvicorn, in our own loop."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+
+import litestar
+from litestar import exceptions
+from litestar import openapi
+from litestar import types as litestar_types
+import uvicorn
+
+from lentilbeam_core import findings as findings_lib
+from lentilbeam_core import outcome
+from lentilbeam_router import fleet
+from lentilbeam_router import problems
+from lentilbeam_router import responses
+from lentilbeam_router import settings as settings_lib
+
+CLOSE_HEADER = (b"connection", b"close")
+
+
+class WebServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures none: the daemon handles signals."""
+        yield
+
+
+def build_app(
+    handlers: list[Callable],
+    limits: settings_lib.Limits,
+    fleet_view: fleet.Fleet,
+) -> litestar.Litestar:
+    """Returns the application of all handlers."""
+    return litestar.Litestar(
+        handlers,
+        middleware=[_build_closer(fleet_view)],
+        exception_handlers={
+            exceptions.HTTPException: _answer_http_exception,
+        },
+        request_max_body_size=limits.body_bytes,
+        openapi_config=openapi.OpenAPIConfig(
+            title="lentilbeam router", version="1"
+        ),
+        logging_config=None,
+    )
+
+
+def build_server(
+    app: litestar.Litestar, address: settings_lib.Address
+) -> WebServer:
+    """Returns the server of the application, not yet started."""
+    config = uvicorn.Config(
+        app,
+        host=address.host,
+        port=address.port,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+    )
+    return WebServer(config)
+
+
+def _answer_http_exception(
+    request: litestar.Request, error: exceptions.HTTPException
+) -> litestar.Response:
+    del request
+    reason = outcome.RefusalReason.BAD_REQUEST
+    if error.status_code == 413:
+        reason = outcome.RefusalReason.TOO_LARGE
+    found = [
+        findings_lib.Finding(f"/{fault.get('key', '')}", fault["message"])
+        for fault in error.extra or []
+        if isinstance(fault, dict)
+    ]
+    problem = problems.Problem(
+        outcome=outcome.Outcome.REFUSED_NOT_RUN,
+        reason=reason.value,
+        detail=error.detail,
+        status=error.status_code,
+        findings=tuple(found),
+    )
+    return responses.build_problem(problem)
+
+
+def _build_closer(
+    fleet_view: fleet.Fleet,
+) -> Callable[[litestar_types.ASGIApp], litestar_types.ASGIApp]:
+    """Returns middleware that closes connections while the router leaves."""
+
+    def wrap(app: litestar_types.ASGIApp) -> litestar_types.ASGIApp:
+        async def call(scope, receive, send) -> None:
+            async def send_closing(message) -> None:
+                if message["type"] == "http.response.start":
+                    message["headers"] = [*message["headers"], CLOSE_HEADER]
+                await send(message)
+
+            is_leaving = fleet_view.node.node.membership.is_leaving
+            await app(scope, receive, send_closing if is_leaving else send)
+
+        return call
+
+    return wrap
--- a/tests/standins/bookings.py
+++ b/tests/standins/bookings.py
@@ -12,7 +12,6 @@
 from tests.standins import answers
 from tests.standins import server
 
-SLOTS = flags.DEFINE_integer("slots", 8, "Calls that run at once.")
 BUSY_MS = flags.DEFINE_float("busy_ms", 20.0, "Busy time of one call.")
 
 
@@ -88,4 +87,4 @@
 
 
 if __name__ == "__main__":
-    server.run(lambda clock: build(clock, SLOTS.value, BUSY_MS.value))
+    server.run(lambda clock: build(clock, server.SLOTS.value, BUSY_MS.value))
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -15,7 +15,6 @@
 from tests.standins import answers
 from tests.standins import server
 
-SLOTS = flags.DEFINE_integer("slots", 4, "Requests that run at once.")
 TOKENS_PER_S = flags.DEFINE_float("tokens_per_s", 100.0, "Speed of a slot.")
 CHUNK_S = 0.05
 KEPT_RUNS = 2048
@@ -187,4 +186,6 @@
 
 
 if __name__ == "__main__":
-    server.run(lambda clock: build(clock, SLOTS.value, TOKENS_PER_S.value))
+    server.run(
+        lambda clock: build(clock, server.SLOTS.value, TOKENS_PER_S.value)
+    )
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -17,6 +17,7 @@
 
 HOST = flags.DEFINE_string("host", "127.0.0.1", "Address to listen on.")
 PORT = flags.DEFINE_integer("port", 0, "Port to listen on.")
+SLOTS = flags.DEFINE_integer("slots", 4, "Requests a target runs at once.")
 STOP_GRACE_S = 1
 DROP_PAUSE_S = 0.01
 
