Send keep-alive comments on idle streams; build validators once

Cause: a caller could not tell an idle stream from a silent connection, and request checks built a JSON schema validator for each request.

--- a/packages/lentilbeam-core/src/lentilbeam_core/findings.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/findings.py
@@ -30,9 +30,10 @@
     return "/".join([base, *escaped])
 
 
-def collect_findings(schema: dict[str, Any], value: Any) -> list[Finding]:
-    """Returns all places where `value` breaks the JSON schema, in order."""
-    validator = jsonschema.Draft202012Validator(schema)
+def collect_findings(
+    validator: jsonschema.Draft202012Validator, value: Any
+) -> list[Finding]:
+    """Returns all places where `value` breaks a JSON schema, in order."""
     found = [
         Finding(join_pointer("", *error.absolute_path), error.message)
         for error in validator.iter_errors(value)
--- a/packages/lentilbeam-router/src/lentilbeam_router/answer_feed.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/answer_feed.py
@@ -37,7 +37,14 @@
 
 
 End = Whole | problems.Problem
-Item = Text | End
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Idle:
+    """Nothing came for a while; the answer goes on."""
+
+
+Item = Text | Idle | End
 
 
 class AnswerFeed:
@@ -75,8 +82,11 @@
         while self.end is None and not self.data:
             await self.changed.wait()
 
-    async def follow(self, offset: int) -> AsyncIterator[Item]:
-        """Yields the answer from `offset` on, and last its end."""
+    async def follow(self, offset: int, idle_s: float) -> AsyncIterator[Item]:
+        """Yields the answer from `offset` on, and last its end.
+
+        Yields `Idle` whenever nothing else came for `idle_s` seconds.
+        """
         while True:
             if offset < len(self.data):
                 data = bytes(self.data[offset:])
@@ -85,8 +95,16 @@
             elif self.end is not None:
                 yield self.end
                 return
-            else:
+            elif not await self._wait_for_change(idle_s):
+                yield Idle()
+
+    async def _wait_for_change(self, limit_s: float) -> bool:
+        try:
+            async with asyncio.timeout(limit_s):
                 await self.changed.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def _wake_readers(self) -> None:
         woken, self.changed = self.changed, asyncio.Event()
--- a/packages/lentilbeam-router/src/lentilbeam_router/requests.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/requests.py
@@ -8,6 +8,7 @@
 import uuid
 
 import expression
+import jsonschema
 
 from lentilbeam_core import catalogue as catalogue_lib
 from lentilbeam_core import findings as findings_lib
@@ -18,7 +19,10 @@
 SCHEMA = json.loads(
     pathlib.Path(__file__).with_name("request_schema.json").read_text()
 )
-MODEL_INPUT_SCHEMA = SCHEMA["$defs"]["model_input"]
+VALIDATOR = jsonschema.Draft202012Validator(SCHEMA)
+MODEL_INPUT_VALIDATOR = jsonschema.Draft202012Validator(
+    SCHEMA["$defs"]["model_input"]
+)
 PREFIX_LENGTH = 256
 """Characters of a prompt that decide its cache affinity."""
 
@@ -103,7 +107,7 @@
     except (json.JSONDecodeError, UnicodeDecodeError) as error:
         fault = findings_lib.Finding("", f"not JSON: {error}")
         return _reject(outcome.RefusalReason.BAD_REQUEST, [fault])
-    found = findings_lib.collect_findings(SCHEMA, value)
+    found = findings_lib.collect_findings(VALIDATOR, value)
     if found:
         return _reject(outcome.RefusalReason.BAD_REQUEST, found)
     unknown = _collect_unknown_names(value, catalogue)
@@ -144,7 +148,7 @@
     found = []
     if pool.kind is catalogue_lib.ServiceKind.MODEL:
         for fault in findings_lib.collect_findings(
-            MODEL_INPUT_SCHEMA, value["input"]
+            MODEL_INPUT_VALIDATOR, value["input"]
         ):
             pointer = f"/input{fault.pointer}"
             found.append(findings_lib.Finding(pointer, fault.message))
--- a/packages/lentilbeam-router/src/lentilbeam_router/responses.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/responses.py
@@ -11,6 +11,10 @@
 
 EVENT_STREAM = "text/event-stream"
 JSON = "application/json"
+KEEPALIVE_INTERVAL_S = 2.0
+"""Lets callers, and the server, find out that a connection went silent."""
+
+KEEPALIVE_COMMENT = b": keepalive\n\n"
 
 
 def build_problem(problem: problems.Problem) -> litestar.Response[bytes]:
@@ -64,7 +68,7 @@
     feed: answer_feed.AnswerFeed, offset: int
 ) -> AsyncIterator[bytes]:
     """Yields the answer from `offset` on as encoded server-sent events."""
-    async for item in feed.follow(offset):
+    async for item in feed.follow(offset, KEEPALIVE_INTERVAL_S):
         yield _encode_event(feed, item)
 
 
@@ -79,6 +83,8 @@
                 "text": data.decode(),
             }
             return _encode("chunk", chunk)
+        case answer_feed.Idle():
+            return KEEPALIVE_COMMENT
         case answer_feed.Whole():
             return _encode("end", _export_end(feed, item))
         case problems.Problem():
--- a/packages/lentilbeam-router/src/lentilbeam_router/settings.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/settings.py
@@ -6,12 +6,15 @@
 from typing import Any
 
 import expression
+import jsonschema
 
 from lentilbeam_core import findings as findings_lib
 from lentilbeam_core import ids
 
-SCHEMA = json.loads(
-    pathlib.Path(__file__).with_name("settings_schema.json").read_text()
+VALIDATOR = jsonschema.Draft202012Validator(
+    json.loads(
+        pathlib.Path(__file__).with_name("settings_schema.json").read_text()
+    )
 )
 
 
@@ -82,7 +85,7 @@
         place = f"line {error.lineno} column {error.colno}"
         fault = findings_lib.Finding("", f"not JSON: {error.msg} at {place}")
         return expression.Error([fault])
-    found = findings_lib.collect_findings(SCHEMA, value)
+    found = findings_lib.collect_findings(VALIDATOR, value)
     if found:
         return expression.Error(found)
     return expression.Ok(_build_settings(value))
--- a/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
@@ -18,6 +18,8 @@
 from lentilbeam_router import settings as settings_lib
 
 CLOSE_HEADER = (b"connection", b"close")
+FLUSH_LIMIT_S = 30
+"""Time for callers to read answers that had ended when the server stopped."""
 
 
 class WebServer(uvicorn.Server):
@@ -62,6 +64,8 @@
         ws="none",
         lifespan="off",
         access_log=False,
+        proxy_headers=False,
+        timeout_graceful_shutdown=FLUSH_LIMIT_S,
         log_config=None,
     )
     return WebServer(config)
