Run the node that ships in the fairness bench

Adds the policy 'central', scenarios with limits and with faults that come together, and the growth of idle traffic. Conclusion: all policies run behind one interface.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -89,6 +89,8 @@
             return
         run.slots.used -= 1
         self._settle(run, event.cost, event.cost)
+        if event.end is events.RunEnd.UNREACHABLE:
+            self.queue.push(run.request)
         if event.end is not events.RunEnd.COMPLETED:
             run.slots.avoided_until = now + AVOIDANCE_S
 
@@ -214,18 +216,23 @@
                 queued=queue.length(name),
                 oldest_age_ms=0,
                 served=self.dispatcher.served[name],
+                next_cost=0.0,
             )
             for name in names
         )
         return messages.DemandReport(
             pool=self.pool,
             incarnation=self.incarnation,
-            term=0,
+            session=0,
             sequence=self.sequence,
+            part=0,
+            parts=1,
             acknowledged=0,
             is_full=False,
+            floor=0.0,
             workspaces=items,
             slots=(),
+            targets=(),
         )
 
 
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -6,6 +6,7 @@
 
 from bench import callers
 from bench import engines
+from bench import exchange
 from bench import hosts
 from bench import listing
 from bench import network
@@ -16,7 +17,6 @@
 from bench import simulation
 from bench import sizes
 from bench import traffic
-from lentilbeam_core import catalogue as catalogue_lib
 from lentilbeam_core import events
 from lentilbeam_core import ids
 
@@ -50,7 +50,6 @@
     """One experiment in virtual time.
 
     Attributes:
-        misuses: dispatches of requests that were not queued.
         marks: changes of state that nodes recorded, with their times.
     """
 
@@ -58,19 +57,17 @@
         self.experiment = experiment
         self.loop = simulation.Simulation()
         self.routers = sizes.name_routers()
-        costs = experiment.scenario.costs
-        self.catalogue = sizes.make_catalogue(experiment.size, costs.largest)
+        scenario = experiment.scenario
+        self.catalogue = sizes.make_catalogue(
+            experiment.size, scenario.costs.largest, scenario.concurrency
+        )
         self.pool = self.catalogue.pools[sizes.POOL]
-        self.requests: dict[ids.RequestId, requests.Request] = {}
         self.serial = 0
-        self.misuses = 0
         self.marks: list[tuple[float, str, events.RecordEvent]] = []
         self.meter = traffic.TrafficMeter(MEASURE_START_S)
         self.network = self._make_network()
-        self.engines = self._make_engines()
-        self.recorder = self._make_recorder()
         self.listing = listing.Listing(
-            self.loop, self.routers, experiment.scenario.listing_lag_s
+            self.loop, self.routers, scenario.listing_lag_s
         )
         fleet = policies.Fleet(self.catalogue, self.pool, self.routers)
         self.make_node = experiment.policy.make_factory(fleet)
@@ -78,6 +75,11 @@
             name: hosts.Host(self.loop, name, self.apply)
             for name in self.routers
         }
+        self.exchange = exchange.Exchange(self.loop, self.network, self.hosts)
+        self.engines = self._make_engines()
+        self.recorder = self._make_recorder()
+        self.exchange.engines = self.engines
+        self.exchange.recorder = self.recorder
 
     def run(self) -> None:
         """Runs the experiment to its end."""
@@ -113,9 +115,7 @@
     def kill_router(self, name: ids.InstanceId) -> None:
         """Ends a router process; its requests are lost."""
         self.hosts[name].kill()
-        lost = [r for r in self.requests.values() if r.router == name]
-        for request in lost:
-            self._drop(request)
+        self.exchange.drop_router(name)
 
     def find_scheduler(self) -> ids.InstanceId:
         """Returns the router that gave the last grants, or the first."""
@@ -142,10 +142,7 @@
             deadline=now + DEADLINE_S,
         )
         home = self._next_alive(router)
-        request = requests.Request(queued, cost, home, now, on_close)
-        self.requests[queued.name] = request
-        self.recorder.arrive(request, now)
-        self.hosts[home].deliver(events.RequestArrived(queued))
+        self.exchange.add(requests.Request(queued, cost, home, now, on_close))
 
     def apply(self, sender: ids.InstanceId, effect: events.Effect) -> None:
         """Carries out what a node wants done."""
@@ -153,9 +150,9 @@
             case events.SendMessage():
                 self._send(sender, effect)
             case events.DispatchRequest():
-                self._dispatch(effect)
+                self.exchange.dispatch(effect)
             case events.RefuseRequest():
-                self._refuse(effect)
+                self.exchange.refuse(effect)
             case events.RecordEvent():
                 self.marks.append((self.loop.now, sender, effect))
 
@@ -173,35 +170,14 @@
     def _make_engines(self) -> dict[ids.TargetId, engines.Engine]:
         return {
             target.name: engines.Engine(
-                self.loop, target, sizes.TOKENS_PER_S, self._make_hooks(target)
+                self.loop,
+                target,
+                sizes.TOKENS_PER_S,
+                self.exchange.make_hooks(target),
             )
             for target in self.pool.targets
         }
 
-    def _make_hooks(self, target: catalogue_lib.Target) -> engines.Hooks:
-        def start(request: requests.Request) -> None:
-            request.stage = requests.Stage.RUNNING
-            self.recorder.start(request, self.loop.now)
-
-        def stop(request: requests.Request) -> None:
-            request.stage = requests.Stage.ENDED
-            self.recorder.stop(request, self.loop.now)
-
-        def progress(request: requests.Request, cost: float) -> None:
-            event = events.RequestProgressed(request.queued.name, cost)
-            self._tell_router(target, request, event)
-
-        def end(
-            request: requests.Request, cost: float, how: events.RunEnd
-        ) -> None:
-            self.network.call(
-                target.name,
-                request.router,
-                lambda: self._end(request, cost, how),
-            )
-
-        return engines.Hooks(start, stop, progress, end)
-
     def _make_recorder(self) -> recorder.Recorder:
         scenario = self.experiment.scenario
         limits = {
@@ -265,90 +241,3 @@
             effect.message,
             lambda: host.deliver(event),
         )
-
-    def _dispatch(self, effect: events.DispatchRequest) -> None:
-        request = self.requests.get(effect.name)
-        if request is None or request.stage is not requests.Stage.QUEUED:
-            self.misuses += 1
-            return
-        request.stage = requests.Stage.SENT
-        engine = self.engines[effect.target.name]
-
-        def admit() -> None:
-            if request.stage is requests.Stage.SENT:
-                engine.admit(request)
-
-        self.network.call(request.router, effect.target.name, admit)
-
-    def _refuse(self, effect: events.RefuseRequest) -> None:
-        request = self.requests.get(effect.name)
-        if request is None or request.stage is not requests.Stage.QUEUED:
-            self.misuses += 1
-            return
-        self.recorder.refuse(request, effect.reason.value)
-        self.recorder.give_up(request, self.loop.now)
-        self._close(request, requests.Closing.REFUSED, effect.retry_after_s)
-
-    def _tell_router(
-        self,
-        target: catalogue_lib.Target,
-        request: requests.Request,
-        event: events.Event,
-    ) -> None:
-        host = self.hosts[request.router]
-
-        def deliver() -> None:
-            if request.queued.name in self.requests:
-                host.deliver(event)
-
-        self.network.call(target.name, request.router, deliver)
-
-    def _end(
-        self, request: requests.Request, cost: float, how: events.RunEnd
-    ) -> None:
-        if request.queued.name not in self.requests:
-            return
-        host = self.hosts[request.router]
-        event = events.RequestEnded(request.queued.name, cost, how)
-        if how is events.RunEnd.UNREACHABLE:
-            request.stage = requests.Stage.QUEUED
-            host.deliver(event)
-            self._offer_again(request)
-            return
-        if request.stage is requests.Stage.SENT:
-            self.recorder.give_up(request, self.loop.now)
-        is_whole = how is events.RunEnd.COMPLETED
-        closing = (
-            requests.Closing.ANSWERED if is_whole else requests.Closing.FAILED
-        )
-        self._close(request, closing, 0.0)
-        host.deliver(event)
-
-    def _offer_again(self, request: requests.Request) -> None:
-        """Queues a request again of which no byte was handed over."""
-        if request.stage is requests.Stage.QUEUED:
-            host = self.hosts[request.router]
-            host.deliver(events.RequestArrived(request.queued))
-
-    def _drop(self, request: requests.Request) -> None:
-        """Ends a request whose router is gone."""
-        is_started = request.stage in (
-            requests.Stage.RUNNING,
-            requests.Stage.ENDED,
-        )
-        for engine in self.engines.values():
-            engine.cancel(request)
-        if not is_started:
-            self.recorder.give_up(request, self.loop.now)
-        self._close(request, requests.Closing.ROUTER_LOST, 0.0)
-
-    def _close(
-        self,
-        request: requests.Request,
-        closing: requests.Closing,
-        retry_after_s: float,
-    ) -> None:
-        request.stage = requests.Stage.ENDED
-        del self.requests[request.queued.name]
-        self.recorder.closings[closing] += 1
-        request.on_close(closing, retry_after_s)
--- /dev/null
+++ b/bench/exchange.py
@@ -0,0 +1,154 @@
+"""Follows requests from their router to an engine and back."""
+
+from bench import engines
+from bench import hosts
+from bench import network
+from bench import recorder as recorder_lib
+from bench import requests
+from bench import simulation
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import events
+from lentilbeam_core import ids
+
+
+class Exchange:
+    """All requests that have not ended, and what becomes of them.
+
+    Attributes:
+        misuses: dispatches and refusals of requests that were not queued.
+    """
+
+    def __init__(
+        self,
+        loop: simulation.Simulation,
+        links: network.Network,
+        fleet: dict[ids.InstanceId, hosts.Host],
+    ):
+        self.loop = loop
+        self.network = links
+        self.hosts = fleet
+        self.engines: dict[ids.TargetId, engines.Engine] = {}
+        self.recorder: recorder_lib.Recorder | None = None
+        self.requests: dict[ids.RequestId, requests.Request] = {}
+        self.misuses = 0
+
+    def add(self, request: requests.Request) -> None:
+        """Hands a new request to its router."""
+        self.requests[request.queued.name] = request
+        self.recorder.arrive(request, self.loop.now)
+        host = self.hosts[request.router]
+        host.deliver(events.RequestArrived(request.queued))
+
+    def drop_router(self, name: ids.InstanceId) -> None:
+        """Ends all requests of a router that is gone."""
+        lost = [r for r in self.requests.values() if r.router == name]
+        for request in lost:
+            self._drop(request)
+
+    def make_hooks(self, target: catalogue_lib.Target) -> engines.Hooks:
+        """Returns what the engine of `target` is to call."""
+
+        def start(request: requests.Request) -> None:
+            request.stage = requests.Stage.RUNNING
+            self.recorder.start(request, self.loop.now)
+
+        def stop(request: requests.Request) -> None:
+            request.stage = requests.Stage.ENDED
+            self.recorder.stop(request, self.loop.now)
+
+        def progress(request: requests.Request, cost: float) -> None:
+            event = events.RequestProgressed(request.queued.name, cost)
+            self._tell_router(target, request, event)
+
+        def end(
+            request: requests.Request, cost: float, how: events.RunEnd
+        ) -> None:
+            self.network.call(
+                target.name,
+                request.router,
+                lambda: self._end(request, cost, how),
+            )
+
+        return engines.Hooks(start, stop, progress, end)
+
+    def dispatch(self, effect: events.DispatchRequest) -> None:
+        """Sends a queued request to its target."""
+        request = self.requests.get(effect.name)
+        if request is None or request.stage is not requests.Stage.QUEUED:
+            self.misuses += 1
+            return
+        request.stage = requests.Stage.SENT
+        engine = self.engines[effect.target.name]
+
+        def admit() -> None:
+            if request.stage is requests.Stage.SENT:
+                engine.admit(request)
+
+        self.network.call(request.router, effect.target.name, admit)
+
+    def refuse(self, effect: events.RefuseRequest) -> None:
+        """Answers the caller that the request was not run."""
+        request = self.requests.get(effect.name)
+        if request is None or request.stage is not requests.Stage.QUEUED:
+            self.misuses += 1
+            return
+        self.recorder.refuse(request, effect.reason.value)
+        self.recorder.give_up(request, self.loop.now)
+        self._close(request, requests.Closing.REFUSED, effect.retry_after_s)
+
+    def _tell_router(
+        self,
+        target: catalogue_lib.Target,
+        request: requests.Request,
+        event: events.Event,
+    ) -> None:
+        host = self.hosts[request.router]
+
+        def deliver() -> None:
+            if request.queued.name in self.requests:
+                host.deliver(event)
+
+        self.network.call(target.name, request.router, deliver)
+
+    def _end(
+        self, request: requests.Request, cost: float, how: events.RunEnd
+    ) -> None:
+        if request.queued.name not in self.requests:
+            return
+        host = self.hosts[request.router]
+        event = events.RequestEnded(request.queued.name, cost, how)
+        if how is events.RunEnd.UNREACHABLE:
+            request.stage = requests.Stage.QUEUED
+            host.deliver(event)
+            return
+        if request.stage is requests.Stage.SENT:
+            self.recorder.give_up(request, self.loop.now)
+        is_whole = how is events.RunEnd.COMPLETED
+        closing = (
+            requests.Closing.ANSWERED if is_whole else requests.Closing.FAILED
+        )
+        self._close(request, closing, 0.0)
+        host.deliver(event)
+
+    def _drop(self, request: requests.Request) -> None:
+        """Ends a request whose router is gone."""
+        is_started = request.stage in (
+            requests.Stage.RUNNING,
+            requests.Stage.ENDED,
+        )
+        for engine in self.engines.values():
+            engine.cancel(request)
+        if not is_started:
+            self.recorder.give_up(request, self.loop.now)
+        self._close(request, requests.Closing.ROUTER_LOST, 0.0)
+
+    def _close(
+        self,
+        request: requests.Request,
+        closing: requests.Closing,
+        retry_after_s: float,
+    ) -> None:
+        request.stage = requests.Stage.ENDED
+        del self.requests[request.queued.name]
+        self.recorder.closings[closing] += 1
+        request.on_close(closing, retry_after_s)
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -63,7 +63,7 @@
         seconds=choice.seconds or scenario.seconds,
     )
     emulator = emulator_lib.Emulator(experiment)
-    faults.plan_fault(emulator)
+    faults.plan_faults(emulator)
     emulator.run()
     return emulator
 
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,4 +1,4 @@
-"""Brings a scenario's fault about at its times."""
+"""Brings a scenario's faults about at their times."""
 
 from bench import emulator as emulator_lib
 from bench import scenarios
@@ -6,12 +6,18 @@
 from lentilbeam_core import ids
 
 
-def plan_fault(emulator: emulator_lib.Emulator) -> None:
-    """Puts the scenario's fault on the emulator's loop.
+def plan_faults(emulator: emulator_lib.Emulator) -> None:
+    """Puts the scenario's faults on the emulator's loop.
 
     Faults of routers and links leave an ideal policy alone.
     """
-    fault = emulator.experiment.scenario.fault
+    for fault in emulator.experiment.scenario.faults:
+        _plan_fault(emulator, fault)
+
+
+def _plan_fault(
+    emulator: emulator_lib.Emulator, fault: scenarios.Fault
+) -> None:
     is_ideal = emulator.experiment.policy.is_ideal
     match fault:
         case scenarios.DrainTarget():
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -8,6 +8,7 @@
 from bench import hosts
 from lentilbeam_core import catalogue as catalogue_lib
 from lentilbeam_core import ids
+from lentilbeam_core import node
 
 NodeFactory = Callable[[ids.InstanceId, ids.Incarnation, float], hosts.Node]
 """Makes the node of a router that starts as an incarnation at a time."""
@@ -92,6 +93,16 @@
     return make
 
 
+def _make_central(fleet: Fleet) -> NodeFactory:
+    def make(
+        name: ids.InstanceId, incarnation: ids.Incarnation, now: float
+    ) -> hosts.Node:
+        settings = node.Settings(name, fleet.routers[name])
+        return node.Node(settings, incarnation)
+
+    return make
+
+
 def _make_omniscient(fleet: Fleet) -> NodeFactory:
     return _make_shared(fair_queue.FairQueue, fleet)
 
@@ -107,5 +118,6 @@
         Policy("arrival_order", _make_arrival_order, is_ideal=True),
         Policy("static", _make_static),
         Policy("gossip", _make_gossip),
+        Policy("central", _make_central),
     )
 }
--- a/bench/report.py
+++ b/bench/report.py
@@ -6,7 +6,9 @@
 
 from bench import emulator as emulator_lib
 from bench import requests
+from bench import scenarios
 from bench import sizes
+from bench import utilisation
 
 SETTLED_GAP = 2.0
 """Largest requests; after a fault the gap must be back under this."""
@@ -16,8 +18,11 @@
 WINDOW_UTILISATION = 0.95
 CONTROL_BYTES_PER_S = 2000.0
 STATIC_RATIO = 10.0
-IDLE_GROWTH = 1.1
-"""Idle control traffic may differ by this factor between two halves."""
+IDLE_GROWTH = 1.05
+"""Idle control traffic of the second half over that of the first."""
+
+TARGET_FAULTS = (scenarios.DrainTarget, scenarios.FailTarget)
+"""Faults that do not leave all targets up."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,16 +54,14 @@
 
     None if it was still high in the last second of the run.
     """
-    fault = emulator.experiment.scenario.fault
-    if fault is None:
-        return 0.0
+    end = emulator.experiment.scenario.fault_end_s
     meter = emulator.recorder.gap
-    last = meter.last_above(SETTLED_GAP, fault.end_s)
+    last = meter.last_above(SETTLED_GAP, end)
     if last is None:
         return 0.0
     if last > emulator.experiment.seconds - 1.0:
         return None
-    return last - fault.end_s
+    return last - end
 
 
 def build_targets(emulator: emulator_lib.Emulator) -> list[Target]:
@@ -68,7 +71,8 @@
     sent = _rates(emulator)
     targets = [Target("control_bytes_per_s", CONTROL_BYTES_PER_S, max(sent))]
     if scenario.name == "idle":
-        return targets
+        growth = emulator.meter.growth(emulator.experiment.seconds)
+        return [*targets, Target("idle_growth", IDLE_GROWTH, growth)]
     longest = scenario.costs.largest / sizes.TOKENS_PER_S
     targets += [
         Target("gap", scenario.largest_gap, records.gap.worst.gap),
@@ -80,8 +84,11 @@
         ),
         Target("late_s", longest, records.turns.worst.seconds),
     ]
-    if scenario.fault:
+    if scenario.faults:
         targets += _build_fault_targets(emulator)
+    if scenario.concurrency is not None:
+        over = records.most_over_limit
+        targets.append(Target("running_over_limit", 0, over))
     if scenario.flooding:
         names = [*sizes.name_workspaces()]
         others = sum(
@@ -123,7 +130,7 @@
         "wait_p50_ms": records.waits.get_value_at_percentile(50),
         "wait_p99_ms": records.waits.get_value_at_percentile(99),
         "wait_longest_s": _round(records.longest_wait_s),
-        "misuses": emulator.misuses,
+        "misuses": emulator.exchange.misuses,
     }
     line |= _describe_fault(emulator)
     line |= _describe_traffic(emulator)
@@ -132,27 +139,34 @@
 
 
 def _build_fault_targets(emulator: emulator_lib.Emulator) -> list[Target]:
-    fault = emulator.experiment.scenario.fault
+    scenario = emulator.experiment.scenario
     records = emulator.recorder
-    begin = fault.at_s - emulator_lib.REPORT_PERIOD_S
-    worst = records.usage.worst_window(begin, fault.end_s + SETTLING_S)
+    begin = scenario.fault_start_s - utilisation.WINDOW_S
+    end = scenario.fault_end_s + SETTLING_S
+    worst = records.usage.worst_window(begin, end)
     late = sum(e.late_admissions for e in emulator.engines.values())
-    return [
+    targets = [
         Target("settling_s", SETTLING_S, measure_settling(emulator)),
-        Target("utilisation_2s", WINDOW_UTILISATION, worst, is_upper=False),
         Target("late_dispatches", 0, late),
     ]
+    if not any(isinstance(f, TARGET_FAULTS) for f in scenario.faults):
+        window = Target(
+            "utilisation_2s", WINDOW_UTILISATION, worst, is_upper=False
+        )
+        targets.append(window)
+    return targets
 
 
 def _describe_fault(emulator: emulator_lib.Emulator) -> dict[str, Any]:
-    fault = emulator.experiment.scenario.fault
-    if fault is None:
+    scenario = emulator.experiment.scenario
+    if not scenario.faults:
         return {}
     meter = emulator.recorder.gap
-    end = fault.end_s + SETTLING_S
+    begin = scenario.fault_start_s
+    end = scenario.fault_end_s + SETTLING_S
     return {
-        "gap_before_fault": _round(meter.highest(0.0, fault.at_s)),
-        "gap_through_fault": _round(meter.highest(fault.at_s, end)),
+        "gap_before_fault": _round(meter.highest(0.0, begin)),
+        "gap_through_fault": _round(meter.highest(begin, end)),
         "settling_s": _round(measure_settling(emulator)),
     }
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -81,17 +81,29 @@
         flooding: whether the last workspace floods the fleet.
         is_uneven: whether it is compared with static shares.
         listing_lag_s: age of the instance list when it is read.
+        concurrency: fleet-wide limit of the workspaces that have one.
     """
 
     name: str
     make_load: Callable[[sizes.Size], tuple[load.Load, ...]]
     costs: load.Costs = PLAIN_COSTS
-    fault: Fault | None = None
+    faults: tuple[Fault, ...] = ()
     seconds: float = 30.0
     largest_gap: float = 4.0
     flooding: bool = False
     is_uneven: bool = False
     listing_lag_s: float = LISTING_LAG_S
+    concurrency: int | None = None
+
+    @property
+    def fault_start_s(self) -> float:
+        """When the first fault begins; infinite without one."""
+        return min((f.at_s for f in self.faults), default=float("inf"))
+
+    @property
+    def fault_end_s(self) -> float:
+        """When the last fault is over."""
+        return max((f.end_s for f in self.faults), default=0.0)
 
 
 SCENARIOS = {
@@ -106,44 +118,61 @@
             is_uneven=True,
             seconds=60.0,
         ),
+        Scenario("limits", load.make_even, largest_gap=2.0, concurrency=2),
         Scenario("flood", load.make_flood, largest_gap=2.0, flooding=True),
         Scenario("hints", load.make_even, costs=WRONG_HINTS, largest_gap=2.0),
         Scenario(
             "scheduler_killed",
             load.make_even,
-            fault=KillScheduler(FAULT_AT_S, restart_s=20.0),
+            faults=(KillScheduler(FAULT_AT_S, restart_s=20.0),),
         ),
         Scenario(
             "scheduler_paused",
             load.make_even,
-            fault=PauseScheduler(FAULT_AT_S, end_s=15.0),
+            faults=(PauseScheduler(FAULT_AT_S, end_s=15.0),),
         ),
         Scenario(
             "partition",
             load.make_even,
-            fault=Partition(FAULT_AT_S, end_s=15.0, holds_scheduler=False),
+            faults=(Partition(FAULT_AT_S, end_s=15.0, holds_scheduler=False),),
         ),
         Scenario(
             "partition_scheduler",
             load.make_even,
-            fault=Partition(FAULT_AT_S, end_s=15.0, holds_scheduler=True),
+            faults=(Partition(FAULT_AT_S, end_s=15.0, holds_scheduler=True),),
+        ),
+        Scenario(
+            "killed_twice",
+            load.make_even,
+            faults=(
+                KillScheduler(FAULT_AT_S, restart_s=20.0),
+                KillScheduler(FAULT_AT_S + 0.5, restart_s=20.0),
+            ),
+        ),
+        Scenario(
+            "partition_killed",
+            load.make_even,
+            faults=(
+                Partition(FAULT_AT_S, end_s=15.0, holds_scheduler=False),
+                KillScheduler(12.0, restart_s=20.0),
+            ),
         ),
         Scenario(
             "list_stale",
             load.make_even,
-            fault=KillScheduler(FAULT_AT_S, restart_s=60.0),
+            faults=(KillScheduler(FAULT_AT_S, restart_s=60.0),),
             listing_lag_s=30.0,
             seconds=45.0,
         ),
         Scenario(
             "target_leaves",
             load.make_even,
-            fault=DrainTarget(FAULT_AT_S, end_s=FAULT_AT_S),
+            faults=(DrainTarget(FAULT_AT_S, end_s=FAULT_AT_S),),
         ),
         Scenario(
             "target_fails_fast",
             load.make_even,
-            fault=FailTarget(FAULT_AT_S, end_s=15.0),
+            faults=(FailTarget(FAULT_AT_S, end_s=15.0),),
         ),
     )
 }
--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -16,6 +16,9 @@
 WORKSPACES = 16
 LARGE_WORKSPACES = 3
 LARGE_WEIGHT = 3.0
+LIMITED_WORKSPACES = (2, 10)
+"""Positions of those whose concurrency is limited, if any is."""
+
 SMALL = ids.ClassId("small")
 LARGE = ids.ClassId("large")
 
@@ -66,23 +69,30 @@
     }
 
 
-def make_catalogue(size: Size, largest: float) -> catalogue_lib.Catalogue:
+def make_catalogue(
+    size: Size, largest: float, concurrency: int | None
+) -> catalogue_lib.Catalogue:
     """Returns the catalogue of the fleet.
 
     Args:
         size: the fleet.
         largest: highest accepted cost hint, in tokens.
+        concurrency: limit of the workspaces that have one.
     """
-    limits = catalogue_lib.Limits(largest_request=largest)
+    free = catalogue_lib.Limits(largest_request=largest)
+    limited = dataclasses.replace(free, concurrency=concurrency)
     classes = {
         SMALL: catalogue_lib.WorkspaceClass(SMALL, "operator", 1.0),
         LARGE: catalogue_lib.WorkspaceClass(LARGE, "operator", LARGE_WEIGHT),
     }
     workspaces = {
         name: catalogue_lib.Workspace(
-            name, "operator", SMALL if weight == 1.0 else LARGE, limits
+            name,
+            "operator",
+            SMALL if weight == 1.0 else LARGE,
+            limited if index in LIMITED_WORKSPACES else free,
         )
-        for name, weight in name_workspaces().items()
+        for index, (name, weight) in enumerate(name_workspaces().items())
     }
     pool = catalogue_lib.Pool(
         name=POOL,
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -10,20 +10,27 @@
 """Headers of IPv4 and UDP."""
 
 MESSAGE_HEADER_BYTES = 24
-WORKSPACE_ITEM_BYTES = 12
+WORKSPACE_ITEM_BYTES = 16
 SLOT_ITEM_BYTES = 16
-GRANT_ITEM_BYTES = 14
+TARGET_ITEM_BYTES = 6
+GRANT_ITEM_BYTES = 16
+QUEUE_ITEM_BYTES = 8
 
 
 def estimate_size(message: messages.PeerMessage) -> int:
     """Returns the estimated size of the encoded message in bytes."""
     if isinstance(message, messages.DemandReport):
-        size = MESSAGE_HEADER_BYTES + WORKSPACE_ITEM_BYTES * len(
-            message.workspaces
+        items = (
+            WORKSPACE_ITEM_BYTES * len(message.workspaces)
+            + SLOT_ITEM_BYTES * len(message.slots)
+            + TARGET_ITEM_BYTES * len(message.targets)
         )
-        return size + SLOT_ITEM_BYTES * len(message.slots)
+        return MESSAGE_HEADER_BYTES + items
     if isinstance(message, messages.GrantUpdate):
-        return MESSAGE_HEADER_BYTES + GRANT_ITEM_BYTES * len(message.grants)
+        items = GRANT_ITEM_BYTES * len(message.grants) + QUEUE_ITEM_BYTES * len(
+            message.queues
+        )
+        return MESSAGE_HEADER_BYTES + items
     return MESSAGE_HEADER_BYTES
 
 
@@ -39,6 +46,7 @@
     Attributes:
         start: virtual time in seconds from which on bytes are counted.
         crossing: bytes that went from one data centre to another.
+        seconds: bytes by whole second of virtual time.
     """
 
     start: float
@@ -55,6 +63,9 @@
         default_factory=collections.Counter
     )
     crossing: int = 0
+    seconds: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def count(
         self,
@@ -73,5 +84,13 @@
         self.received[receiver] += size
         self.kinds[kind] += size
         self.counts[kind] += 1
+        self.seconds[int(now)] += size
         if crosses:
             self.crossing += size
+
+    def growth(self, end: float) -> float:
+        """Returns bytes of the second half of the run over the first."""
+        middle = (self.start + end) / 2
+        first = sum(n for s, n in self.seconds.items() if s < middle)
+        total = sum(self.seconds.values())
+        return (total - first) / first if first else 1.0
