--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -3,40 +3,25 @@
 import collections
 import dataclasses
 
+from lentilbeam_core import hlc
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_router import peer_codec
 
 DATAGRAM_HEADER_BYTES = 28
 """Headers of IPv4 and UDP."""
 
-MESSAGE_HEADER_BYTES = 24
-WORKSPACE_ITEM_BYTES = 16
-SLOT_ITEM_BYTES = 16
-TARGET_ITEM_BYTES = 6
-GRANT_ITEM_BYTES = 16
-QUEUE_ITEM_BYTES = 8
+SAMPLE_STAMP = 1_700_000_000_000_000 << hlc.COUNTER_BITS
+"""What a driver would set; it takes as many bytes as any stamp."""
 
 
-def estimate_size(message: messages.PeerMessage) -> int:
-    """Returns the estimated size of the encoded message in bytes."""
-    if isinstance(message, messages.DemandReport):
-        items = (
-            WORKSPACE_ITEM_BYTES * len(message.workspaces)
-            + SLOT_ITEM_BYTES * len(message.slots)
-            + TARGET_ITEM_BYTES * len(message.targets)
-        )
-        return MESSAGE_HEADER_BYTES + items
-    if isinstance(message, messages.GrantUpdate):
-        items = GRANT_ITEM_BYTES * len(message.grants) + QUEUE_ITEM_BYTES * len(
-            message.queues
-        )
-        return MESSAGE_HEADER_BYTES + items
-    return MESSAGE_HEADER_BYTES
-
-
-def measure_datagram(message: messages.PeerMessage) -> int:
-    """Returns the bytes that the message takes on a link."""
-    return DATAGRAM_HEADER_BYTES + estimate_size(message)
+def measure_datagram(
+    sender: ids.InstanceId, message: messages.PeerMessage
+) -> int:
+    """Returns the bytes that the encoded message takes on a link."""
+    if isinstance(message, messages.Heartbeat):
+        message = dataclasses.replace(message, stamp=SAMPLE_STAMP)
+    return DATAGRAM_HEADER_BYTES + len(peer_codec.encode(sender, message))
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,7 +63,7 @@
         """Counts one datagram that `sender` put on the link."""
         if now < self.start:
             return
-        size = measure_datagram(message)
+        size = measure_datagram(sender, message)
         kind = type(message).__name__
         self.sent[sender] += size
         self.received[receiver] += size
