Add a lightly loaded scenario to the fairness bench

Cause: batching control messages could delay lone requests. Conclusion: shown beside the saturated scenarios; utilisation is not judged there, since work waits for messages only.

--- a/bench/load.py
+++ b/bench/load.py
@@ -133,6 +133,14 @@
     return tuple(loads)
 
 
+def make_light(size: sizes.Size) -> tuple[Load, ...]:
+    """Returns load of all workspaces that leaves most slots free."""
+    loads: list[Load] = []
+    for index, (name, slots) in enumerate(_shares(size)):
+        loads.extend(_make_light(name, slots, index))
+    return tuple(loads)
+
+
 def make_idle(size: sizes.Size) -> tuple[Load, ...]:
     """Returns no load."""
     return ()
--- a/bench/report.py
+++ b/bench/report.py
@@ -76,14 +76,13 @@
     longest = scenario.costs.largest / sizes.TOKENS_PER_S
     targets += [
         Target("gap", scenario.largest_gap, records.gap.worst.gap),
-        Target(
-            "utilisation",
-            OVERALL_UTILISATION,
-            records.usage.overall(),
-            is_upper=False,
-        ),
         Target("late_s", longest, records.turns.worst.seconds),
     ]
+    if scenario.is_saturated:
+        overall = records.usage.overall()
+        targets.append(
+            Target("utilisation", OVERALL_UTILISATION, overall, is_upper=False)
+        )
     if scenario.faults:
         targets += _build_fault_targets(emulator)
     if scenario.concurrency is not None:
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -80,6 +80,8 @@
         largest_gap: target for the fairness gap, in largest requests.
         flooding: whether the last workspace floods the fleet.
         is_uneven: whether it is compared with static shares.
+        is_saturated: whether work waits for slots. If it only waits for
+            messages, utilisation is shown but not judged.
         listing_lag_s: age of the instance list when it is read.
         concurrency: fleet-wide limit of the workspaces that have one.
     """
@@ -92,6 +94,7 @@
     largest_gap: float = 4.0
     flooding: bool = False
     is_uneven: bool = False
+    is_saturated: bool = True
     listing_lag_s: float = LISTING_LAG_S
     concurrency: int | None = None
 
@@ -110,6 +113,7 @@
     scenario.name: scenario
     for scenario in (
         Scenario("idle", load.make_idle, seconds=20.0),
+        Scenario("light", load.make_light, largest_gap=2.0, is_saturated=False),
         Scenario("steady", load.make_even, largest_gap=2.0),
         Scenario(
             "uneven",
