--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -3,33 +3,25 @@
 import collections
 import dataclasses
 
+from lentilbeam_core import hlc
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_router import peer_codec
 
 DATAGRAM_HEADER_BYTES = 28
 """Headers of IPv4 and UDP."""
 
-MESSAGE_HEADER_BYTES = 24
-WORKSPACE_ITEM_BYTES = 12
-SLOT_ITEM_BYTES = 16
-GRANT_ITEM_BYTES = 14
+SAMPLE_STAMP = 1_700_000_000_000_000 << hlc.COUNTER_BITS
+"""What a driver would set; it takes as many bytes as any stamp."""
 
 
-def estimate_size(message: messages.PeerMessage) -> int:
-    """Returns the estimated size of the encoded message in bytes."""
-    if isinstance(message, messages.DemandReport):
-        size = MESSAGE_HEADER_BYTES + WORKSPACE_ITEM_BYTES * len(
-            message.workspaces
-        )
-        return size + SLOT_ITEM_BYTES * len(message.slots)
-    if isinstance(message, messages.GrantUpdate):
-        return MESSAGE_HEADER_BYTES + GRANT_ITEM_BYTES * len(message.grants)
-    return MESSAGE_HEADER_BYTES
-
-
-def measure_datagram(message: messages.PeerMessage) -> int:
-    """Returns the bytes that the message takes on a link."""
-    return DATAGRAM_HEADER_BYTES + estimate_size(message)
+def measure_datagram(
+    sender: ids.InstanceId, message: messages.PeerMessage
+) -> int:
+    """Returns the bytes that the encoded message takes on a link."""
+    if isinstance(message, messages.Heartbeat):
+        message = dataclasses.replace(message, stamp=SAMPLE_STAMP)
+    return DATAGRAM_HEADER_BYTES + len(peer_codec.encode(sender, message))
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +31,7 @@
     Attributes:
         start: virtual time in seconds from which on bytes are counted.
         crossing: bytes that went from one data centre to another.
+        seconds: bytes by whole second of virtual time.
     """
 
     start: float
@@ -55,6 +48,9 @@
         default_factory=collections.Counter
     )
     crossing: int = 0
+    seconds: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def count(
         self,
@@ -67,11 +63,19 @@
         """Counts one datagram that `sender` put on the link."""
         if now < self.start:
             return
-        size = measure_datagram(message)
+        size = measure_datagram(sender, message)
         kind = type(message).__name__
         self.sent[sender] += size
         self.received[receiver] += size
         self.kinds[kind] += size
         self.counts[kind] += 1
+        self.seconds[int(now)] += size
         if crosses:
             self.crossing += size
+
+    def growth(self, end: float) -> float:
+        """Returns bytes of the second half of the run over the first."""
+        middle = (self.start + end) / 2
+        first = sum(n for s, n in self.seconds.items() if s < middle)
+        total = sum(self.seconds.values())
+        return (total - first) / first if first else 1.0
