--- a/packages/lentilbeam-router/src/lentilbeam_router/platform_log.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/platform_log.py
@@ -55,7 +55,8 @@
     Attributes:
         records: in log order; empty if none came within the wait.
         oldest: offset of the oldest record that the log still keeps.
-        next_offset: where the next read starts.
+        next_offset: where the next read starts: after the last record of
+            the page, else the start or the oldest record kept.
     """
 
     records: tuple[Record, ...]
@@ -72,10 +73,9 @@
     value: Any
 
 
-class _WirePage(msgspec.Struct, rename={"next_offset": "next"}):
+class _WirePage(msgspec.Struct):
     records: list[_WireRecord]
     oldest: int
-    next_offset: int
 
 
 class LogClient:
@@ -119,7 +119,7 @@
                 timeout=REQUEST_TIMEOUT_S + wait_s,
             )
         )
-        return answer.bind(_decode_page)
+        return answer.bind(lambda body: _decode_page(body, start))
 
     def _records_url(self, stream: str) -> str:
         return f"{self.base_url}/streams/{stream}/records"
@@ -162,15 +162,19 @@
     return expression.Ok(ids.Offset(appended.offset))
 
 
-def _decode_page(body: bytes) -> expression.Result[Page, LogError]:
+def _decode_page(
+    body: bytes, start: ids.Offset
+) -> expression.Result[Page, LogError]:
     try:
         page = msgspec.json.decode(body, type=_WirePage)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return _failed(LogErrorKind.MALFORMED, str(error))
+    oldest = ids.Offset(page.oldest)
+    next_offset = max(start, oldest)
     records = tuple(
         Record(ids.Offset(record.offset), record.value)
         for record in page.records
     )
-    return expression.Ok(
-        Page(records, ids.Offset(page.oldest), ids.Offset(page.next_offset))
-    )
+    if records:
+        next_offset = ids.Offset(records[-1].offset + 1)
+    return expression.Ok(Page(records, oldest, next_offset))
--- /dev/null
+++ b/tests/features/catalogue.feature
@@ -0,0 +1,51 @@
+Feature: An accepted configuration is in force everywhere within seconds
+
+  An accepted change never reverts, whatever becomes of the platform's log
+  and of single routers.
+
+  Background:
+    Given a log that keeps records for 600 seconds
+    And the routers north and south
+    And class gold was created with weight 1
+
+  Scenario: A change reaches all routers
+    When the weight of gold is changed to 2
+    Then within 1 seconds gold has weight 2 at north, south
+
+  Scenario: A router that is cut off from the log
+    Given north is cut off from the log
+    When the weight of gold is changed to 2
+    Then within 5 seconds gold has weight 2 at north, south
+
+  Scenario: A connection to the log goes silent
+    Given the log never answers north
+    When the weight of gold is changed to 2
+    Then within 5 seconds gold has weight 2 at north, south
+
+  Scenario: Cold start while the log is down
+    Given the log is down
+    When the router west starts
+    Then within 5 seconds gold has weight 1 at west
+
+  Scenario: Records expire
+    Given 3000 seconds pass
+    When the router west starts
+    Then within 5 seconds gold has weight 1 at west
+    And the log never got two snapshots within 60 seconds
+
+  Scenario: All routers restart after records have expired
+    Given 3000 seconds pass
+    When the routers north and south restart
+    Then within 5 seconds gold has weight 1 at north, south
+
+  Scenario: A paused router appends a stale snapshot
+    Given north is paused
+    And the weight of gold is changed to 2
+    When north appends its snapshot
+    And the router west starts
+    Then within 5 seconds gold has weight 2 at south, west
+
+  Scenario: Racing operators
+    When two operators change the weight of gold to 2 and 3 at once
+    Then within 1 seconds gold has weight 2 at north, south
+    And the second of them was rejected everywhere
--- a/tests/unit/test_platform_log.py
+++ b/tests/unit/test_platform_log.py
@@ -62,7 +62,7 @@
         if request.method == "POST":
             return httpx.Response(200, json={"offset": 7})
         records = [{"offset": 7, "value": {"a": 1}}]
-        body = {"records": records, "oldest": 3, "next": 8}
+        body = {"records": records, "oldest": 3, "next": 12}
         return httpx.Response(200, json=body)
 
     async def read():
