Keep stand-ins from logging through a queue

Cause: litestar's default logging wrote to a stream that pytest had closed. Measured: the tests printed logging errors after their end; now none. Conclusion: stand-ins log nothing.

--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -140,6 +140,7 @@
         [*handlers, set_faults],
         exception_handlers={exceptions.HTTPException: _answer_error},
         openapi_config=None,
+        logging_config=None,
     )
 
 
