Restart part of the fleet empty in the fairness bench

Cause: a cold start in the middle of load is one of the promised cases; and a set of requests made runs of target_fails_fast differ between processes.

--- a/bench/engines.py
+++ b/bench/engines.py
@@ -45,7 +45,7 @@
         self.rate = rate
         self.hooks = hooks
         self.waiting: collections.deque[requests.Request] = collections.deque()
-        self.running: set[requests.Request] = set()
+        self.running: dict[requests.Request, None] = {}
         self.is_draining = False
         self.is_failing = False
         self.late_admissions = 0
@@ -112,7 +112,7 @@
             self._start(self.waiting.popleft())
 
     def _start(self, request: requests.Request) -> None:
-        self.running.add(request)
+        self.running[request] = None
         request.started = self.loop.now
         self.hooks.started(request)
         self.loop.after(request.cost / self.rate, lambda: self._end(request))
@@ -130,7 +130,7 @@
             self._fill()
 
     def _leave(self, request: requests.Request) -> None:
-        self.running.remove(request)
+        del self.running[request]
         self.hooks.stopped(request)
 
     def _fail(self, request: requests.Request) -> None:
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -26,6 +26,8 @@
             _plan_failure(emulator, fault)
         case scenarios.KillScheduler() if not is_ideal:
             _plan_kill(emulator, fault)
+        case scenarios.RestartRouters() if not is_ideal:
+            _plan_restarts(emulator, fault)
         case scenarios.PauseScheduler() if not is_ideal:
             _plan_pause(emulator, fault)
         case scenarios.Partition() if not is_ideal:
@@ -39,18 +41,37 @@
         name = emulator.find_scheduler()
         emulator.kill_router(name)
         emulator.listing.remove(name)
-        emulator.loop.at(fault.restart_s, lambda: restart(name))
+        emulator.loop.at(fault.restart_s, lambda: _restart(emulator, name))
 
-    def restart(name: ids.InstanceId) -> None:
-        row = events.ListedInstance(
-            name, emulator.routers[name], events.ListedState.LIVE
-        )
-        emulator.listing.add(row)
-        emulator.start_router(name)
+    emulator.loop.at(fault.at_s, kill)
+
+
+def _plan_restarts(
+    emulator: emulator_lib.Emulator, fault: scenarios.RestartRouters
+) -> None:
+    """Restarts routers faster than the list shows that they were gone."""
+
+    def kill() -> None:
+        scheduler = emulator.find_scheduler()
+        others = [name for name in emulator.routers if name != scheduler]
+        for name in [scheduler, *others[: fault.count - 1]]:
+            emulator.kill_router(name)
+            emulator.listing.remove(name)
+            emulator.loop.at(
+                fault.end_s, lambda name=name: _restart(emulator, name)
+            )
 
     emulator.loop.at(fault.at_s, kill)
 
 
+def _restart(emulator: emulator_lib.Emulator, name: ids.InstanceId) -> None:
+    row = events.ListedInstance(
+        name, emulator.routers[name], events.ListedState.LIVE
+    )
+    emulator.listing.add(row)
+    emulator.start_router(name)
+
+
 def _plan_pause(
     emulator: emulator_lib.Emulator, fault: scenarios.PauseScheduler
 ) -> None:
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -61,7 +61,27 @@
     end_s: float
 
 
-Fault = KillScheduler | PauseScheduler | Partition | DrainTarget | FailTarget
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartRouters:
+    """Some routers, the scheduler among them, start again empty.
+
+    Attributes:
+        end_s: when they start again.
+    """
+
+    at_s: float
+    end_s: float
+    count: int = 4
+
+
+Fault = (
+    KillScheduler
+    | PauseScheduler
+    | Partition
+    | DrainTarget
+    | FailTarget
+    | RestartRouters
+)
 
 PLAIN_COSTS = load.Costs(
     median=370.0, sigma=0.8, largest=2048.0, hint_factor=1.5
@@ -153,6 +173,11 @@
                 KillScheduler(FAULT_AT_S + 0.5, restart_s=20.0),
             ),
         ),
+        Scenario(
+            "cold_start",
+            load.make_even,
+            faults=(RestartRouters(FAULT_AT_S, end_s=11.0),),
+        ),
         Scenario(
             "partition_killed",
             load.make_even,
