Run the demonstration and the process tests against the router

Plain services know a request by its own id, engines by workspace and id; the load client expected the latter of both. Shares are now counted within the window only.

--- a/bench/path_requests.py
+++ b/bench/path_requests.py
@@ -38,7 +38,7 @@
 
     def make_id(self) -> str:
         """Returns a new request id."""
-        return orders.make_uuid7(self.clock, self.rng)
+        return orders.make_id(self.clock, self.rng)
 
 
 async def _time_post(routes: Routes, url: str, body: dict[str, Any]) -> float:
@@ -54,8 +54,11 @@
     """Returns a sender of a call straight to the bookings service."""
 
     async def send() -> float:
-        name = orders.name_run(WORKSPACE, routes.make_id())
-        body = {"request_id": name, "workspace": WORKSPACE, "arguments": {}}
+        body = {
+            "request_id": routes.make_id(),
+            "workspace": WORKSPACE,
+            "arguments": {},
+        }
         url = f"{routes.bookings_url}/v1/calls/{call}"
         return await _time_post(routes, url, body)
 
--- a/demo/catalogue.py
+++ b/demo/catalogue.py
@@ -1,13 +1,15 @@
 """The demonstration's catalogue: 16 workspaces in two classes."""
 
 import dataclasses
-import json
-import pathlib
 from typing import Any
 
 from demo import orders
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import catalogue_change
+from lentilbeam_core import ids
 
 OWNER = "demo"
+CHANGE_ID = "019b8d3c-5c00-7000-8000-000000000002"
 LARGEST_REQUEST_TOKENS = 4096.0
 
 
@@ -124,6 +126,18 @@
     }
 
 
-def write_file(path: pathlib.Path, entries: list[dict[str, Any]]) -> None:
-    """Writes a change for `lentilbeam apply`."""
-    path.write_text(json.dumps({"entries": entries}, indent=2))
+def build_change(entries: list[dict[str, Any]]) -> catalogue_change.Change:
+    """Returns the change that brings all entries into being."""
+    return catalogue_change.Change(
+        name=catalogue_change.ChangeId(CHANGE_ID),
+        operator=OWNER,
+        bases=tuple(_build_base(entry) for entry in entries),
+        upserts=tuple(entries),
+        deletes=(),
+    )
+
+
+def _build_base(entry: dict[str, Any]) -> catalogue_change.Base:
+    kind = catalogue_lib.EntryKind(entry["kind"])
+    key = catalogue_lib.EntryKey(kind, entry["name"])
+    return catalogue_change.Base(key, ids.Offset(0))
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -12,8 +12,9 @@
 from demo import addresses
 from demo import catalogue
 from demo import processes
+from lentilbeam_core import catalogue_change
+from lentilbeam_core import catalogue_log
 
-APPLY_TIMEOUT_S = 30.0
 LOG = "log"
 INSTANCES = "instances"
 
@@ -216,23 +217,13 @@
         }
 
     async def _publish(self, workspaces: list[catalogue.WorkspaceSpec]) -> None:
-        path = self.folder / "catalogue.json"
         entries = catalogue.build_entries(
             workspaces, self.engines, self.bookings
         )
-        catalogue.write_file(path, entries)
-        process = self.processes.start(
-            "apply",
-            "",
-            "lentilbeam_cli",
-            "apply",
-            str(path),
-            "--wait",
-            f"--log_url={self._url(LOG)}",
-            f"--instances_url={self._url(INSTANCES)}",
-        )
-        if await process.wait(APPLY_TIMEOUT_S) != 0:
-            raise processes.StartError(f"apply:\n{process.read_tail()}")
+        url = f"{self._url(LOG)}/streams/{catalogue_log.STREAM}/records"
+        change = catalogue.build_change(entries)
+        body = {"records": [catalogue_change.dump_change(change)]}
+        (await self.http.post(url, json=body)).raise_for_status()
 
     async def _wait_for_all(self, names: list[str], path: str) -> None:
         await asyncio.gather(
--- a/demo/load.py
+++ b/demo/load.py
@@ -105,7 +105,7 @@
     ) -> list[Awaitable]:
         def make_assistant() -> orders.Order:
             return orders.make_assistant_order(
-                orders.make_uuid7(self.clock, self.rng),
+                orders.make_id(self.clock, self.rng),
                 workspace.name,
                 self.rng.randint(MIN_TOKENS, MAX_TOKENS),
                 is_streamed=self.rng.random() < STREAMED_SHARE,
@@ -115,7 +115,7 @@
         def make_booking() -> orders.Order:
             is_lookup = self.rng.random() < LOOKUP_SHARE
             return orders.make_booking_order(
-                orders.make_uuid7(self.clock, self.rng),
+                orders.make_id(self.clock, self.rng),
                 workspace.name,
                 "lookup" if is_lookup else "book",
                 is_idempotent=is_lookup,
--- a/demo/orders.py
+++ b/demo/orders.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import uuid7
 from tests.standins import answers
 
 ASSISTANT_POOL = "assistant"
 BOOKINGS_POOL = "bookings"
-UUID_RANDOM_BITS = 74
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,19 +30,14 @@
     expected: str
 
 
-def make_uuid7(clock: clock_lib.Clock, rng: random.Random) -> str:
-    """Returns a UUIDv7 (RFC 9562) of the present time."""
+def make_id(clock: clock_lib.Clock, rng: random.Random) -> str:
+    """Returns a request id of the present time."""
     millis = int(clock.now().timestamp() * 1000)
-    noise = rng.getrandbits(UUID_RANDOM_BITS)
-    number = millis << 80 | 7 << 76 | (noise >> 62) << 64
-    number |= 2 << 62 | noise & ((1 << 62) - 1)
-    text = f"{number:032x}"
-    parts = text[:8], text[8:12], text[12:16], text[16:20], text[20:]
-    return "-".join(parts)
+    return uuid7.encode(millis, rng.getrandbits(uuid7.RANDOM_BITS))
 
 
 def name_run(workspace: str, request_id: str) -> str:
-    """Returns the name under which targets know a request."""
+    """Returns the name under which model engines know a request."""
     return f"{workspace}/{request_id}"
 
 
@@ -100,7 +95,5 @@
             "input": arguments,
             "deadline_ms": deadline_ms,
         },
-        expected=answers.output_of(
-            call, workspace, name_run(workspace, request_id), arguments
-        ),
+        expected=answers.output_of(call, workspace, request_id, arguments),
     )
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -33,7 +33,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Share:
-    """One workspace's part of the assistant's service, in tokens."""
+    """One workspace's part of the assistant's service, in tokens.
+
+    Only what ended within the window counts: afterwards a workspace with a
+    longer queue has the engines for itself.
+    """
 
     workspace: catalogue.WorkspaceSpec
     requests: int
@@ -71,7 +75,7 @@
     results = outcomes.results
     return Verdict(
         outcomes=count_outcomes(results),
-        shares=[measure_share(each, results) for each in workspaces],
+        shares=[measure_share(each, outcomes) for each in workspaces],
         gap=measure_gap(outcomes, workspaces),
         utilisation=measure_utilisation(outcomes, slots),
         violations={
@@ -113,10 +117,14 @@
 
 
 def measure_share(
-    workspace: catalogue.WorkspaceSpec, results: list[caller_lib.Result]
+    workspace: catalogue.WorkspaceSpec, outcomes: load_lib.Outcomes
 ) -> Share:
-    """Returns what a workspace got of the assistant."""
-    mine = [r for r in select_served(results) if is_of(r, workspace)]
+    """Returns what a workspace got of the assistant within the window."""
+    mine = [
+        result
+        for result in select_served(outcomes.results)
+        if is_of(result, workspace) and result.ended_at <= outcomes.ended_at
+    ]
     times = sorted(r.ended_at - r.started_at for r in mine) or [0.0]
     return Share(
         workspace=workspace,
@@ -198,8 +206,7 @@
 
 def count_runs(order: orders.Order, counts: dict[str, int]) -> int:
     """Returns how often the bookings services ran a request."""
-    run = orders.name_run(order.workspace, order.request_id)
-    return counts.get(f"{order.workspace}/{run}", 0)
+    return counts.get(f"{order.workspace}/{order.request_id}", 0)
 
 
 def count_repeats(
--- a/tests/processes/test_process_failures.py
+++ b/tests/processes/test_process_failures.py
@@ -99,7 +99,7 @@
         ]
 
     def _make_id(self) -> str:
-        return orders.make_uuid7(self.clock, self.rng)
+        return orders.make_id(self.clock, self.rng)
 
     async def finish(self) -> list[caller_lib.Result | BaseException]:
         """Waits for all ends and returns them."""
--- a/tests/unit/test_demo_checks.py
+++ b/tests/unit/test_demo_checks.py
@@ -14,7 +14,7 @@
 BOOKING = orders.make_booking_order(
     ID, "elm", "book", is_idempotent=False, deadline_ms=1000
 )
-KEY = f"elm/elm/{ID}"
+KEY = f"elm/{ID}"
 Outcome = outcome_lib.Outcome
 
 
