--- a/bench/claims_steps.py
+++ b/bench/claims_steps.py
@@ -14,7 +14,8 @@
 AGES_S = (0.0, 0.0, 0.0, 0.1, 1.0, 300.0, 590.0, 599.9, 601.0, -20.0, -40.0)
 SHORT_DELAYS_S = (0.01, 0.02, 0.05, 0.1)
 LONG_DELAYS_S = (1.0, 10.0, 400.0, 1900.0, 4000.0)
-RECENT_KEYS = 8
+RECENT_KEYS = 3
+OLDER_KEYS = 24
 
 Step = Callable[[claims_model.FleetModel, int, int], None]
 
@@ -33,9 +34,10 @@
 
 
 def ask_again(fleet: claims_model.FleetModel, a: int, b: int) -> None:
-    """A caller retries one of the latest keys."""
+    """A caller retries one of the latest keys, or seldom an older one."""
+    reach = OLDER_KEYS if b % 8 == 0 else RECENT_KEYS
     for router in _find_awake(fleet, a):
-        fleet.ask(router, 1 + b % RECENT_KEYS, 0.0)
+        fleet.ask(router, 1 + b % reach, 0.0)
 
 
 def append(fleet: claims_model.FleetModel, a: int, b: int) -> None:
@@ -132,8 +134,8 @@
 
 
 WEIGHTS: dict[Step, int] = {
-    ask_new: 12,
-    ask_again: 12,
+    ask_new: 6,
+    ask_again: 18,
     append: 16,
     serve_append: 6,
     answer_append: 4,
--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -53,3 +53,18 @@
     And all winners reach a target
     Then the request has run 1 time
     And the last attempt was refused as key_too_old
+
+  Scenario: The log drops records earlier than agreed
+    When router 1 is paused
+    And a caller asks router 0 for a new key
+    And the log answers everything
+    And all winners reach a target
+    And the log keeps records for only 100 seconds
+    And 200 seconds pass
+    And router 1 goes on
+    And the log answers everything
+    And the caller asks router 1 for the key again
+    And the log answers everything
+    And all winners reach a target
+    Then the request has run 1 time
+    And the last attempt was refused as key_too_old
--- a/tests/features/test_claim_promises.py
+++ b/tests/features/test_claim_promises.py
@@ -87,6 +87,11 @@
     fleet.log.is_down = True
 
 
+@when(parsers.parse("the log keeps records for only {seconds:d} seconds"))
+def shorten_retention(fleet, seconds):
+    fleet.log.retention_s = seconds
+
+
 @when(parsers.parse("router {index:d} is paused"))
 def pause(fleet, index):
     fleet.routers[index].is_paused = True
