--- a/packages/lentilbeam-core/src/lentilbeam_core/agent.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/agent.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import heapq
 import math
 
 from lentilbeam_core import catalogue as catalogue_lib
@@ -25,7 +26,6 @@
 QUEUE_STEPS = 8
 """Longer ones when they change by this part of the limit."""
 SESSION_BITS = 8
-ENOUGH_COMPLETED = 3
 UNREACHABLE_RETRY_AFTER_S = 1.0
 
 
@@ -108,6 +108,7 @@
         self.draining: set[ids.TargetId] = set()
         self.queues: dict[ids.WorkspaceId, queueing.WorkspaceQueue] = {}
         self.waiting: dict[ids.RequestId, queueing.Pending] = {}
+        self.deadlines: list[tuple[float, ids.RequestId]] = []
         self.running: dict[ids.RequestId, Run] = {}
         self.by_workspace: dict[ids.WorkspaceId, set[ids.RequestId]] = {}
         self.cells: dict[tuple[ids.TargetId, ids.WorkspaceId], Cell] = {}
@@ -195,6 +196,8 @@
             return [_refuse(request.name, reason.DEADLINE_UNREACHABLE, after_s)]
         pending = queueing.Pending(request, estimate, now)
         self.waiting[request.name] = pending
+        if not math.isinf(request.deadline):
+            heapq.heappush(self.deadlines, (request.deadline, request.name))
         queue.push(pending, now)
         self._publish_demand(request.workspace, now, now)
         return self._reuse_held(now)
@@ -241,7 +244,8 @@
                 request.workspace, request.call, request.cost_hint, cost
             )
         self._count_end(run.target, end)
-        self._publish_target(run.target, now)
+        if self.uses[run.target].failed:
+            self._publish_target(run.target, now)
         self._publish_cell(run.target, request.workspace, now)
         self._publish_demand(request.workspace, now, now)
         return effects + self._reuse_held(now)
@@ -280,10 +284,12 @@
 
     def tick(self, now: float) -> list[events.Effect]:
         """Refuses what is too late and uses slots of a silent scheduler."""
-        late = [p for p in self.waiting.values() if p.request.deadline <= now]
         effects = []
-        for pending in late:
-            request = pending.request
+        while self.deadlines and self.deadlines[0][0] <= now:
+            _, name = heapq.heappop(self.deadlines)
+            if name not in self.waiting:
+                continue
+            request = self.waiting[name].request
             queue = self.queues[request.workspace]
             after_s = queue.retry_after_s(now)
             self.withdraw(request.name, now)
@@ -292,14 +298,14 @@
             effects.append(_refuse(request.name, reason, after_s))
         return effects + self._reuse_held(now)
 
-    def due(self) -> float:
+    def due(self, now: float) -> float:
         """Returns when `tick` or `report` is to be called next."""
         settings = self.settings
         due = self.sender.due(settings.batch_s, settings.resend_s)
         if self.held and self.waiting:
-            due = min(due, self.unanswered_since + settings.autonomy_s)
-        deadlines = (p.request.deadline for p in self.waiting.values())
-        return min(due, min(deadlines, default=math.inf))
+            alone_at = self.unanswered_since + settings.autonomy_s
+            due = min(due, alone_at if alone_at > now else math.inf)
+        return min(due, self.deadlines[0][0] if self.deadlines else math.inf)
 
     def report(self, now: float) -> list[messages.DemandReport]:
         """Returns the report that is due, in parts; empty if none is."""
@@ -408,7 +414,7 @@
 
     def _reuse_held(self, now: float) -> list[events.Effect]:
         """Uses slots again for which a silent scheduler has no answer."""
-        if now - self.unanswered_since < self.settings.autonomy_s:
+        if now < self.unanswered_since + self.settings.autonomy_s:
             return []
         effects = []
         kept = []
@@ -452,15 +458,11 @@
     def _count_end(self, target: ids.TargetId, end: events.RunEnd) -> None:
         use = self._use(target)
         is_failure = end in (events.RunEnd.FAILED, events.RunEnd.UNREACHABLE)
-        completed = use.completed + (end is events.RunEnd.COMPLETED)
-        completed = 0 if is_failure else min(completed, ENOUGH_COMPLETED)
         failed = use.failed + is_failure
-        self.uses[target] = dataclasses.replace(
-            use, completed=completed, failed=failed
-        )
+        self.uses[target] = dataclasses.replace(use, failed=failed)
 
     def _use(self, target: ids.TargetId) -> messages.TargetUse:
-        use = self.uses.get(target) or messages.TargetUse(target, 0, 0, False)
+        use = self.uses.get(target) or messages.TargetUse(target, 0, False)
         is_draining = target in self.draining
         use = dataclasses.replace(use, is_draining=is_draining)
         self.uses[target] = use
@@ -538,14 +540,8 @@
         self.sender.put(("cell", target, workspace), use, due)
 
     def _publish_target(self, target: ids.TargetId, now: float) -> None:
-        """Reports experience with a target that has failed or is leaving."""
-        use = self._use(target)
-        if (
-            use.failed
-            or use.is_draining
-            or ("use", target) in (self.sender.values)
-        ):
-            self.sender.put(("use", target), use, now)
+        """Reports experience with a target."""
+        self.sender.put(("use", target), self._use(target), now)
 
     def _queue(self, workspace: ids.WorkspaceId) -> queueing.WorkspaceQueue:
         if workspace not in self.queues:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -87,14 +87,11 @@
 
     Attributes:
         target: which target.
-        completed: requests that it completed since the last failure, up to
-            a small number.
         failed: cumulative requests that it failed or that did not reach it.
         is_draining: whether it told this router that it is leaving.
     """
 
     target: ids.TargetId
-    completed: int
     failed: int
     is_draining: bool
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -19,6 +19,8 @@
 from lentilbeam_core import scheduler as scheduler_lib
 from lentilbeam_core import snapshots
 
+MIN_WAKEUP_S = 0.0005
+"""Shortest time from an event to the next wake-up."""
 MAX_ROUNDS = 8
 """Rounds of messages between this node's own parts for one event."""
 
@@ -78,7 +80,7 @@
         self._pump(now, effects)
         self._beat(now, effects)
         self.handled_at = now
-        self.woken_at = self._due(now)
+        self.woken_at = max(self._due(now), now + MIN_WAKEUP_S)
         return effects
 
     def next_wakeup(self, now: float) -> float | None:
@@ -349,7 +351,7 @@
         ]
         bound_s = self.settings.membership.silence_s + 1e-6
         for pool, agent in self.agents.items():
-            dues += [agent.due(), self.schedulers[pool].due(now)]
+            dues += [agent.due(now), self.schedulers[pool].due(now)]
             if agent.followed_at + bound_s > now:
                 dues.append(agent.followed_at + bound_s)
         dues.append(self.membership.next_silence(now))
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -251,13 +251,19 @@
         for demand in report.workspaces:
             if demand.workspace in self.catalogue.workspaces:
                 self._take_demand(session, demand, report.is_full, now)
-        ended = 0
+        ended: dict[ids.TargetId, int] = {}
         for use in report.slots:
             if use.workspace in self.catalogue.workspaces:
-                ended += self._take_use(session, use, now)
-        self.book.measure(ended, now)
-        for use in report.targets:
-            self._take_target(session, use, now)
+                count = self._take_use(session, use, now)
+                ended[use.target] = ended.get(use.target, 0) + count
+        self.book.measure(sum(ended.values()), now)
+        failed = {
+            use.target: self._take_target(session, use)
+            for use in report.targets
+        }
+        for target in {*ended, *failed}:
+            failures = failed.get(target, 0)
+            self._judge(target, ended.get(target, 0), failures, now)
 
     def _take_demand(
         self,
@@ -301,21 +307,27 @@
         return max(started - (use.running - before.running), 0)
 
     def _take_target(
-        self, session: sessions.Session, use: messages.TargetUse, now: float
-    ) -> None:
+        self, session: sessions.Session, use: messages.TargetUse
+    ) -> int:
+        """Returns how many failures are news."""
         before = session.targets.get(use.target)
         session.targets[use.target] = use
         self.book.flag_draining(use.target, session.name, use.is_draining)
-        failures = use.failed - (before.failed if before else 0)
         if before is None and session.receiver.complete <= 1:
-            return
-        if use.completed:
-            self.book.ejector.succeed(use.target)
-        elif failures > 0:
-            ejector = self.book.ejector
-            targets = self.book.targets
-            if ejector.fail(use.target, failures, targets, now):
-                self._count("ejections")
+            return 0
+        return max(use.failed - (before.failed if before else 0), 0)
+
+    def _judge(
+        self, target: ids.TargetId, ended: int, failures: int, now: float
+    ) -> None:
+        """Ejects a target that only fails; takes it back when it serves."""
+        ejector = self.book.ejector
+        if ended > failures:
+            ejector.succeed(target)
+        elif failures and ejector.fail(
+            target, failures, self.book.targets, now
+        ):
+            self._count("ejections")
 
     def _account(self, workspace: ids.WorkspaceId) -> virtual_time.Account:
         account = self.ledger.accounts.get(workspace)
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -0,0 +1,86 @@
+@0xd1f6a8c27b3e5409;
+# Messages between routers, packed, one in a datagram.
+
+struct Envelope {
+  sender @0 :Text;
+  union {
+    heartbeat @1 :Heartbeat;
+    report @2 :DemandReport;
+    update @3 :GrantUpdate;
+  }
+}
+
+struct Heartbeat {
+  incarnation @0 :UInt64;
+  catalogueOffset @1 :UInt64;
+  stamp @2 :UInt64;
+  intervalMs @3 :UInt32;
+  leaving @4 :Bool;
+  isReady @5 :Bool;
+}
+
+struct WorkspaceDemand {
+  workspace @0 :Text;
+  preferred @1 :Text;
+  served @2 :UInt64;
+  virtualTime @3 :UInt64;
+  unsettled @4 :UInt64;
+  oldestAgeMs @5 :UInt32;
+  nextCost @6 :UInt32;
+  queued @7 :UInt32;
+}
+
+struct SlotUse {
+  target @0 :Text;
+  workspace @1 :Text;
+  granted @2 :UInt32;
+  spent @3 :UInt32;
+  estimate @4 :UInt32;
+  running @5 :UInt32;
+}
+
+struct TargetUse {
+  target @0 :Text;
+  failed @1 :UInt32;
+  isDraining @2 :Bool;
+}
+
+struct DemandReport {
+  pool @0 :Text;
+  incarnation @1 :UInt64;
+  session @2 :UInt64;
+  sequence @3 :UInt32;
+  acknowledged @4 :UInt32;
+  part @5 :UInt16;
+  parts @6 :UInt16;
+  isFull @7 :Bool;
+  floor @8 :UInt64;
+  workspaces @9 :List(WorkspaceDemand);
+  slots @10 :List(SlotUse);
+  targets @11 :List(TargetUse);
+}
+
+struct Grant {
+  workspace @0 :Text;
+  target @1 :Text;
+  virtualTime @2 :UInt64;
+  granted @3 :UInt32;
+}
+
+struct QueuedElsewhere {
+  workspace @0 :Text;
+  queued @1 :UInt32;
+}
+
+struct GrantUpdate {
+  pool @0 :Text;
+  session @1 :UInt64;
+  sequence @2 :UInt32;
+  acknowledged @3 :UInt32;
+  part @4 :UInt16;
+  parts @5 :UInt16;
+  needsFull @6 :Bool;
+  floor @7 :UInt64;
+  grants @8 :List(Grant);
+  queues @9 :List(QueuedElsewhere);
+}
