Shrink peer messages; count only routers with a session

Cause: control traffic was 4.1 KB/s per router at 27 requests a second. Before: 19 reports and updates, 15 heartbeats per router and second. Conclusion: dispatches ride along with the next report; only ends, returns and new demand are sent at once and until acknowledged.

--- a/packages/lentilbeam-core/src/lentilbeam_core/agent.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/agent.py
@@ -47,9 +47,9 @@
     """
 
     batch_s: float = 0.004
-    lazy_s: float = 0.025
-    resend_s: float = 0.05
-    autonomy_s: float = 0.1
+    lazy_s: float = 0.2
+    resend_s: float = 0.1
+    autonomy_s: float = 0.16
     max_tries: int = 4
     retry_ratio: float = 0.1
     retry_burst: float = 16.0
@@ -163,7 +163,7 @@
         for workspace in self.queues:
             self._publish_demand(workspace, now, now)
         for target, workspace in self.cells:
-            self._publish_cell(target, workspace, now)
+            self._publish_cell(target, workspace, now, now)
         self.sender.want(now)
 
     def arrive(
@@ -246,7 +246,7 @@
         self._count_end(run.target, end)
         if self.uses[run.target].failed:
             self._publish_target(run.target, now)
-        self._publish_cell(run.target, request.workspace, now)
+        self._publish_cell(run.target, request.workspace, now, now)
         self._publish_demand(request.workspace, now, now)
         return effects + self._reuse_held(now)
 
@@ -313,7 +313,7 @@
         if self.sender.due(settings.batch_s, settings.resend_s) > now:
             return []
         items = self.sender.collect(now)
-        if items:
+        if self.sender.is_urgent():
             self.unanswered_since = min(self.unanswered_since, now)
         chunks = [
             items[i : i + MAX_ITEMS] for i in range(0, len(items), MAX_ITEMS)
@@ -336,7 +336,7 @@
         is_full = self.sender.acknowledged == 0
         return messages.DemandReport(
             pool=self.pool.name,
-            incarnation=self.incarnation,
+            incarnation=self.incarnation if is_full else ids.Incarnation(0),
             session=self.session,
             sequence=self.sender.sequence,
             part=part,
@@ -347,6 +347,7 @@
             workspaces=of(messages.WorkspaceDemand),
             slots=of(messages.SlotUse),
             targets=of(messages.TargetUse),
+            wants_answer=self.sender.is_urgent(),
         )
 
     def _take_acknowledgement(self, sequence: int, now: float) -> None:
@@ -355,7 +356,8 @@
         if arrived is None:
             return
         self.held = [held for held in self.held if held.sequence > sequence]
-        self.unanswered_since = now if self.sender.changed else math.inf
+        is_waiting = self.sender.is_urgent()
+        self.unanswered_since = now if is_waiting else math.inf
         for kind, name, *_ in arrived:
             if kind == "demand":
                 sent = self.sender.values[kind, name]
@@ -379,7 +381,7 @@
             effects.append(self._start(queue, grant.target, now))
             fresh -= 1
         due = now if fresh else now + self.settings.lazy_s
-        self._publish_cell(grant.target, grant.workspace, due)
+        self._publish_cell(grant.target, grant.workspace, now, due)
         self._publish_demand(grant.workspace, now, due)
         if fresh:
             self._count("grants_returned", fresh)
@@ -425,7 +427,7 @@
                 continue
             queue = self.queues[workspace]
             effects.append(self._start(queue, held.target, now))
-            self._publish_cell(held.target, workspace, now)
+            self._publish_cell(held.target, workspace, now, now)
             self._publish_demand(workspace, now, now)
             self._count("autonomous")
         self.held = kept
@@ -480,7 +482,7 @@
         grown = self._queue(workspace).served - known
         if grown > run.pending.estimate:
             due = now + self.settings.lazy_s
-            self._publish_cell(run.target, workspace, due)
+            self._publish_cell(run.target, workspace, now, due)
             self._publish_demand(workspace, now, due)
 
     def _publish_demand(
@@ -502,7 +504,7 @@
             ),
         )
         if self._is_significant(demand):
-            self.sender.put(("demand", workspace), demand, due)
+            self.sender.put(("demand", workspace), demand, due, due <= now)
 
     def _prefer(self, head: queueing.Pending | None, now: float) -> str:
         return self.prefixes.recall(head.request.prefix, now) if head else ""
@@ -520,7 +522,11 @@
         return change * QUEUE_STEPS >= limits.queue_length
 
     def _publish_cell(
-        self, target: ids.TargetId, workspace: ids.WorkspaceId, due: float
+        self,
+        target: ids.TargetId,
+        workspace: ids.WorkspaceId,
+        now: float,
+        due: float,
     ) -> None:
         cell = self.cells[target, workspace]
         runs = (self.running[n] for n in self.by_workspace.get(workspace, ()))
@@ -537,7 +543,7 @@
             cell.running,
             expected,
         )
-        self.sender.put(("cell", target, workspace), use, due)
+        self.sender.put(("cell", target, workspace), use, due, due <= now)
 
     def _publish_target(self, target: ids.TargetId, now: float) -> None:
         """Reports experience with a target."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/channel.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/channel.py
@@ -18,19 +18,33 @@
         self.changed: dict[Hashable, int] = {}
         self.wanted_at = math.inf
         self.sent_at = -math.inf
+        self.urgent = 0
 
-    def put(self, key: Hashable, value: object, due: float) -> bool:
+    def put(
+        self,
+        key: Hashable,
+        value: object,
+        due: float,
+        is_urgent: bool = True,
+    ) -> bool:
         """Sets the value of `key`; returns whether that is a change.
 
-        A change is sent by `due`, in monotonic seconds.
+        A change is sent by `due`, in monotonic seconds, and if it is urgent
+        then again until it is acknowledged. Others ride along.
         """
         if self.values.get(key) == value:
             return False
         self.values[key] = value
         self.changed[key] = self.sequence + 1
+        if is_urgent:
+            self.urgent = self.sequence + 1
         self.want(due)
         return True
 
+    def is_urgent(self) -> bool:
+        """Tells whether an urgent change is not acknowledged yet."""
+        return self.urgent > self.acknowledged
+
     def want(self, due: float) -> None:
         """Asks for a message by `due`, even one that lists nothing."""
         self.wanted_at = min(self.wanted_at, due)
@@ -55,7 +69,7 @@
     def due(self, batch_s: float, resend_s: float) -> float:
         """Returns when to send next; infinite if all is acknowledged."""
         wanted_at = max(self.wanted_at, self.sent_at + batch_s)
-        if not self.changed:
+        if not self.is_urgent():
             return wanted_at
         return min(wanted_at, self.sent_at + resend_s)
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/membership.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/membership.py
@@ -32,8 +32,8 @@
             heartbeat intervals that it announced is unreachable.
     """
 
-    silence_s: float = 0.36
-    missed_beats: float = 3.0
+    silence_s: float = 0.38
+    missed_beats: float = 2.5
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -105,7 +105,7 @@
 
     Attributes:
         pool: which pool.
-        incarnation: the sender's start.
+        incarnation: the sender's start; only in full reports, else 0.
         session: identifies the time that the router has followed this
             scheduler without a break; grants of other sessions are void.
         sequence: grows by one with each report of the session.
@@ -117,6 +117,7 @@
         workspaces: changed demands.
         slots: changed uses of slots.
         targets: changed experience with targets.
+        wants_answer: whether the sender waits for an acknowledgement.
     """
 
     pool: ids.PoolId
@@ -131,6 +132,7 @@
     workspaces: tuple[WorkspaceDemand, ...]
     slots: tuple[SlotUse, ...]
     targets: tuple[TargetUse, ...]
+    wants_answer: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -36,6 +36,7 @@
         heartbeat_s: interval of heartbeats between a pool's scheduler and
             the routers that follow it.
         slow_heartbeat_s: interval of heartbeats between all others.
+        silent_heartbeat_s: interval of heartbeats to unreachable peers.
         agent: settings of the router's side of pools.
         scheduler: settings of pools' schedulers.
     """
@@ -43,8 +44,9 @@
     name: ids.InstanceId
     data_centre: ids.DataCentreId
     membership: membership_lib.Settings = membership_lib.Settings()
-    heartbeat_s: float = 0.12
-    slow_heartbeat_s: float = 0.7
+    heartbeat_s: float = 0.15
+    slow_heartbeat_s: float = 4.0
+    silent_heartbeat_s: float = 0.5
     agent: agent_lib.Settings = agent_lib.Settings()
     scheduler: scheduler_lib.Settings = scheduler_lib.Settings()
 
@@ -213,8 +215,7 @@
         silent = self.membership.collect(now, states.UNREACHABLE)
         heard = {name: self._data_centre(name) for name in live + leaving}
         total = len(live) + len(silent)
-        fraction = len(live) / total if total and live else 1.0
-        return scheduler_lib.Members(heard, fraction)
+        return scheduler_lib.Members(heard, frozenset(live), total)
 
     def _data_centre(self, name: ids.InstanceId) -> ids.DataCentreId | None:
         if name == self.settings.name:
@@ -311,7 +312,10 @@
         if receiver in self.said_at:
             self.said_at[receiver] = now
 
-    def _interval_s(self, peer: ids.InstanceId) -> float:
+    def _interval_s(self, peer: ids.InstanceId, now: float) -> float:
+        unreachable = membership_lib.PeerState.UNREACHABLE
+        if self.membership.state(peer, now) is unreachable:
+            return self.settings.silent_heartbeat_s
         is_scheduler = any(s.is_active for s in self.schedulers.values())
         if is_scheduler or peer in self.followed.values():
             return self.settings.heartbeat_s
@@ -328,7 +332,7 @@
 
     def _beat(self, now: float, effects: list[events.Effect]) -> None:
         for peer in self._peers():
-            interval_s = self._interval_s(peer)
+            interval_s = self._interval_s(peer, now)
             said_at = self.said_at.get(peer, -math.inf)
             is_shorter = interval_s < self.promised_s.get(peer, math.inf)
             if now < said_at + interval_s and not is_shorter:
@@ -346,7 +350,7 @@
 
     def _due(self, now: float) -> float:
         dues = [
-            self.said_at.get(peer, now) + self._interval_s(peer)
+            self.said_at.get(peer, now) + self._interval_s(peer, now)
             for peer in self._peers()
         ]
         bound_s = self.settings.membership.silence_s + 1e-6
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -38,8 +38,8 @@
     """
 
     batch_s: float = 0.002
-    acknowledge_s: float = 0.02
-    resend_s: float = 0.05
+    acknowledge_s: float = 0.06
+    resend_s: float = 0.3
     rebuild_s: float = 0.15
     wake_grace_s: float = 0.05
     in_flight_factor: float = 2.0
@@ -52,11 +52,13 @@
 
     Attributes:
         heard: routers that are heard, with their data centres.
-        fraction: part of the listed routers that is heard, 0 to 1.
+        live: those of them that are not leaving.
+        total: routers that are live or listed so and silent.
     """
 
     heard: dict[ids.InstanceId, ids.DataCentreId | None]
-    fraction: float
+    live: frozenset[ids.InstanceId]
+    total: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,7 +81,7 @@
         self.sessions: dict[ids.InstanceId, sessions.Session] = {}
         self.baselines: dict[ids.InstanceId, sessions.Baseline] = {}
         self.demanding: dict[ids.WorkspaceId, set[ids.InstanceId]] = {}
-        self.members = Members({}, 1.0)
+        self.members = Members({}, frozenset(), 0)
         self.strangers: dict[ids.InstanceId, float] = {}
         self.outbox: list[Addressed] = []
         self.is_active = False
@@ -119,7 +121,7 @@
     def set_members(self, members: Members, now: float) -> None:
         """Takes in which routers are heard."""
         self.members = members
-        self.book.fraction = members.fraction
+        self._update_fraction()
         for name, session in self.sessions.items():
             is_counted = name in members.heard
             if is_counted != session.is_counted:
@@ -134,19 +136,18 @@
     ) -> None:
         """Takes in a router's report."""
         session = self.sessions.get(sender)
-        if session is not None and not _is_newer(report, session):
-            if report.session != session.number:
+        if session is None or report.session != session.number:
+            if not report.is_full:
+                self._ask_for_full(sender, report, now)
+                return
+            if session is not None and not _is_newer(report, session):
                 return
-        elif report.is_full:
             session = self._begin(sender, report, now)
-        else:
-            self._ask_for_full(sender, report, now)
-            return
         session.sender.acknowledge(report.acknowledged)
         is_new = session.receiver.accept(
             report.sequence, report.part, report.parts
         )
-        if report.workspaces or report.slots or report.targets:
+        if report.wants_answer:
             session.sender.want(now + self.settings.acknowledge_s)
         if is_new:
             self._take_in(session, report, now)
@@ -204,11 +205,18 @@
         session = sessions.Session(sender, report.incarnation, report.session)
         session.is_counted = sender in self.members.heard
         self.sessions[sender] = session
+        self._update_fraction()
         baseline = self.baselines.get(sender)
         if baseline is None or baseline.incarnation != report.incarnation:
             self.baselines[sender] = sessions.Baseline(report.incarnation)
         return session
 
+    def _update_fraction(self) -> None:
+        """Sets the part of the fleet that this scheduler serves."""
+        members = self.members
+        served = len(members.live & set(self.sessions))
+        self.book.fraction = served / members.total if served else 1.0
+
     def _drop(self, name: ids.InstanceId, now: float) -> None:
         session = self.sessions.pop(name, None)
         if session is None:
@@ -302,7 +310,7 @@
         session.granted[key] = granted
         self._update_cell(session, key, now)
         if before is None:
-            return 0
+            return max(use.spent - use.running, 0)
         started = use.spent - before.spent
         return max(started - (use.running - before.running), 0)
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -1,5 +1,6 @@
 @0xd1f6a8c27b3e5409;
-# Messages between routers, packed, one in a datagram.
+# Messages between routers, packed, one in a datagram. Items of lists refer
+# to names by their place in `names`, from 1; 0 is the empty name.
 
 struct Envelope {
   sender @0 :Text;
@@ -20,8 +21,8 @@
 }
 
 struct WorkspaceDemand {
-  workspace @0 :Text;
-  preferred @1 :Text;
+  workspace @0 :UInt16;
+  preferred @1 :UInt16;
   served @2 :UInt64;
   virtualTime @3 :UInt64;
   unsettled @4 :UInt64;
@@ -31,8 +32,8 @@
 }
 
 struct SlotUse {
-  target @0 :Text;
-  workspace @1 :Text;
+  target @0 :UInt16;
+  workspace @1 :UInt16;
   granted @2 :UInt32;
   spent @3 :UInt32;
   estimate @4 :UInt32;
@@ -40,7 +41,7 @@
 }
 
 struct TargetUse {
-  target @0 :Text;
+  target @0 :UInt16;
   failed @1 :UInt32;
   isDraining @2 :Bool;
 }
@@ -52,23 +53,25 @@
   sequence @3 :UInt32;
   acknowledged @4 :UInt32;
   part @5 :UInt16;
-  parts @6 :UInt16;
+  parts @6 :UInt16 = 1;
   isFull @7 :Bool;
   floor @8 :UInt64;
   workspaces @9 :List(WorkspaceDemand);
   slots @10 :List(SlotUse);
   targets @11 :List(TargetUse);
+  names @12 :List(Text);
+  wantsAnswer @13 :Bool;
 }
 
 struct Grant {
-  workspace @0 :Text;
-  target @1 :Text;
+  workspace @0 :UInt16;
+  target @1 :UInt16;
   virtualTime @2 :UInt64;
   granted @3 :UInt32;
 }
 
 struct QueuedElsewhere {
-  workspace @0 :Text;
+  workspace @0 :UInt16;
   queued @1 :UInt32;
 }
 
@@ -78,9 +81,10 @@
   sequence @2 :UInt32;
   acknowledged @3 :UInt32;
   part @4 :UInt16;
-  parts @5 :UInt16;
+  parts @5 :UInt16 = 1;
   needsFull @6 :Bool;
   floor @7 :UInt64;
   grants @8 :List(Grant);
   queues @9 :List(QueuedElsewhere);
+  names @10 :List(Text);
 }
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -3,6 +3,7 @@
 Costs and virtual times travel as whole units, times as milliseconds.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import pathlib
 import re
@@ -28,7 +29,7 @@
     """Returns the datagram for `message`."""
     envelope = _schema.Envelope.new_message(sender=sender)
     kind = _KINDS[type(message)]
-    _write(envelope.init(kind), message)
+    _write_message(envelope.init(kind), message)
     return envelope.to_bytes_packed()
 
 
@@ -45,9 +46,9 @@
             data, traversal_limit_in_words=MAX_WORDS
         )
         kind = envelope.which()
-        message = _read(getattr(envelope, str(kind)), _TYPES[str(kind)])
+        message = _read_message(getattr(envelope, str(kind)), _TYPES[str(kind)])
         return ids.InstanceId(envelope.sender), message
-    except (capnp.KjException, ValueError, KeyError) as error:
+    except (capnp.KjException, ValueError, LookupError) as error:
         raise PeerCodecError(str(error)) from error
 
 
@@ -73,6 +74,7 @@
     name: str
     wire_name: str
     is_float: bool
+    is_name: bool
     item: type | None
     largest: int
 
@@ -81,6 +83,7 @@
     return re.sub(r"_(\w)", lambda match: match.group(1).upper(), name)
 
 
+_NAMES = {"workspace", "target", "preferred"}
 _WIDTHS = {"uint16": 16, "uint32": 32, "uint64": 64}
 _STRUCTS = {
     messages.Heartbeat: _schema.Heartbeat,
@@ -102,36 +105,79 @@
         wire_type = fields[wire_name].proto.slot.type.which()
         width = _WIDTHS.get(str(wire_type), 0)
         is_float = field.type in (float, "float")
+        is_name = field.name in _NAMES
         item = _ITEMS.get(field.name)
         largest = 2**width - 1
-        plan.append(_Field(field.name, wire_name, is_float, item, largest))
+        plan.append(
+            _Field(field.name, wire_name, is_float, is_name, item, largest)
+        )
     return tuple(plan)
 
 
 _PLANS = {kind: _plan(kind) for kind in _STRUCTS}
 
 
-def _write(builder, message) -> None:
+class _Names:
+    """The names that the items of one message refer to."""
+
+    def __init__(self, names: Iterable[str] = ()):
+        self.names = ["", *names]
+        self.places = {name: place for place, name in enumerate(self.names)}
+
+    def place(self, name: str) -> int:
+        """Returns the place of `name`, which is added if need be."""
+        if name not in self.places:
+            self.places[name] = len(self.names)
+            self.names.append(name)
+        return self.places[name]
+
+
+def _write_message(builder, message) -> None:
+    names = _Names()
     for field in _PLANS[type(message)]:
-        value = getattr(message, field.name)
+        items = getattr(message, field.name)
+        if field.item is None:
+            _write_value(builder, field, items)
+        elif items:
+            listed = builder.init(field.wire_name, len(items))
+            for index, item in enumerate(items):
+                _write_item(listed[index], item, names)
+    if len(names.names) > 1:
+        builder.names = names.names[1:]
+
+
+def _write_item(builder, item, names: _Names) -> None:
+    for field in _PLANS[type(item)]:
+        value = getattr(item, field.name)
+        if isinstance(value, str):
+            setattr(builder, field.wire_name, names.place(value))
+        else:
+            _write_value(builder, field, value)
+
+
+def _write_value(builder, field: _Field, value) -> None:
+    if field.largest:
+        value = min(max(round(value), 0), field.largest)
+    setattr(builder, field.wire_name, value)
+
+
+def _read_message(reader, kind: type):
+    has_names = any(field.item for field in _PLANS[kind])
+    names = _Names(reader.names if has_names else ()).names
+    values = []
+    for field in _PLANS[kind]:
+        value = getattr(reader, field.wire_name)
         if field.item is not None:
-            if value:
-                items = builder.init(field.wire_name, len(value))
-                for index, item in enumerate(value):
-                    _write(items[index], item)
-            continue
-        if field.largest:
-            value = min(max(round(value), 0), field.largest)
-        setattr(builder, field.wire_name, value)
+            value = tuple(_read_item(i, field.item, names) for i in value)
+        values.append(float(value) if field.is_float else value)
+    return kind(*values)
 
 
-def _read(reader, kind: type):
+def _read_item(reader, kind: type, names: list[str]):
     values = []
     for field in _PLANS[kind]:
         value = getattr(reader, field.wire_name)
-        if field.item is not None:
-            value = tuple(_read(item, field.item) for item in value)
-        elif field.is_float:
-            value = float(value)
-        values.append(value)
+        if field.is_name:
+            value = names[value]
+        values.append(float(value) if field.is_float else value)
     return kind(*values)
