--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -33,8 +33,8 @@
         name: this instance.
         data_centre: where it runs.
         membership: settings of membership.
-        heartbeat_s: interval of heartbeats between a pool's scheduler and
-            the routers that follow it.
+        heartbeat_s: interval of heartbeats from a pool's scheduler.
+        follower_heartbeat_s: interval of heartbeats to it.
         slow_heartbeat_s: interval of heartbeats between all others.
         silent_heartbeat_s: interval of heartbeats to unreachable peers.
         agent: settings of the router's side of pools.
@@ -45,6 +45,7 @@
     data_centre: ids.DataCentreId
     membership: membership_lib.Settings = membership_lib.Settings()
     heartbeat_s: float = 0.15
+    follower_heartbeat_s: float = 0.25
     slow_heartbeat_s: float = 4.0
     silent_heartbeat_s: float = 0.5
     agent: agent_lib.Settings = agent_lib.Settings()
@@ -317,8 +318,10 @@
         if self.membership.state(peer, now) is unreachable:
             return self.settings.silent_heartbeat_s
         is_scheduler = any(s.is_active for s in self.schedulers.values())
-        if is_scheduler or peer in self.followed.values():
+        if is_scheduler:
             return self.settings.heartbeat_s
+        if peer in self.followed.values():
+            return self.settings.follower_heartbeat_s
         return self.settings.slow_heartbeat_s
 
     def _peers(self) -> list[ids.InstanceId]:
--- a/tests/unit/fleet.py
+++ b/tests/unit/fleet.py
@@ -41,6 +41,7 @@
     request: events.QueuedRequest
     router: str
     cost: float
+    sent_at: float
     target: str = ""
     started: float = math.inf
 
@@ -140,7 +141,7 @@
             self.now + patience_s,
             prefix,
         )
-        self.jobs[name] = Job(request, router, cost)
+        self.jobs[name] = Job(request, router, cost, self.now)
         self.tell(router, events.RequestArrived(request))
         return name
 
@@ -288,3 +289,94 @@
     )
     pool = catalogue.Pool(POOL, "owner", catalogue.ServiceKind.MODEL, targets)
     return catalogue.Catalogue(classes, workspaces, {POOL: pool})
+
+
+@dataclasses.dataclass
+class Observation:
+    """What a run under saturation showed.
+
+    Attributes:
+        gaps: time and gap, in units of the largest request.
+        busy: time and share of the slots in use.
+        refused: workspaces of refused requests.
+        fleet: the fleet at the end.
+    """
+
+    gaps: list
+    busy: list
+    refused: list
+    fleet: Fleet
+
+    def largest_gap(self, start=0.0, end=math.inf):
+        """Returns the largest gap in a span of time."""
+        return max(gap for at, gap in self.gaps if start <= at <= end)
+
+    def utilisation(self, start=0.0, end=math.inf):
+        """Returns the mean share of the slots in use in a span of time."""
+        shares = [share for at, share in self.busy if start <= at <= end]
+        return sum(shares) / len(shares)
+
+
+LARGEST = 4000.0
+SAMPLE_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """Closed-loop load that keeps every workspace backlogged.
+
+    Attributes:
+        depth: requests of each workspace at each of its routers.
+        homes: routers of each workspace; all routers if not listed.
+        hint_error: hints are wrong by up to this factor, either way.
+    """
+
+    depth: int = 4
+    homes: dict = dataclasses.field(default_factory=dict)
+    hint_error: float = 4.0
+
+
+def saturate(shape, load, until, plan=lambda fleet: None):
+    """Runs a fleet under `load`; `plan` schedules faults from second 2 on."""
+    fleet = Fleet(shape)
+    choice = random.Random(shape.seed + 1)
+
+    def send(router, workspace):
+        cost = min(max(choice.lognormvariate(6.5, 0.9), 50.0), LARGEST)
+        error = load.hint_error ** choice.uniform(-1, 1)
+        fleet.submit(router, workspace, cost, min(cost * error, LARGEST))
+
+    def homes(workspace):
+        listed = load.homes.get(workspace, fleet.names)
+        return [name for name in listed if name not in fleet.down]
+
+    def follow_up(job):
+        workspace = job.request.workspace
+        alive = homes(workspace)
+        if alive:
+            same = job.router in alive
+            send(job.router if same else choice.choice(alive), workspace)
+
+    fleet.run(1.0)
+    for workspace in shape.weights:
+        for name in homes(workspace) * load.depth:
+            send(name, workspace)
+    fleet.on_end = follow_up
+    fleet.run(2.0)
+    plan(fleet)
+    return observe(fleet, until)
+
+
+def observe(fleet, until):
+    """Samples a fleet until a time."""
+    weights = fleet.shape.weights
+    start = {w: fleet.served(w) for w in weights}
+    total = fleet.shape.targets * fleet.shape.slots
+    gaps, busy = [], []
+    while fleet.now < until:
+        fleet.run(fleet.now + SAMPLE_S)
+        gained = [(fleet.served(w) - start[w]) / weights[w] for w in weights]
+        gaps.append((fleet.now, (max(gained) - min(gained)) / LARGEST))
+        busy.append((fleet.now, fleet.busy() / total))
+    refused = [job.request.workspace for _, job, _ in fleet.refused]
+    return Observation(gaps, busy, refused, fleet)
