--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -19,6 +19,8 @@
 from lentilbeam_core import scheduler as scheduler_lib
 from lentilbeam_core import snapshots
 
+MIN_WAKEUP_S = 0.0005
+"""Shortest time from an event to the next wake-up."""
 MAX_ROUNDS = 8
 """Rounds of messages between this node's own parts for one event."""
 
@@ -31,9 +33,10 @@
         name: this instance.
         data_centre: where it runs.
         membership: settings of membership.
-        heartbeat_s: interval of heartbeats between a pool's scheduler and
-            the routers that follow it.
+        heartbeat_s: interval of heartbeats from a pool's scheduler.
+        follower_heartbeat_s: interval of heartbeats to it.
         slow_heartbeat_s: interval of heartbeats between all others.
+        silent_heartbeat_s: interval of heartbeats to unreachable peers.
         agent: settings of the router's side of pools.
         scheduler: settings of pools' schedulers.
     """
@@ -41,8 +44,10 @@
     name: ids.InstanceId
     data_centre: ids.DataCentreId
     membership: membership_lib.Settings = membership_lib.Settings()
-    heartbeat_s: float = 0.12
-    slow_heartbeat_s: float = 0.7
+    heartbeat_s: float = 0.15
+    follower_heartbeat_s: float = 0.25
+    slow_heartbeat_s: float = 4.0
+    silent_heartbeat_s: float = 0.5
     agent: agent_lib.Settings = agent_lib.Settings()
     scheduler: scheduler_lib.Settings = scheduler_lib.Settings()
 
@@ -78,7 +83,7 @@
         self._pump(now, effects)
         self._beat(now, effects)
         self.handled_at = now
-        self.woken_at = self._due(now)
+        self.woken_at = max(self._due(now), now + MIN_WAKEUP_S)
         return effects
 
     def next_wakeup(self, now: float) -> float | None:
@@ -211,8 +216,7 @@
         silent = self.membership.collect(now, states.UNREACHABLE)
         heard = {name: self._data_centre(name) for name in live + leaving}
         total = len(live) + len(silent)
-        fraction = len(live) / total if total and live else 1.0
-        return scheduler_lib.Members(heard, fraction)
+        return scheduler_lib.Members(heard, frozenset(live), total)
 
     def _data_centre(self, name: ids.InstanceId) -> ids.DataCentreId | None:
         if name == self.settings.name:
@@ -309,10 +313,15 @@
         if receiver in self.said_at:
             self.said_at[receiver] = now
 
-    def _interval_s(self, peer: ids.InstanceId) -> float:
+    def _interval_s(self, peer: ids.InstanceId, now: float) -> float:
+        unreachable = membership_lib.PeerState.UNREACHABLE
+        if self.membership.state(peer, now) is unreachable:
+            return self.settings.silent_heartbeat_s
         is_scheduler = any(s.is_active for s in self.schedulers.values())
-        if is_scheduler or peer in self.followed.values():
+        if is_scheduler:
             return self.settings.heartbeat_s
+        if peer in self.followed.values():
+            return self.settings.follower_heartbeat_s
         return self.settings.slow_heartbeat_s
 
     def _peers(self) -> list[ids.InstanceId]:
@@ -326,7 +335,7 @@
 
     def _beat(self, now: float, effects: list[events.Effect]) -> None:
         for peer in self._peers():
-            interval_s = self._interval_s(peer)
+            interval_s = self._interval_s(peer, now)
             said_at = self.said_at.get(peer, -math.inf)
             is_shorter = interval_s < self.promised_s.get(peer, math.inf)
             if now < said_at + interval_s and not is_shorter:
@@ -344,12 +353,12 @@
 
     def _due(self, now: float) -> float:
         dues = [
-            self.said_at.get(peer, now) + self._interval_s(peer)
+            self.said_at.get(peer, now) + self._interval_s(peer, now)
             for peer in self._peers()
         ]
         bound_s = self.settings.membership.silence_s + 1e-6
         for pool, agent in self.agents.items():
-            dues += [agent.due(), self.schedulers[pool].due(now)]
+            dues += [agent.due(now), self.schedulers[pool].due(now)]
             if agent.followed_at + bound_s > now:
                 dues.append(agent.followed_at + bound_s)
         dues.append(self.membership.next_silence(now))
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -38,8 +38,8 @@
     """
 
     batch_s: float = 0.002
-    acknowledge_s: float = 0.02
-    resend_s: float = 0.05
+    acknowledge_s: float = 0.06
+    resend_s: float = 0.3
     rebuild_s: float = 0.15
     wake_grace_s: float = 0.05
     in_flight_factor: float = 2.0
@@ -52,11 +52,13 @@
 
     Attributes:
         heard: routers that are heard, with their data centres.
-        fraction: part of the listed routers that is heard, 0 to 1.
+        live: those of them that are not leaving.
+        total: routers that are live or listed so and silent.
     """
 
     heard: dict[ids.InstanceId, ids.DataCentreId | None]
-    fraction: float
+    live: frozenset[ids.InstanceId]
+    total: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,7 +81,7 @@
         self.sessions: dict[ids.InstanceId, sessions.Session] = {}
         self.baselines: dict[ids.InstanceId, sessions.Baseline] = {}
         self.demanding: dict[ids.WorkspaceId, set[ids.InstanceId]] = {}
-        self.members = Members({}, 1.0)
+        self.members = Members({}, frozenset(), 0)
         self.strangers: dict[ids.InstanceId, float] = {}
         self.outbox: list[Addressed] = []
         self.is_active = False
@@ -119,7 +121,7 @@
     def set_members(self, members: Members, now: float) -> None:
         """Takes in which routers are heard."""
         self.members = members
-        self.book.fraction = members.fraction
+        self._update_fraction()
         for name, session in self.sessions.items():
             is_counted = name in members.heard
             if is_counted != session.is_counted:
@@ -134,19 +136,18 @@
     ) -> None:
         """Takes in a router's report."""
         session = self.sessions.get(sender)
-        if session is not None and not _is_newer(report, session):
-            if report.session != session.number:
+        if session is None or report.session != session.number:
+            if not report.is_full:
+                self._ask_for_full(sender, report, now)
+                return
+            if session is not None and not _is_newer(report, session):
                 return
-        elif report.is_full:
             session = self._begin(sender, report, now)
-        else:
-            self._ask_for_full(sender, report, now)
-            return
         session.sender.acknowledge(report.acknowledged)
         is_new = session.receiver.accept(
             report.sequence, report.part, report.parts
         )
-        if report.workspaces or report.slots or report.targets:
+        if report.wants_answer:
             session.sender.want(now + self.settings.acknowledge_s)
         if is_new:
             self._take_in(session, report, now)
@@ -204,11 +205,18 @@
         session = sessions.Session(sender, report.incarnation, report.session)
         session.is_counted = sender in self.members.heard
         self.sessions[sender] = session
+        self._update_fraction()
         baseline = self.baselines.get(sender)
         if baseline is None or baseline.incarnation != report.incarnation:
             self.baselines[sender] = sessions.Baseline(report.incarnation)
         return session
 
+    def _update_fraction(self) -> None:
+        """Sets the part of the fleet that this scheduler serves."""
+        members = self.members
+        served = len(members.live & set(self.sessions))
+        self.book.fraction = served / members.total if served else 1.0
+
     def _drop(self, name: ids.InstanceId, now: float) -> None:
         session = self.sessions.pop(name, None)
         if session is None:
@@ -251,13 +259,19 @@
         for demand in report.workspaces:
             if demand.workspace in self.catalogue.workspaces:
                 self._take_demand(session, demand, report.is_full, now)
-        ended = 0
+        ended: dict[ids.TargetId, int] = {}
         for use in report.slots:
             if use.workspace in self.catalogue.workspaces:
-                ended += self._take_use(session, use, now)
-        self.book.measure(ended, now)
-        for use in report.targets:
-            self._take_target(session, use, now)
+                count = self._take_use(session, use, now)
+                ended[use.target] = ended.get(use.target, 0) + count
+        self.book.measure(sum(ended.values()), now)
+        failed = {
+            use.target: self._take_target(session, use)
+            for use in report.targets
+        }
+        for target in {*ended, *failed}:
+            failures = failed.get(target, 0)
+            self._judge(target, ended.get(target, 0), failures, now)
 
     def _take_demand(
         self,
@@ -296,26 +310,32 @@
         session.granted[key] = granted
         self._update_cell(session, key, now)
         if before is None:
-            return 0
+            return max(use.spent - use.running, 0)
         started = use.spent - before.spent
         return max(started - (use.running - before.running), 0)
 
     def _take_target(
-        self, session: sessions.Session, use: messages.TargetUse, now: float
-    ) -> None:
+        self, session: sessions.Session, use: messages.TargetUse
+    ) -> int:
+        """Returns how many failures are news."""
         before = session.targets.get(use.target)
         session.targets[use.target] = use
         self.book.flag_draining(use.target, session.name, use.is_draining)
-        failures = use.failed - (before.failed if before else 0)
         if before is None and session.receiver.complete <= 1:
-            return
-        if use.completed:
-            self.book.ejector.succeed(use.target)
-        elif failures > 0:
-            ejector = self.book.ejector
-            targets = self.book.targets
-            if ejector.fail(use.target, failures, targets, now):
-                self._count("ejections")
+            return 0
+        return max(use.failed - (before.failed if before else 0), 0)
+
+    def _judge(
+        self, target: ids.TargetId, ended: int, failures: int, now: float
+    ) -> None:
+        """Ejects a target that only fails; takes it back when it serves."""
+        ejector = self.book.ejector
+        if ended > failures:
+            ejector.succeed(target)
+        elif failures and ejector.fail(
+            target, failures, self.book.targets, now
+        ):
+            self._count("ejections")
 
     def _account(self, workspace: ids.WorkspaceId) -> virtual_time.Account:
         account = self.ledger.accounts.get(workspace)
