Report the busiest router's CPU and work waiting at targets

Cause: sending ahead trades queueing at targets for fewer messages, and the trade has to be seen. A pause of a router that is not the scheduler is added.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -28,7 +28,7 @@
             _plan_kill(emulator, fault)
         case scenarios.RestartRouters() if not is_ideal:
             _plan_restarts(emulator, fault)
-        case scenarios.PauseScheduler() if not is_ideal:
+        case scenarios.PauseRouter() if not is_ideal:
             _plan_pause(emulator, fault)
         case scenarios.Partition() if not is_ideal:
             _plan_partition(emulator, fault)
@@ -73,10 +73,12 @@
 
 
 def _plan_pause(
-    emulator: emulator_lib.Emulator, fault: scenarios.PauseScheduler
+    emulator: emulator_lib.Emulator, fault: scenarios.PauseRouter
 ) -> None:
     def pause() -> None:
-        host = emulator.hosts[emulator.find_scheduler()]
+        scheduler = emulator.find_scheduler()
+        others = [name for name in emulator.routers if name != scheduler]
+        host = emulator.hosts[scheduler if fault.is_scheduler else others[0]]
         host.pause()
         emulator.loop.at(fault.end_s, host.resume)
 
--- a/bench/recorder.py
+++ b/bench/recorder.py
@@ -48,6 +48,7 @@
         )
         self.turns = turns.TurnMeter(settings.weights)
         self.usage = utilisation.UtilisationMeter(settings.start)
+        self.sent_ahead = utilisation.TimeAverage(settings.start)
         self.waits = histogram.HdrHistogram(
             1, LONGEST_WAIT_MS, SIGNIFICANT_DIGITS
         )
@@ -108,6 +109,8 @@
         up = [target for target in self.targets if target.is_available]
         slots = sum(target.target.slots for target in up)
         busy = sum(len(target.running) for target in up)
+        ahead = sum(len(target.waiting) for target in self.targets)
+        self.sent_ahead.set_value(ahead, now)
         backlogged = self.gap.backlogged
         self.usage.set_state(busy, slots, bool(backlogged), now)
         active = {name for name, n in self.running.items() if n}
--- a/bench/report.py
+++ b/bench/report.py
@@ -123,6 +123,7 @@
         "gap_behind": worst.behind,
         "utilisation": _round(records.usage.overall()),
         "utilisation_worst_2s": _round(records.usage.worst_window(0, end)),
+        "waiting_at_targets_mean": _round(records.sent_ahead.average()),
         "late_s": _round(late.seconds),
         "late_at_s": _round(late.time),
         "late_workspace": late.workspace,
@@ -205,6 +206,9 @@
         "cpu_us_per_request": _round(
             sum(cpu) * 1e6 / answered if answered else None
         ),
+        "cpu_us_per_request_busiest": _round(
+            max(cpu) * 1e6 / answered if answered else None
+        ),
         "cpu_share_worst": _round(max(cpu) / emulator.experiment.seconds),
     }
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -24,11 +24,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PauseScheduler:
-    """The pool's scheduler stands still for a while."""
+class PauseRouter:
+    """A router stands still for a while.
+
+    Attributes:
+        is_scheduler: whether it is the pool's scheduler.
+    """
 
     at_s: float
     end_s: float
+    is_scheduler: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +81,7 @@
 
 Fault = (
     KillScheduler
-    | PauseScheduler
+    | PauseRouter
     | Partition
     | DrainTarget
     | FailTarget
@@ -153,7 +158,12 @@
         Scenario(
             "scheduler_paused",
             load.make_even,
-            faults=(PauseScheduler(FAULT_AT_S, end_s=15.0),),
+            faults=(PauseRouter(FAULT_AT_S, end_s=15.0),),
+        ),
+        Scenario(
+            "router_paused",
+            load.make_even,
+            faults=(PauseRouter(FAULT_AT_S, end_s=15.0, is_scheduler=False),),
         ),
         Scenario(
             "partition",
--- a/bench/utilisation.py
+++ b/bench/utilisation.py
@@ -78,6 +78,28 @@
             item.waiting_s += seconds
 
 
+class TimeAverage:
+    """Averages a number over time from `start` on, in seconds."""
+
+    def __init__(self, start: float):
+        self.start = start
+        self.now = start
+        self.value = 0.0
+        self.area = 0.0
+
+    def set_value(self, value: float, now: float) -> None:
+        """Sets the number from `now` on."""
+        if now > self.now:
+            self.area += self.value * (now - self.now)
+            self.now = now
+        self.value = value
+
+    def average(self) -> float:
+        """Returns the average up to the last change."""
+        elapsed = self.now - self.start
+        return self.area / elapsed if elapsed else 0.0
+
+
 def _ratio(bins: list[Bin]) -> float:
     available = sum(item.available for item in bins)
     busy = sum(item.busy for item in bins)
