--- /dev/null
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each, with `run(context)`."""
--- /dev/null
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/options.py
@@ -0,0 +1,154 @@
+"""The command line's options, by `absl.flags`."""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+from absl import flags
+import expression
+
+OPERATOR_VARIABLE = "LENTILBEAM_OPERATOR"
+USAGE = """\
+usage: lentilbeam COMMAND [ARGUMENTS] [OPTIONS]
+
+commands:
+  check FILE...         find all faults in catalogue files
+  diff FILE...          show what applying them would change
+  apply FILE...         publish them as one change
+  get [KIND] [NAME]     show entries in force
+  status                show all routers
+  stats                 show counters and times of the whole fleet
+  timeline              show the events of all routers in causal order
+  export                write the time line as trace-event JSON
+  drain INSTANCE        stop a router gracefully
+
+A FILE may be a folder, which stands for all .json files below it.
+
+options:
+"""
+
+
+class Format(enum.Enum):
+    """Form of the output."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """One command with its arguments and options.
+
+    Attributes:
+        log: URL of the platform's log service, or None.
+        instances: URL of the platform's instance list, or None.
+        operator: who makes a change, or None.
+        change_id: id of an earlier change to repeat, or None.
+        wait: whether to wait until a change is in force everywhere.
+        timeout_s: how long to wait for a verdict, and for all routers.
+        request: events shown are about this request.
+        workspace: events shown are about this workspace.
+        target: events shown are about this target.
+    """
+
+    command: str
+    arguments: tuple[str, ...]
+    log: str | None
+    instances: str | None
+    output_format: Format
+    operator: str | None
+    change_id: str | None
+    wait: bool
+    timeout_s: float
+    request: str | None
+    workspace: str | None
+    target: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageError:
+    """The command line is not valid."""
+
+    message: str
+
+
+def parse_options(
+    args: list[str], variables: Mapping[str, str]
+) -> expression.Result[Options, UsageError]:
+    """Returns the options in `args`, the program's name first."""
+    values = _define_flags(variables)
+    try:
+        rest = values(args)[1:]
+    except flags.Error as error:
+        return expression.Error(UsageError(str(error)))
+    if not rest:
+        return expression.Error(UsageError("a command is missing"))
+    return expression.Ok(
+        Options(
+            command=rest[0],
+            arguments=tuple(rest[1:]),
+            log=values.log,
+            instances=values.instances,
+            output_format=Format(values.format),
+            operator=values.operator,
+            change_id=values.change_id,
+            wait=values.wait,
+            timeout_s=values.timeout_s,
+            request=values.request,
+            workspace=values.workspace,
+            target=values.target,
+        )
+    )
+
+
+def describe_usage() -> str:
+    """Returns the help text."""
+    return USAGE + _define_flags({}).module_help("lentilbeam") + "\n"
+
+
+def _define_flags(variables: Mapping[str, str]) -> flags.FlagValues:
+    values = flags.FlagValues()
+    values.set_gnu_getopt(True)
+
+    def define(name: str, default: str | None, text: str) -> None:
+        flags.DEFINE_string(
+            name, default, text, flag_values=values, module_name="lentilbeam"
+        )
+
+    define("log", None, "URL of the platform's log service.")
+    define("instances", None, "URL of the platform's instance list.")
+    define(
+        "operator",
+        variables.get(OPERATOR_VARIABLE),
+        f"Who makes the change; ${OPERATOR_VARIABLE} by default.",
+    )
+    define("change_id", None, "Repeat an apply whose outcome is unknown.")
+    define("request", None, "Only events about this request.")
+    define("workspace", None, "Only events about this workspace.")
+    define("target", None, "Only events about this target.")
+    flags.DEFINE_enum(
+        "format",
+        Format.TEXT.value,
+        [each.value for each in Format],
+        "Form of the output.",
+        flag_values=values,
+        module_name="lentilbeam",
+    )
+    flags.DEFINE_bool(
+        "wait",
+        False,
+        "Wait until the change is in force at every router.",
+        flag_values=values,
+        module_name="lentilbeam",
+    )
+    flags.DEFINE_float(
+        "timeout_s",
+        30.0,
+        "Longest wait for a verdict, and for all routers, in seconds.",
+        lower_bound=0.0,
+        flag_values=values,
+        module_name="lentilbeam",
+    )
+    flags.DEFINE_alias("log_url", "log", flag_values=values)
+    flags.DEFINE_alias("instances_url", "instances", flag_values=values)
+    return values
--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue_change.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_change.py
@@ -217,6 +217,14 @@
     )
 
 
+def parse_key(
+    raw: Any, pointer: str
+) -> expression.Result[catalogue.EntryKey, tuple[findings_lib.Finding, ...]]:
+    """Returns the key of JSON data, or all findings below `pointer`."""
+    parsed = catalogue_json.parse_struct(raw, _WireKey, pointer)
+    return parsed.map(_to_key)
+
+
 def _to_key(wire: _WireKey) -> catalogue.EntryKey:
     return catalogue.EntryKey(catalogue.EntryKind(wire.kind), wire.name)
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue_log.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_log.py
@@ -52,6 +52,27 @@
     return [*found, *_check_edit(state, change, edit)]
 
 
+def check_content(
+    state: catalogue_state.State, change: catalogue_change.Change
+) -> list[findings.Finding]:
+    """Returns what stands against the change, whoever makes it and when."""
+    edit, found = _parse_edit(change)
+    return [*found, *_check_content(state, change, edit)]
+
+
+def find_winner(
+    state: catalogue_state.State, change: catalogue_change.Change
+) -> catalogue_change.Winner | None:
+    """Returns the change that overtook this one, if it lost a race."""
+    offsets = [
+        state.changed_at(base.key)
+        for base in change.bases
+        if state.version(base.key) != base.version
+    ]
+    latest = max(offsets, default=ids.Offset(0))
+    return state.author(latest) if latest else None
+
+
 def _judge(
     state: catalogue_state.State,
     offset: ids.Offset,
@@ -63,7 +84,7 @@
     edit, found = _parse_edit(change)
     found.extend(_check_edit(state, change, edit))
     if found:
-        winner = _find_winner(state, change)
+        winner = find_winner(state, change)
         verdict = _reject(offset, change.name, change.operator, found, winner)
     else:
         _apply(state, offset, edit)
@@ -155,9 +176,17 @@
     change: catalogue_change.Change,
     edit: catalogue_rules.Edit,
 ) -> Iterator[findings.Finding]:
-    yield from _check_keys(change, edit)
     yield from _check_bases(state, change, edit)
     yield from _check_owners(state, change.operator, edit)
+    yield from _check_content(state, change, edit)
+
+
+def _check_content(
+    state: catalogue_state.State,
+    change: catalogue_change.Change,
+    edit: catalogue_rules.Edit,
+) -> Iterator[findings.Finding]:
+    yield from _check_keys(change, edit)
     yield from _check_deletions(state, edit)
     yield from catalogue_rules.check_edit(state, edit)
 
@@ -207,18 +236,6 @@
             )
 
 
-def _find_winner(
-    state: catalogue_state.State, change: catalogue_change.Change
-) -> catalogue_change.Winner | None:
-    offsets = [
-        state.changed_at(base.key)
-        for base in change.bases
-        if state.version(base.key) != base.version
-    ]
-    latest = max(offsets, default=ids.Offset(0))
-    return state.author(latest) if latest else None
-
-
 def _check_owners(
     state: catalogue_state.State,
     operator: str,
