Measure catalogue evaluation, and make it cheaper

bench-catalogue, 40,000 entries and 13,000 changes, on a machine shared with other runs: a result object for each parsed entry cost most.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(CURDIR)/packages/lentilbeam-core/src:$(CURDIR)/packages/lentilbeam-router/src:$(CURDIR)/packages/lentilbeam-cli/src:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup test lint format demo golden bench bench-path bench-fairness bench-slopes
+.PHONY: setup test lint format demo golden bench bench-path bench-fairness bench-slopes bench-catalogue
 
 setup: $(READY)
 
@@ -38,7 +38,7 @@
 demo: setup
 	$(BIN)/python -m demo
 
-bench: bench-path bench-fairness bench-slopes
+bench: bench-path bench-fairness bench-slopes bench-catalogue
 
 bench-path: setup
 	$(BIN)/python -m bench.path
@@ -46,5 +46,8 @@
 bench-fairness: setup
 	$(BIN)/python -m bench.fairness
 
+bench-catalogue: setup
+	$(BIN)/python -m bench.catalogue
+
 bench-slopes: setup
 	$(BIN)/python -m bench.slopes
--- a/packages/lentilbeam-cli/src/lentilbeam_cli/output.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/output.py
@@ -25,6 +25,8 @@
         self.console = console.Console(
             file=env.stdout,
             force_terminal=env.is_terminal,
+            color_system="standard" if env.is_terminal else None,
+            _environ=env.variables,
             width=None if env.is_terminal else PLAIN_WIDTH,
             highlight=False,
             markup=False,
--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue_json.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_json.py
@@ -99,24 +99,46 @@
 
 def parse_entry(raw: Any, pointer: str) -> Parsed:
     """Returns the typed entry, or all findings below `pointer`."""
+    found: list[findings.Finding] = []
+    entry = load_entry(raw, pointer, found)
+    if entry is None:
+        return expression.Error(tuple(found))
+    return expression.Ok(entry)
+
+
+def load_entry(
+    raw: Any, pointer: str, found: list[findings.Finding]
+) -> catalogue.Entry | None:
+    """Returns the typed entry, or None and adds all findings to `found`."""
     kind = raw.get("kind") if isinstance(raw, dict) else None
     wire_type = WIRE_TYPES.get(kind) if isinstance(kind, str) else None
     if wire_type is None:
-        return expression.Error((_find_kind_fault(raw, pointer),))
-    parsed = parse_struct(raw, wire_type, pointer)
-    return parsed.map(lambda wire: _to_entry(wire, raw))
+        found.append(_find_kind_fault(raw, pointer))
+        return None
+    wire = load_struct(raw, wire_type, pointer, found)
+    return None if wire is None else _to_entry(wire, raw)
+
+
+def load_struct(
+    raw: Any, wire_type: type, pointer: str, found: list[findings.Finding]
+) -> Any | None:
+    """Returns `raw` as a structure, or None and adds to `found`."""
+    try:
+        return msgspec.convert(raw, type=wire_type)
+    except msgspec.ValidationError as error:
+        faults = _find_schema_faults(raw, wire_type, pointer)
+        fallback = findings.Finding(pointer, str(error))
+        found.extend(faults or (fallback,))
+        return None
 
 
 def parse_struct(
     raw: Any, wire_type: type, pointer: str
 ) -> expression.Result[Any, tuple[findings.Finding, ...]]:
     """Returns `raw` as a structure, or all findings below `pointer`."""
-    try:
-        return expression.Ok(msgspec.convert(raw, type=wire_type))
-    except msgspec.ValidationError as error:
-        found = _find_schema_faults(raw, wire_type, pointer)
-        fallback = findings.Finding(pointer, str(error))
-        return expression.Error(found or (fallback,))
+    found: list[findings.Finding] = []
+    wire = load_struct(raw, wire_type, pointer, found)
+    return expression.Error(tuple(found)) if found else expression.Ok(wire)
 
 
 def read_key(raw: Any) -> catalogue.EntryKey | None:
--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue_log.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_log.py
@@ -155,11 +155,9 @@
     upserts, found = [], []
     for index, raw in enumerate(change.upserts):
         pointer = f"/upserts/{index}"
-        parsed = catalogue_json.parse_entry(raw, pointer)
-        if parsed.is_ok():
-            upserts.append(catalogue_rules.Upsert(pointer, parsed.ok))
-        else:
-            found.extend(parsed.error)
+        entry = catalogue_json.load_entry(raw, pointer, found)
+        if entry is not None:
+            upserts.append(catalogue_rules.Upsert(pointer, entry))
     deletions = [
         catalogue_rules.Deletion(f"/deletes/{index}", key)
         for index, key in enumerate(change.deletes)
--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue_snapshot.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_snapshot.py
@@ -83,9 +83,9 @@
     state.offset = ids.Offset(wire.as_of)
     state.forgotten = catalogue_change.ChangeId(wire.forgotten)
     for index, raw in enumerate(wire.entries):
-        parsed = catalogue_json.parse_entry(raw, f"/entries/{index}")
-        parsed.map(state.put)
-        found.extend(parsed.swap().default_value(()))
+        entry = catalogue_json.load_entry(raw, f"/entries/{index}", found)
+        if entry is not None:
+            state.put(entry)
     for index, raw in enumerate(wire.verdicts):
         parsed = catalogue_change.parse_verdict(raw, f"/verdicts/{index}")
         parsed.map(state.judge)
