--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue_change.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_change.py
@@ -153,10 +153,10 @@
     The error is None if the record does not even hold a valid change id, so
     that there is nothing to give a verdict on.
     """
-    parsed = catalogue_json.parse_struct(value, _WireChange, "")
-    if parsed.is_error():
-        return expression.Error(_find_name(value, parsed.error))
-    wire = parsed.ok
+    found: list[findings_lib.Finding] = []
+    wire = catalogue_json.load_struct(value, _WireChange, "", found)
+    if wire is None:
+        return expression.Error(_find_name(value, tuple(found)))
     return expression.Ok(
         Change(
             ChangeId(wire.id),
