--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(CURDIR)/packages/lentilbeam-core/src:$(CURDIR)/packages/lentilbeam-router/src:$(CURDIR)/packages/lentilbeam-cli/src:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup test lint format demo golden bench bench-path bench-fairness bench-slopes
+.PHONY: setup test lint format demo golden bench bench-path bench-fairness bench-slopes bench-once
 
 setup: $(READY)
 
@@ -38,7 +38,7 @@
 demo: setup
 	$(BIN)/python -m demo
 
-bench: bench-path bench-fairness bench-slopes
+bench: bench-path bench-fairness bench-slopes bench-once
 
 bench-path: setup
 	$(BIN)/python -m bench.path
@@ -48,3 +48,6 @@
 
 bench-slopes: setup
 	$(BIN)/python -m bench.slopes
+
+bench-once: setup
+	$(BIN)/python -m bench.once
--- /dev/null
+++ b/bench/claims_load.py
@@ -0,0 +1,205 @@
+"""Load on claim books in virtual time, against a log with given delays."""
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+
+from bench import claims_model
+from lentilbeam_core import claim_events
+from lentilbeam_core import claim_records
+from lentilbeam_core import claims
+from lentilbeam_core import ids
+from lentilbeam_core import outcome
+from lentilbeam_core import request_key
+
+DEADLINE_S = 60.0
+WHOLE = outcome.Exchange(True, outcome.TargetEnd.WHOLE_ANSWER)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What to apply.
+
+    Attributes:
+        routers: how many claim books share the log.
+        requests_per_s: bookings at each router.
+        duration_s: virtual time for which they arrive.
+        append_s: time from the start of an append to its answer.
+        read_s: time from the start of a read to its answer, on top of the
+            wait for records.
+        run_s: time from winning a claim to the end of its run.
+    """
+
+    routers: int
+    requests_per_s: float
+    duration_s: float = 30.0
+    append_s: float = 0.010
+    read_s: float = 0.008
+    run_s: float = 0.050
+
+
+@dataclasses.dataclass(slots=True)
+class Totals:
+    """What was measured, over all routers."""
+
+    asked: int = 0
+    won: int = 0
+    appends: int = 0
+    reads: int = 0
+    records: int = 0
+    latencies_s: list[float] = dataclasses.field(default_factory=list)
+
+    def get_latency_s(self, share: float) -> float:
+        """Returns the latency that `share` of the claims don't exceed."""
+        ordered = sorted(self.latencies_s)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+class LoadedFleet:
+    """An event queue in virtual time that drives the books and the log."""
+
+    def __init__(self, load: Load, seed: int):
+        self.load = load
+        self.rng = random.Random(seed)
+        self.settings = claim_events.Settings()
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.totals = Totals()
+        self.log = claims_model.LogModel(1e9)
+        self.polls: list[tuple[LoadedRouter, claim_events.ReadLog]] = []
+
+    def call_in(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Makes a call later."""
+        entry = (self.now + delay_s, next(self.order), call)
+        heapq.heappush(self.queue, entry)
+
+    def run(self) -> Totals:
+        """Applies the load; returns what was measured."""
+        for number in range(self.load.routers):
+            LoadedRouter(self, str(number)).start()
+        while self.queue and self.queue[0][0] <= self.load.duration_s:
+            self.now, _, call = heapq.heappop(self.queue)
+            call()
+        return self.totals
+
+    def apply(self, append: claims_model.AppendInFlight) -> None:
+        """Lets an append take effect, and answers reads that wait for it."""
+        self.log.apply(append, self.now)
+        polls, self.polls = self.polls, []
+        for router, read in polls:
+            self.serve(router, read)
+
+    def serve(self, router: "LoadedRouter", read: claim_events.ReadLog) -> None:
+        """Lets the log answer a read."""
+        page = self.log.read(read.start, read.limit)
+        self.call_in(self.load.read_s / 2, lambda: router.post(page))
+
+
+class LoadedRouter:
+    """A claim book under load."""
+
+    def __init__(self, fleet: LoadedFleet, name: str):
+        self.fleet = fleet
+        self.book = claims.ClaimBook(
+            fleet.settings, ids.InstanceId(name), ids.Incarnation(1)
+        )
+        self.name = name
+        self.asked_at: list[float] = []
+        self.wakeup = float("inf")
+
+    def start(self) -> None:
+        """Starts reading the log, and the arrivals."""
+        self.post(claim_events.Ticked())
+        self.fleet.call_in(0.0, self._ask)
+
+    def post(self, event: claim_events.Event) -> None:
+        """Hands an event to the book and takes its effects in."""
+        wall_ms = claims_model.EPOCH_MS + int(self.fleet.now * 1000)
+        now = claim_events.Instant(self.fleet.now, wall_ms)
+        for effect in self.book.handle(event, now):
+            match effect:
+                case claim_events.Decided(waiter, claim_events.ClaimWon(k, c)):
+                    self._win(waiter, k, c)
+                case claim_events.AppendRecords(records):
+                    self._append(records)
+                case claim_events.ReadLog():
+                    self._read(effect)
+        self._schedule_wakeup()
+
+    def _ask(self) -> None:
+        fleet = self.fleet
+        gap_s = fleet.rng.expovariate(fleet.load.requests_per_s)
+        fleet.call_in(gap_s, self._ask)
+        wall_ms = claims_model.EPOCH_MS + int(fleet.now * 1000)
+        request = request_key.build_request_id(
+            wall_ms, fleet.rng.getrandbits(74)
+        )
+        key = request_key.RequestKey(claims_model.WORKSPACE, request)
+        fleet.totals.asked += 1
+        waiter = len(self.asked_at)
+        self.asked_at.append(fleet.now)
+        deadline = fleet.now + DEADLINE_S
+        self.post(claim_events.ClaimRequested(key, waiter, deadline))
+
+    def _win(
+        self,
+        waiter: int,
+        key: request_key.RequestKey,
+        claim: claim_records.ClaimId,
+    ) -> None:
+        fleet = self.fleet
+        fleet.totals.won += 1
+        fleet.totals.latencies_s.append(fleet.now - self.asked_at[waiter])
+        wall_ms = claims_model.EPOCH_MS + int(fleet.now * 1000)
+        instant = claim_events.Instant(fleet.now, wall_ms)
+        assert self.book.start_run(key, claim, instant)
+        settled = claim_events.RunSettled(key, claim, WHOLE)
+        fleet.call_in(fleet.load.run_s, lambda: self.post(settled))
+
+    def _append(self, records: tuple[claim_records.Record, ...]) -> None:
+        fleet = self.fleet
+        fleet.totals.appends += 1
+        fleet.totals.records += len(records)
+        values = [claim_records.export_record(record) for record in records]
+        append = claims_model.AppendInFlight(values)
+        half_s = fleet.load.append_s / 2
+        ended = claim_events.AppendEnded(claim_events.AppendAnswer.APPENDED)
+        fleet.call_in(half_s, lambda: fleet.apply(append))
+        fleet.call_in(2 * half_s, lambda: self.post(ended))
+
+    def _read(self, read: claim_events.ReadLog) -> None:
+        self.fleet.totals.reads += 1
+        half_s = self.fleet.load.read_s / 2
+        self.fleet.call_in(half_s, lambda: self._arrive(read))
+
+    def _arrive(self, read: claim_events.ReadLog) -> None:
+        fleet = self.fleet
+        has_records = fleet.log.next_offset > read.start
+        if has_records or not read.wait_s:
+            fleet.serve(self, read)
+            return
+        poll = (self, read)
+        fleet.polls.append(poll)
+        fleet.call_in(read.wait_s, lambda: self._end_poll(poll))
+
+    def _end_poll(
+        self, poll: tuple["LoadedRouter", claim_events.ReadLog]
+    ) -> None:
+        if poll in self.fleet.polls:
+            self.fleet.polls.remove(poll)
+            self.fleet.serve(*poll)
+
+    def _schedule_wakeup(self) -> None:
+        wakeup = self.book.next_wakeup()
+        if wakeup is None or wakeup >= self.wakeup:
+            return
+        self.wakeup = wakeup
+        delay_s = max(0.0, wakeup - self.fleet.now)
+        self.fleet.call_in(delay_s, self._wake)
+
+    def _wake(self) -> None:
+        self.wakeup = float("inf")
+        self.post(claim_events.Ticked())
--- a/bench/claims_model.py
+++ b/bench/claims_model.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import enum
 from typing import Any
 
 from lentilbeam_core import claim_events
@@ -18,16 +19,28 @@
 from lentilbeam_core import request_key
 
 EPOCH_MS = 1_800_000_000_000
-DEADLINE_S = 5.0
+DEADLINES_S = (5.0, 5.0, 0.5)
 WORKSPACE = ids.WorkspaceId("w")
 SETTINGS = claim_events.Settings(page_records=3, batch_records=4)
 NOT_RUN = outcome.Exchange(False, outcome.TargetEnd.NOT_STARTED)
 ENDS = tuple(outcome.TargetEnd)[1:]
 
 
+class Promise(enum.Enum):
+    """What the fleet promises."""
+
+    RUN_AT_MOST_ONCE = "double_runs"
+    NOT_RUN_IS_TRUE = "false_not_run"
+    ONE_ANSWER = "wrong_ends"
+
+
 class BrokenPromiseError(AssertionError):
     """The fleet did what it must never do."""
 
+    def __init__(self, promise: Promise, detail: str):
+        super().__init__(f"{promise.value}: {detail}")
+        self.promise = promise
+
 
 @dataclasses.dataclass(slots=True)
 class CallerAttempt:
@@ -220,7 +233,8 @@
             number, key, router, router.incarnation, self.step
         )
         self.counts["asked"] += 1
-        deadline = self.elapsed_s + DEADLINE_S
+        deadline_s = DEADLINES_S[number % len(DEADLINES_S)]
+        deadline = self.elapsed_s + deadline_s
         router.post(claim_events.ClaimRequested(key, number, deadline))
 
     def withdraw(self, number: int) -> None:
@@ -238,7 +252,7 @@
         attempt = self.attempts[waiter]
         self.counts[type(result).__name__] += 1
         if attempt.told or attempt.won:
-            raise BrokenPromiseError(f"told twice: {result}")
+            raise BrokenPromiseError(Promise.ONE_ANSWER, f"second {result}")
         match result:
             case claim_events.ClaimWon():
                 attempt.won = result
@@ -246,10 +260,13 @@
                 return
             case claim_events.ClaimLost(_, _, _, ended):
                 if ended is not None and ended is not self.ends[attempt.key]:
-                    raise BrokenPromiseError(f"wrong end told: {result}")
+                    raise BrokenPromiseError(Promise.ONE_ANSWER, str(result))
             case claim_events.ClaimRefused(_, reason, _):
                 self.counts[f"refused.{reason.value}"] += 1
                 self._check_nothing_known(attempt, reason)
+                if self.runs.get(attempt.key):
+                    name = f"{reason.value} beside an unread run"
+                    self.counts[name] += 1
                 self._note_not_run(attempt)
         attempt.told = True
 
@@ -308,7 +325,7 @@
         self.counts[f"ended.{told.value}"] += 1
         if told is outcome.Outcome.REFUSED_NOT_RUN:
             if attempt.has_run:
-                raise BrokenPromiseError("told not run, but it had run")
+                raise BrokenPromiseError(Promise.NOT_RUN_IS_TRUE, "had run")
             self._note_not_run(attempt)
         else:
             self.ends[attempt.key] = told
@@ -331,7 +348,9 @@
         holder = router.known.get_holder(attempt.key)
         mine = (router.name, router.incarnation)
         if holder and (holder.instance, holder.incarnation) != mine:
-            raise BrokenPromiseError(f"{reason} although a claim was known")
+            raise BrokenPromiseError(
+                Promise.NOT_RUN_IS_TRUE, f"{reason} but a claim was known"
+            )
 
     def _get_age_ms(self, key: request_key.RequestKey) -> int:
         timestamp_ms = request_key.read_timestamp_ms(key.request)
@@ -341,16 +360,18 @@
         self, attempt: CallerAttempt, runs: list[CallerAttempt]
     ) -> None:
         if len(runs) > 1:
-            raise BrokenPromiseError(f"run twice: {attempt.key}")
+            raise BrokenPromiseError(Promise.RUN_AT_MOST_ONCE, str(attempt.key))
         window_ms = SETTINGS.window.claim_window_s * request_key.MS_PER_S
         if self._get_age_ms(attempt.key) > window_ms:
-            raise BrokenPromiseError(f"run after the window: {attempt.key}")
+            raise BrokenPromiseError(Promise.NOT_RUN_IS_TRUE, "ran too old")
         start = (attempt.router.name, attempt.incarnation)
         for refused in self.refused[attempt.key]:
             is_here = (refused.router.name, refused.incarnation) == start
             if refused is attempt or (
                 is_here and refused.told_not_run_at >= attempt.asked_at
             ):
-                raise BrokenPromiseError(f"run after refusal: {attempt.key}")
+                raise BrokenPromiseError(
+                    Promise.NOT_RUN_IS_TRUE, "ran after a refusal"
+                )
             if refused.told_not_run_at >= attempt.asked_at:
                 self.counts["ran beside a refusal elsewhere"] += 1
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_attempts.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_attempts.py
@@ -1,5 +1,6 @@
 """The claims of one incarnation that are not barred, by key and state."""
 
+from collections.abc import Iterator
 import dataclasses
 import enum
 import heapq
@@ -112,20 +113,22 @@
         self.undecided.get(attempt.state, {}).pop(attempt.key, None)
         del self.by_key[attempt.key]
 
-    def pop_overdue(self, now: float) -> list[Attempt]:
-        """Returns the undecided attempts that are to be given up now."""
-        overdue = []
-        while self.give_ups and self.give_ups[0][0] <= now:
-            _, number, key = heapq.heappop(self.give_ups)
+    def pop_overdue(self, now: float) -> Iterator[Attempt]:
+        """Yields the attempts to give up, each of which must be removed."""
+        while self.get_next_give_up() <= now:
+            _, _, key = heapq.heappop(self.give_ups)
+            yield self.by_key[key]
+
+    def get_next_give_up(self) -> float:
+        """Returns when the next undecided attempt is to be given up."""
+        while self.give_ups:
+            give_up_at, number, key = self.give_ups[0]
             attempt = self.by_key.get(key)
             is_current = attempt and attempt.claim.number == number
             if is_current and attempt.is_undecided:
-                overdue.append(attempt)
-        return overdue
-
-    def get_next_give_up(self) -> float:
-        """Returns a time at which to look for overdue attempts again."""
-        return self.give_ups[0][0] if self.give_ups else float("inf")
+                return give_up_at
+            heapq.heappop(self.give_ups)
+        return float("inf")
 
     def _schedule(self, attempt: Attempt) -> None:
         entry = (attempt.give_up_at, attempt.claim.number, attempt.key)
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_readback.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_readback.py
@@ -4,7 +4,6 @@
 from lentilbeam_core import claim_events
 from lentilbeam_core import claim_records
 from lentilbeam_core import claim_state
-from lentilbeam_core import outcome
 from lentilbeam_core import request_key
 
 AttemptState = claim_attempts.AttemptState
@@ -85,9 +84,7 @@
     state: claim_state.ClaimState, attempt: claim_attempts.Attempt
 ) -> None:
     if state.find_age_fault(attempt.key):
-        reason = outcome.RefusalReason.KEY_TOO_OLD
-        refusal = claim_events.ClaimRefused(attempt.key, reason, None)
-        state.refuse(attempt, refusal)
+        state.refuse_as_too_old(attempt)
         return
     if attempt.give_up_at <= state.now:
         state.give_up(attempt)
@@ -113,14 +110,16 @@
 def _go_on(
     state: claim_state.ClaimState, attempt: claim_attempts.Attempt
 ) -> None:
-    """Appends the claim, for the first time or again, if the key is free."""
+    """Queues the claim, or queues it again, if the key is free."""
     attempt.fresh_read = None
     holder = state.get_other_holder(attempt.key)
-    if holder is None:
+    if holder is not None:
+        state.bar(attempt)
+        state.tell_all(attempt, state.build_loss(attempt.key, holder))
+    elif state.find_age_fault(attempt.key):
+        state.refuse_as_too_old(attempt)
+    else:
         state.attempts.move(attempt, AttemptState.QUEUED)
-        return
-    state.bar(attempt)
-    state.tell_all(attempt, state.build_loss(attempt.key, holder))
 
 
 def _forget(state: claim_state.ClaimState) -> None:
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_requests.py
@@ -49,10 +49,10 @@
     if state.is_leaving:
         return claim_events.ClaimRefused(key, Reason.DRAINING, state.pause_s)
     fault = state.find_age_fault(key)
-    if fault is request_key.KeyFault.TOO_OLD:
-        return claim_events.ClaimRefused(key, Reason.KEY_TOO_OLD, None)
-    if fault is not None:
+    if fault is request_key.KeyFault.FROM_THE_FUTURE:
         return claim_events.ClaimRefused(key, Reason.BAD_REQUEST, None)
+    if fault and state.is_forgotten(key):
+        return claim_events.ClaimRefused(key, Reason.KEY_TOO_OLD, None)
     if state.stream.is_blocked(state.now):
         return state.build_outage_refusal(key)
     if state.attempts.undecided_count >= state.settings.max_pending:
@@ -76,7 +76,8 @@
     state: claim_state.ClaimState, event: claim_events.ClaimRequested
 ) -> None:
     is_free = state.get_other_holder(event.key) is None
-    is_ready = is_free and state.stream.is_covered
+    is_claimable = is_free and state.find_age_fault(event.key) is None
+    is_ready = is_claimable and state.stream.is_covered
     first = claim_attempts.AttemptState.QUEUED
     if not is_ready:
         first = claim_attempts.AttemptState.CHECKING
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_state.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_state.py
@@ -76,6 +76,11 @@
             key.request, self.settings.window, self.wall_ms
         )
 
+    def is_forgotten(self, key: request_key.RequestKey) -> bool:
+        """Returns whether the key is older than all that is remembered."""
+        timestamp_ms = request_key.read_timestamp_ms(key.request)
+        return self.wall_ms - timestamp_ms > self.settings.window.memory_ms
+
     def tell(self, waiter: int, result: claim_events.Result) -> None:
         """Tells one waiter its result."""
         self.effects.append(claim_events.Decided(waiter, result))
@@ -134,6 +139,12 @@
         """Refuses an attempt because the log is out of reach."""
         self.refuse(attempt, self.build_outage_refusal(attempt.key))
 
+    def refuse_as_too_old(self, attempt: claim_attempts.Attempt) -> None:
+        """Refuses an attempt whose key can't be claimed any more."""
+        reason = Reason.KEY_TOO_OLD
+        refusal = claim_events.ClaimRefused(attempt.key, reason, None)
+        self.refuse(attempt, refusal)
+
     def give_up(self, attempt: claim_attempts.Attempt) -> None:
         """Refuses an attempt that was undecided for too long."""
         key = attempt.key
--- a/packages/lentilbeam-core/src/lentilbeam_core/endings.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/endings.py
@@ -63,8 +63,8 @@
     )
     KEY_TOO_OLD = _refused(
         "key_too_old",
-        "this attempt made no claim, or barred it; claims of that age may"
-        " have expired, so it is true of this attempt only",
+        "the log, read to its tail, shows no claim; of a key older than the"
+        " log's retention it is true of this attempt only",
     )
     KEY_IN_USE = _refused(
         "key_in_use", "the key is known here with another request's content"
--- a/packages/lentilbeam-core/src/lentilbeam_core/request_key.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/request_key.py
@@ -81,7 +81,7 @@
 
 def read_timestamp_ms(request: ids.RequestId) -> int:
     """Returns the milliseconds since 1970 in a well-formed key."""
-    return uuid.UUID(request).int >> TIMESTAMP_SHIFT_BITS
+    return int(request[:8] + request[9:13], base=16)
 
 
 def find_age_fault(
