--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import signal
 from typing import Any
 
 from absl import app
@@ -16,6 +17,7 @@
 
 HOST = flags.DEFINE_string("host", "127.0.0.1", "Address to listen on.")
 PORT = flags.DEFINE_integer("port", 0, "Port to listen on.")
+SLOTS = flags.DEFINE_integer("slots", 4, "Requests a target runs at once.")
 STOP_GRACE_S = 1
 DROP_PAUSE_S = 0.01
 
@@ -138,6 +140,7 @@
         [*handlers, set_faults],
         exception_handlers={exceptions.HTTPException: _answer_error},
         openapi_config=None,
+        logging_config=None,
     )
 
 
@@ -156,6 +159,9 @@
     """Parses the flags and serves the application until SIGTERM."""
 
     def main(_: list[str]) -> None:
+        # Uvicorn stops on SIGTERM and then raises it again for whoever
+        # handled it before; the exit status is to be 0.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         uvicorn.run(
             _make_droppable(build(clock_lib.SystemClock())),
             host=HOST.value,
