--- a/bench/claims_load.py
+++ b/bench/claims_load.py
@@ -24,7 +24,8 @@
 
     Attributes:
         routers: how many claim books share the log.
-        requests_per_s: bookings at each router.
+        requests_per_s: bookings at each router; 0 for one caller each that
+            asks again as soon as its booking has ended.
         duration_s: virtual time for which they arrive.
         append_s: time from the start of an append to its answer.
         read_s: time from the start of a read to its answer, on top of the
@@ -131,8 +132,9 @@
 
     def _ask(self) -> None:
         fleet = self.fleet
-        gap_s = fleet.rng.expovariate(fleet.load.requests_per_s)
-        fleet.call_in(gap_s, self._ask)
+        if fleet.load.requests_per_s:
+            gap_s = fleet.rng.expovariate(fleet.load.requests_per_s)
+            fleet.call_in(gap_s, self._ask)
         wall_ms = claims_model.EPOCH_MS + int(fleet.now * 1000)
         request = request_key.build_request_id(
             wall_ms, fleet.rng.getrandbits(74)
@@ -157,7 +159,12 @@
         instant = claim_events.Instant(fleet.now, wall_ms)
         assert self.book.start_run(key, claim, instant)
         settled = claim_events.RunSettled(key, claim, WHOLE)
-        fleet.call_in(fleet.load.run_s, lambda: self.post(settled))
+        fleet.call_in(fleet.load.run_s, lambda: self._settle(settled))
+
+    def _settle(self, settled: claim_events.RunSettled) -> None:
+        self.post(settled)
+        if not self.fleet.load.requests_per_s:
+            self._ask()
 
     def _append(self, records: tuple[claim_records.Record, ...]) -> None:
         fleet = self.fleet
--- a/bench/once.py
+++ b/bench/once.py
@@ -29,6 +29,9 @@
 SLOT_ERROR_S = 1e-6
 LOADS = {
     "idle": claims_load.Load(routers=FLEET_SIZE, requests_per_s=0.2),
+    "one_after_the_other": claims_load.Load(
+        routers=FLEET_SIZE, requests_per_s=0.0
+    ),
     "normal": claims_load.Load(routers=FLEET_SIZE, requests_per_s=5.0),
     "saturated": claims_load.Load(
         routers=FLEET_SIZE, requests_per_s=400.0, duration_s=5.0
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_events.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_events.py
@@ -21,6 +21,8 @@
 
     Attributes:
         append_interval_s: least time between starts of two appends.
+        notice_linger_s: releases and ends wait this long for a claim to go
+            along with in one append.
         read_interval_s: least time between starts of two reads.
         idle_read_interval_s: time between reads while nothing is waited for.
         read_wait_s: a read waits this long for records, if some are due.
@@ -35,6 +37,7 @@
     window: request_key.KeyWindow = request_key.KeyWindow()
     log_outage: outage.Settings = outage.Settings()
     append_interval_s: float = 0.05
+    notice_linger_s: float = 0.1
     read_interval_s: float = 0.01
     idle_read_interval_s: float = 1.0
     read_wait_s: float = 0.2
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_state.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_state.py
@@ -120,7 +120,7 @@
     ) -> None:
         """Lets a later claim have the key; the claim must be barred."""
         release = claim_records.Release(key, claim)
-        self.stream.notices.append(release)
+        self.stream.add_notice(release, self.now)
 
     def refuse(
         self,
--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_stream.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_stream.py
@@ -32,6 +32,7 @@
         self.notices: collections.deque[claim_records.Record] = (
             collections.deque(maxlen=settings.max_notices)
         )
+        self.notices_due_at = float("inf")
         self.in_flight: tuple[claim_records.Record, ...] = ()
         self.append_at = float("-inf")
         self.append_outage = outage.Outage(settings.log_outage)
@@ -52,12 +53,24 @@
             self.append_outage.get_retry_after_s(now),
         )
 
-    def get_next_append_at(self) -> float:
-        """Returns the monotonic time from which the next append may start."""
+    def add_notice(self, notice: claim_records.Record, now: float) -> None:
+        """Takes in a release or an end that is to be appended soon."""
+        if not self.notices:
+            self.notices_due_at = now + self.settings.notice_linger_s
+        self.notices.append(notice)
+
+    def get_next_append_at(self, is_urgent: bool) -> float:
+        """Returns the monotonic time from which the next append may start.
+
+        Args:
+            is_urgent: whether there is more to append than notices that can
+                wait for a claim.
+        """
         if self.in_flight:
             return float("inf")
         paced = self.append_at + self.settings.append_interval_s
-        return max(paced, self.append_outage.probe_at)
+        allowed = max(paced, self.append_outage.probe_at)
+        return allowed if is_urgent else max(allowed, self.notices_due_at)
 
     def get_next_read_at(self, is_awaited: bool) -> float:
         """Returns the monotonic time from which the next read may start."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/claims.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claims.py
@@ -101,7 +101,7 @@
             state.attempts.get_next_give_up(),
         ]
         if _has_records_to_append(state):
-            times.append(state.stream.get_next_append_at())
+            times.append(_get_next_append_at(state))
         first = min(times)
         return None if first == float("inf") else first
 
@@ -139,7 +139,7 @@
     attempt.ended = ended
     state.attempts.move(attempt, AttemptState.ENDED)
     done = claim_records.Done(event.key, event.claim, ended)
-    state.stream.notices.append(done)
+    state.stream.add_notice(done, state.now)
     if event.key not in state.index.keys:
         state.attempts.remove(attempt)
 
@@ -162,10 +162,16 @@
     return bool(queued or state.stream.notices)
 
 
+def _get_next_append_at(state: claim_state.ClaimState) -> float:
+    has_claims = bool(state.attempts.undecided[AttemptState.QUEUED])
+    is_urgent = has_claims or state.is_leaving
+    return state.stream.get_next_append_at(is_urgent)
+
+
 def _start_append(state: claim_state.ClaimState) -> None:
     if not _has_records_to_append(state):
         return
-    if state.now < state.stream.get_next_append_at():
+    if state.now < _get_next_append_at(state):
         return
     space = state.settings.batch_records - len(state.stream.notices)
     batch = state.attempts.collect(AttemptState.QUEUED)[: max(0, space)]
