--- a/packages/lentilbeam-core/src/lentilbeam_core/endings.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/endings.py
@@ -108,17 +108,21 @@
         "claimed_elsewhere",
         outcome.Outcome.OUTCOME_UNKNOWN,
         NO_EXCHANGE,
-        "another claim holds the key in the log and has not said how it ended",
+        "another claim holds the key in the log, and its answer can't be had",
     )
 
 
 def decide_lost_claim(ended: outcome.Outcome | None) -> outcome.Outcome:
-    """Returns what is true of a key that another claim holds.
+    """Returns what to tell of a key that another claim holds.
 
     Args:
-        ended: how the winner's run ended, if the log says so.
+        ended: how the winner's run ended, if the log says so. A completed
+            run whose answer can't be had is not called completed, since a
+            completed request comes with its whole answer.
     """
-    return ended or Ending.CLAIMED_ELSEWHERE.value.outcome
+    if ended is outcome.Outcome.FAILED_BY_TARGET:
+        return ended
+    return Ending.CLAIMED_ELSEWHERE.value.outcome
 
 
 def render_table() -> str:
