--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -211,12 +211,18 @@
 
     def _members(self, now: float) -> scheduler_lib.Members:
         states = membership_lib.PeerState
-        live = self.membership.collect(now, states.LIVE)
-        leaving = self.membership.collect(now, states.LEAVING)
-        silent = self.membership.collect(now, states.UNREACHABLE)
-        heard = {name: self._data_centre(name) for name in live + leaving}
-        total = len(live) + len(silent)
-        return scheduler_lib.Members(heard, frozenset(live), total)
+        named = {
+            name: self.membership.state(name, now)
+            for name in self.membership.names()
+        }
+        heard = {
+            name: self._data_centre(name)
+            for name, state in named.items()
+            if state in (states.LIVE, states.LEAVING)
+        }
+        live = frozenset(n for n, s in named.items() if s is states.LIVE)
+        silent = sum(s is states.UNREACHABLE for s in named.values())
+        return scheduler_lib.Members(heard, live, len(live) + silent)
 
     def _data_centre(self, name: ids.InstanceId) -> ids.DataCentreId | None:
         if name == self.settings.name:
@@ -234,9 +240,8 @@
     ) -> None:
         """Follows the scheduler that this node's own view names."""
         self._suspect_silent(now)
-        live = self.membership.collect(now, membership_lib.PeerState.LIVE)
-        able = [name for name in live if self._can_schedule(name)]
         members = self._members(now)
+        able = [n for n in sorted(members.live) if self._can_schedule(n)]
         for pool, agent in self.agents.items():
             chosen = rendezvous.choose(pool, able) or self.settings.name
             scheduler = self.schedulers[pool]
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -88,6 +88,7 @@
         self.is_ready = False
         self.active_since = -math.inf
         self.next_token_at = math.inf
+        self.rated: set[ids.WorkspaceId] = set()
         self.term = 0
         self.counters: dict[str, int] = {}
 
@@ -101,7 +102,8 @@
         for account in self.ledger.accounts.values():
             workspace = catalogue.workspaces.get(account.name)
             if workspace is not None:
-                account.weight = catalogue.weight(account.name)
+                weight = catalogue.weight(account.name)
+                self.ledger.reweigh(account, weight)
                 account.limits = workspace.limits
 
     def activate(self, now: float) -> None:
@@ -359,9 +361,7 @@
         account.in_flight += new.slots - old.slots
         account.expected = max(account.expected + new.cost - old.cost, 0.0)
         self.book.occupy(target, new.slots - old.slots)
-        session.pending[workspace] = sum(
-            session.unseen((name, workspace)) for name in self.book.targets
-        )
+        session.count_pending(key)
         self._update_room(session, workspace, now)
 
     def _update_room(
@@ -397,6 +397,7 @@
         rate = account.limits.rate_per_s * self.book.fraction
         ready_at = now + (1 - account.tokens) / rate
         self.next_token_at = min(self.next_token_at, ready_at)
+        self.rated.add(account.name)
         return False
 
     def _part(self, limit: int) -> int:
@@ -410,9 +411,10 @@
         if now < self.next_token_at:
             return
         self.next_token_at = math.inf
-        for account in self.ledger.accounts.values():
-            if account.room > 0 and account.limits.rate_per_s is not None:
-                self._refresh(account, now)
+        rated = self.rated
+        self.rated = set()
+        for workspace in sorted(rated):
+            self._refresh(self._account(workspace), now)
 
     def _check_ready(self, now: float) -> None:
         if self.is_ready:
@@ -444,7 +446,8 @@
                 ),
             )
             self._grant(account, session, target.name, now)
-            free = self.book.free(now)
+            if not self.book.has_room(target.name, now):
+                free.remove(target)
 
     def _choose_account(self) -> virtual_time.Account:
         """Returns the least served workspace that is under its cap."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/sessions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/sessions.py
@@ -57,6 +57,7 @@
         self.targets: dict[ids.TargetId, messages.TargetUse] = {}
         self.granted: dict[CellKey, int] = {}
         self.pending: dict[ids.WorkspaceId, int] = {}
+        self.counted: dict[CellKey, int] = {}
         self.rooms: dict[ids.WorkspaceId, int] = {}
         self.applied: dict[CellKey, Contribution] = {}
         self.is_counted = True
@@ -85,6 +86,14 @@
         seen = use.granted if use else 0
         return max(self.granted.get(key, 0) - seen, 0)
 
+    def count_pending(self, key: CellKey) -> None:
+        """Brings `pending` up to date with a changed cell."""
+        workspace = key[1]
+        unseen = self.unseen(key)
+        change = unseen - self.counted.get(key, 0)
+        self.counted[key] = unseen
+        self.pending[workspace] = self.pending.get(workspace, 0) + change
+
     def contribution(self, key: CellKey) -> Contribution:
         """Returns what the cell adds to the totals now."""
         if not self.is_counted:
--- a/packages/lentilbeam-core/src/lentilbeam_core/slots.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/slots.py
@@ -116,12 +116,16 @@
             share = max(share, self.fill.get(name, 0))
         return share + self._ahead(target)
 
+    def has_room(self, name: ids.TargetId, now: float) -> bool:
+        """Tells whether the target may take another request."""
+        return self.occupied.get(name, 0) < self.limit(name, now)
+
     def free(self, now: float) -> list[catalogue_lib.Target]:
         """Returns the targets that may take another request."""
         return [
             target
             for name, target in self.targets.items()
-            if self.occupied.get(name, 0) < self.limit(name, now)
+            if self.has_room(name, now)
         ]
 
     def load(
--- a/packages/lentilbeam-core/src/lentilbeam_core/virtual_time.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/virtual_time.py
@@ -69,6 +69,13 @@
         """Settles service that a workspace has received."""
         account.virtual_time += max(service, 0.0) / account.weight
 
+    def reweigh(self, account: Account, weight: float) -> None:
+        """Changes the share that an account has from now on."""
+        is_placed = account.place is not None
+        self._place(account, False)
+        account.weight = weight
+        self._place(account, is_placed)
+
     def least(self) -> float:
         """Returns the least virtual time of those that wait; monotone."""
         if self.times:
--- a/tests/unit/fleet.py
+++ b/tests/unit/fleet.py
@@ -12,6 +12,8 @@
 from lentilbeam_core import node
 
 POOL = ids.PoolId("assistants")
+LOAD_INTERVAL_S = 0.5
+LOAD_LAG_S = 0.25
 SECOND_COST = 1000.0
 """Cost units that one slot serves in a second."""
 
@@ -72,10 +74,12 @@
         self.messages = []
         self.records = []
         self.on_end = None
+        self.draining = set()
         self.wake_planned = {}
         for name in self.names:
             self.start(name)
         self.list_instances(self.names)
+        self.at(LOAD_INTERVAL_S, self._report_load)
 
     def start(self, name):
         """Starts a router, empty."""
@@ -196,6 +200,18 @@
             and self.nodes[name].schedulers[POOL].is_active
         ]
 
+    def _report_load(self):
+        for target, running in self.running.items():
+            report = events.TargetReported(
+                ids.TargetId(target),
+                len(running),
+                len(self.waiting[target]),
+                target in self.draining,
+            )
+            for name in self.names:
+                self.at(self.now + LOAD_LAG_S, self.tell, name, report)
+        self.at(self.now + LOAD_INTERVAL_S, self._report_load)
+
     def _resume(self, name):
         backlog = self.paused.pop(name)
         for event in [events.Ticked(), *backlog]:
--- a/tests/unit/test_scheduler_fairness.py
+++ b/tests/unit/test_scheduler_fairness.py
@@ -81,7 +81,7 @@
 )
 def test_no_slot_leaks_whatever_is_lost(seed, loss, repeat, pause):
     def plan(run):
-        (scheduler,) = run.schedulers()
+        scheduler = run.schedulers()[0]
         if pause:
             run.at(2.5, run.pause, scheduler, 2.5 + pause)
         run.at(4.0, setattr, run, "on_end", None)
--- a/tests/unit/test_scheduler_limits.py
+++ b/tests/unit/test_scheduler_limits.py
@@ -1,7 +1,6 @@
 """Limits hold fleet-wide; only what exceeds them is refused, at once."""
 
 from lentilbeam_core import catalogue
-from lentilbeam_core import events
 from lentilbeam_core import outcome
 from tests.unit import fleet
 
@@ -131,9 +130,8 @@
 def test_a_draining_target_gets_no_new_work():
     run = fleet.Fleet(fleet.Shape())
     run.run(1.0)
-    for name in run.names:
-        run.tell(name, events.TargetReported("t1", 0, 0, True))
-    run.run(1.1)
+    run.draining.add("t1")
+    run.run(2.0)
     for index in range(30):
         run.submit(run.names[index % 3], "a", 400.0, 400.0)
     run.run(6.0)
