Count faults inside routers and tracebacks as violations

Cause: a booking retried after its router's SIGKILL ended as outcome_unknown with reason router_fault, which hid an AttributeError in lost_claims.py from the demonstration and from tests/processes; both were green. Now red: tests/processes, scenario router-1 (2 such answers), by that fault.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,6 +1,7 @@
 """Runs the demonstration: `python -m demo`."""
 
 import asyncio
+import contextlib
 import enum
 import logging
 import pathlib
@@ -19,6 +20,9 @@
 from lentilbeam_core import clock as clock_lib
 
 WINDOW_S = flags.DEFINE_float("window_s", 20.0, "How long the load lasts.")
+FOLDER = flags.DEFINE_string(
+    "folder", None, "Keeps settings and outputs here, not in a temporary one."
+)
 KILL_PART = 0.3
 STOP_PART = 0.55
 UNLIST_S = 2.0
@@ -73,13 +77,16 @@
     counts = await fleet.read_counts()
     await fleet.close()
     ended_badly = fleet.processes.list_ended_badly()
-    for fault in [*outcomes.untyped, *ended_badly]:
+    tracebacks = fleet.processes.list_tracebacks()
+    for fault in [*outcomes.untyped, *ended_badly, *tracebacks]:
         print(fault)
     return verdict_lib.judge(
         outcomes,
         workspaces,
         slots=sum(engine.slots for engine in fleet.engines),
-        facts=verdict_lib.Facts(counts, STOPPED, stopped_at, ended_badly),
+        facts=verdict_lib.Facts(
+            counts, STOPPED, stopped_at, ended_badly, tracebacks
+        ),
     )
 
 
@@ -107,9 +114,12 @@
 
 
 def main(_: list[str]) -> None:
-    """Runs the demonstration in a temporary folder."""
+    """Runs the demonstration."""
     logging.getLogger("httpx").setLevel(logging.WARNING)
-    with tempfile.TemporaryDirectory(prefix="lentilbeam-demo-") as folder:
+    with contextlib.ExitStack() as stack:
+        folder = FOLDER.value or stack.enter_context(
+            tempfile.TemporaryDirectory(prefix="lentilbeam-demo-")
+        )
         status = asyncio.run(run_demo(pathlib.Path(folder), WINDOW_S.value))
     sys.exit(status)
 
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -16,6 +16,7 @@
 READY_STEP_S = 0.05
 STOP_TIMEOUT_S = 20.0
 TAIL_LINES = 12
+TRACEBACK = "Traceback (most recent call last)"
 
 
 class StartError(Exception):
@@ -131,6 +132,14 @@
                 process.terminate()
         await asyncio.gather(*(process.wait() for process in running))
 
+    def list_tracebacks(self) -> list[str]:
+        """Returns the name and last output of those with a traceback."""
+        return [
+            f"{process.name}:\n{process.read_tail()}"
+            for process in self.all.values()
+            if TRACEBACK in process.output.read_text(errors="replace")
+        ]
+
     def list_ended_badly(self) -> list[str]:
         """Returns the name, exit status and last output of bad ends."""
         return [
--- a/demo/report.py
+++ b/demo/report.py
@@ -18,7 +18,7 @@
     yield f"tries broken by process ends     {verdict.broken_tries:>10}"
     for name, count in verdict.violations.items():
         mark = "" if count == 0 else "  <-- must be 0"
-        yield f"{name:<42}{count:>3}{mark}"
+        yield f"{name:<41}{count:>3}{mark}"
 
 
 def _format_outcomes(verdict: verdict_lib.Verdict) -> Iterator[str]:
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -12,6 +12,7 @@
 
 STEP_S = 0.5
 WARM_UP_S = 2.0
+ROUTER_FAULT = "router_fault"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,12 +24,14 @@
         stopped: instance that got a planned stop.
         stopped_at: when it was told to stop.
         ended_badly: processes that did not end by themselves, or not well.
+        tracebacks: processes that printed one.
     """
 
     counts: dict[str, int]
     stopped: str
     stopped_at: float
     ended_badly: list[str]
+    tracebacks: list[str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +96,8 @@
                 results, facts.counts
             ),
             "cut by the planned stop": count_cuts(results, facts),
+            "answers telling of a fault in a router": count_faults(results),
+            "processes with a traceback": len(facts.tracebacks),
             "processes that ended badly": len(facts.ended_badly),
         },
     )
@@ -245,6 +250,11 @@
     )
 
 
+def count_faults(results: list[caller_lib.Result]) -> int:
+    """Returns the number of requests that failed by a router's own fault."""
+    return sum(ROUTER_FAULT in result.answer.reason for result in results)
+
+
 def count_cuts(results: list[caller_lib.Result], facts: Facts) -> int:
     """Returns the number of tries that the planned stop broke."""
     return sum(
--- a/tests/features/process_failures.feature
+++ b/tests/features/process_failures.feature
@@ -6,6 +6,7 @@
     Then every request ended in a typed outcome
     And no answer is damaged
     And no booking ran twice, or ran although it was refused as not run
+    And no process had a fault of its own
 
     Examples:
       | victim     |
@@ -20,6 +21,7 @@
     Then every request ended in a typed outcome
     And no answer is damaged
     And no booking ran twice, or ran although it was refused as not run
+    And no process had a fault of its own
     And every request was completed
     And the stop cut no request
     And router-1 ended by itself with status 0
--- a/tests/processes/test_process_failures.py
+++ b/tests/processes/test_process_failures.py
@@ -144,7 +144,13 @@
             untyped=[repr(e) for e in ends if isinstance(e, BaseException)],
             counts=await read_counts(fleet),
             status=status,
-            facts=verdict.Facts({}, victim, acted_at, []),
+            facts=verdict.Facts(
+                counts={},
+                stopped=victim,
+                stopped_at=acted_at,
+                ended_badly=[],
+                tracebacks=fleet.processes.list_tracebacks(),
+            ),
         )
     finally:
         fleet.processes.kill_rest()
@@ -195,6 +201,12 @@
     assert verdict.count_false_refusals(results, counts) == 0
 
 
+@pytest_bdd.then("no process had a fault of its own")
+def check_faults(happening: Happening):
+    assert verdict.count_faults(happening.results) == 0
+    assert happening.facts.tracebacks == []
+
+
 @pytest_bdd.then("every request was completed")
 def check_completed(happening: Happening):
     completed = outcome_lib.Outcome.COMPLETED
--- a/tests/unit/test_demo_checks.py
+++ b/tests/unit/test_demo_checks.py
@@ -76,7 +76,7 @@
 
 
 def test_a_planned_stop_is_charged_with_what_it_broke():
-    facts = verdict.Facts({}, "r1", 5.0, [])
+    facts = verdict.Facts({}, "r1", 5.0, [], [])
     late = caller_lib.Break("r1", True, "cut", 6.0)
     early = caller_lib.Break("r1", True, "cut", 4.0)
     other = caller_lib.Break("r2", True, "cut", 6.0)
