--- a/packages/lentilbeam-core/src/lentilbeam_core/agent.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/agent.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import heapq
 import math
 
 from lentilbeam_core import catalogue as catalogue_lib
@@ -25,7 +26,6 @@
 QUEUE_STEPS = 8
 """Longer ones when they change by this part of the limit."""
 SESSION_BITS = 8
-ENOUGH_COMPLETED = 3
 UNREACHABLE_RETRY_AFTER_S = 1.0
 
 
@@ -47,9 +47,9 @@
     """
 
     batch_s: float = 0.004
-    lazy_s: float = 0.025
-    resend_s: float = 0.05
-    autonomy_s: float = 0.1
+    lazy_s: float = 0.2
+    resend_s: float = 0.1
+    autonomy_s: float = 0.16
     max_tries: int = 4
     retry_ratio: float = 0.1
     retry_burst: float = 16.0
@@ -108,6 +108,7 @@
         self.draining: set[ids.TargetId] = set()
         self.queues: dict[ids.WorkspaceId, queueing.WorkspaceQueue] = {}
         self.waiting: dict[ids.RequestId, queueing.Pending] = {}
+        self.deadlines: list[tuple[float, ids.RequestId]] = []
         self.running: dict[ids.RequestId, Run] = {}
         self.by_workspace: dict[ids.WorkspaceId, set[ids.RequestId]] = {}
         self.cells: dict[tuple[ids.TargetId, ids.WorkspaceId], Cell] = {}
@@ -162,7 +163,7 @@
         for workspace in self.queues:
             self._publish_demand(workspace, now, now)
         for target, workspace in self.cells:
-            self._publish_cell(target, workspace, now)
+            self._publish_cell(target, workspace, now, now)
         self.sender.want(now)
 
     def arrive(
@@ -195,6 +196,8 @@
             return [_refuse(request.name, reason.DEADLINE_UNREACHABLE, after_s)]
         pending = queueing.Pending(request, estimate, now)
         self.waiting[request.name] = pending
+        if not math.isinf(request.deadline):
+            heapq.heappush(self.deadlines, (request.deadline, request.name))
         queue.push(pending, now)
         self._publish_demand(request.workspace, now, now)
         return self._reuse_held(now)
@@ -241,8 +244,9 @@
                 request.workspace, request.call, request.cost_hint, cost
             )
         self._count_end(run.target, end)
-        self._publish_target(run.target, now)
-        self._publish_cell(run.target, request.workspace, now)
+        if self.uses[run.target].failed:
+            self._publish_target(run.target, now)
+        self._publish_cell(run.target, request.workspace, now, now)
         self._publish_demand(request.workspace, now, now)
         return effects + self._reuse_held(now)
 
@@ -280,10 +284,12 @@
 
     def tick(self, now: float) -> list[events.Effect]:
         """Refuses what is too late and uses slots of a silent scheduler."""
-        late = [p for p in self.waiting.values() if p.request.deadline <= now]
         effects = []
-        for pending in late:
-            request = pending.request
+        while self.deadlines and self.deadlines[0][0] <= now:
+            _, name = heapq.heappop(self.deadlines)
+            if name not in self.waiting:
+                continue
+            request = self.waiting[name].request
             queue = self.queues[request.workspace]
             after_s = queue.retry_after_s(now)
             self.withdraw(request.name, now)
@@ -292,14 +298,14 @@
             effects.append(_refuse(request.name, reason, after_s))
         return effects + self._reuse_held(now)
 
-    def due(self) -> float:
+    def due(self, now: float) -> float:
         """Returns when `tick` or `report` is to be called next."""
         settings = self.settings
         due = self.sender.due(settings.batch_s, settings.resend_s)
         if self.held and self.waiting:
-            due = min(due, self.unanswered_since + settings.autonomy_s)
-        deadlines = (p.request.deadline for p in self.waiting.values())
-        return min(due, min(deadlines, default=math.inf))
+            alone_at = self.unanswered_since + settings.autonomy_s
+            due = min(due, alone_at if alone_at > now else math.inf)
+        return min(due, self.deadlines[0][0] if self.deadlines else math.inf)
 
     def report(self, now: float) -> list[messages.DemandReport]:
         """Returns the report that is due, in parts; empty if none is."""
@@ -307,7 +313,7 @@
         if self.sender.due(settings.batch_s, settings.resend_s) > now:
             return []
         items = self.sender.collect(now)
-        if items:
+        if self.sender.is_urgent():
             self.unanswered_since = min(self.unanswered_since, now)
         chunks = [
             items[i : i + MAX_ITEMS] for i in range(0, len(items), MAX_ITEMS)
@@ -330,7 +336,7 @@
         is_full = self.sender.acknowledged == 0
         return messages.DemandReport(
             pool=self.pool.name,
-            incarnation=self.incarnation,
+            incarnation=self.incarnation if is_full else ids.Incarnation(0),
             session=self.session,
             sequence=self.sender.sequence,
             part=part,
@@ -341,6 +347,7 @@
             workspaces=of(messages.WorkspaceDemand),
             slots=of(messages.SlotUse),
             targets=of(messages.TargetUse),
+            wants_answer=self.sender.is_urgent(),
         )
 
     def _take_acknowledgement(self, sequence: int, now: float) -> None:
@@ -349,7 +356,8 @@
         if arrived is None:
             return
         self.held = [held for held in self.held if held.sequence > sequence]
-        self.unanswered_since = now if self.sender.changed else math.inf
+        is_waiting = self.sender.is_urgent()
+        self.unanswered_since = now if is_waiting else math.inf
         for kind, name, *_ in arrived:
             if kind == "demand":
                 sent = self.sender.values[kind, name]
@@ -373,7 +381,7 @@
             effects.append(self._start(queue, grant.target, now))
             fresh -= 1
         due = now if fresh else now + self.settings.lazy_s
-        self._publish_cell(grant.target, grant.workspace, due)
+        self._publish_cell(grant.target, grant.workspace, now, due)
         self._publish_demand(grant.workspace, now, due)
         if fresh:
             self._count("grants_returned", fresh)
@@ -408,7 +416,7 @@
 
     def _reuse_held(self, now: float) -> list[events.Effect]:
         """Uses slots again for which a silent scheduler has no answer."""
-        if now - self.unanswered_since < self.settings.autonomy_s:
+        if now < self.unanswered_since + self.settings.autonomy_s:
             return []
         effects = []
         kept = []
@@ -419,7 +427,7 @@
                 continue
             queue = self.queues[workspace]
             effects.append(self._start(queue, held.target, now))
-            self._publish_cell(held.target, workspace, now)
+            self._publish_cell(held.target, workspace, now, now)
             self._publish_demand(workspace, now, now)
             self._count("autonomous")
         self.held = kept
@@ -452,15 +460,11 @@
     def _count_end(self, target: ids.TargetId, end: events.RunEnd) -> None:
         use = self._use(target)
         is_failure = end in (events.RunEnd.FAILED, events.RunEnd.UNREACHABLE)
-        completed = use.completed + (end is events.RunEnd.COMPLETED)
-        completed = 0 if is_failure else min(completed, ENOUGH_COMPLETED)
         failed = use.failed + is_failure
-        self.uses[target] = dataclasses.replace(
-            use, completed=completed, failed=failed
-        )
+        self.uses[target] = dataclasses.replace(use, failed=failed)
 
     def _use(self, target: ids.TargetId) -> messages.TargetUse:
-        use = self.uses.get(target) or messages.TargetUse(target, 0, 0, False)
+        use = self.uses.get(target) or messages.TargetUse(target, 0, False)
         is_draining = target in self.draining
         use = dataclasses.replace(use, is_draining=is_draining)
         self.uses[target] = use
@@ -478,7 +482,7 @@
         grown = self._queue(workspace).served - known
         if grown > run.pending.estimate:
             due = now + self.settings.lazy_s
-            self._publish_cell(run.target, workspace, due)
+            self._publish_cell(run.target, workspace, now, due)
             self._publish_demand(workspace, now, due)
 
     def _publish_demand(
@@ -500,7 +504,7 @@
             ),
         )
         if self._is_significant(demand):
-            self.sender.put(("demand", workspace), demand, due)
+            self.sender.put(("demand", workspace), demand, due, due <= now)
 
     def _prefer(self, head: queueing.Pending | None, now: float) -> str:
         return self.prefixes.recall(head.request.prefix, now) if head else ""
@@ -518,7 +522,11 @@
         return change * QUEUE_STEPS >= limits.queue_length
 
     def _publish_cell(
-        self, target: ids.TargetId, workspace: ids.WorkspaceId, due: float
+        self,
+        target: ids.TargetId,
+        workspace: ids.WorkspaceId,
+        now: float,
+        due: float,
     ) -> None:
         cell = self.cells[target, workspace]
         runs = (self.running[n] for n in self.by_workspace.get(workspace, ()))
@@ -535,17 +543,11 @@
             cell.running,
             expected,
         )
-        self.sender.put(("cell", target, workspace), use, due)
+        self.sender.put(("cell", target, workspace), use, due, due <= now)
 
     def _publish_target(self, target: ids.TargetId, now: float) -> None:
-        """Reports experience with a target that has failed or is leaving."""
-        use = self._use(target)
-        if (
-            use.failed
-            or use.is_draining
-            or ("use", target) in (self.sender.values)
-        ):
-            self.sender.put(("use", target), use, now)
+        """Reports experience with a target."""
+        self.sender.put(("use", target), self._use(target), now)
 
     def _queue(self, workspace: ids.WorkspaceId) -> queueing.WorkspaceQueue:
         if workspace not in self.queues:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -87,14 +87,11 @@
 
     Attributes:
         target: which target.
-        completed: requests that it completed since the last failure, up to
-            a small number.
         failed: cumulative requests that it failed or that did not reach it.
         is_draining: whether it told this router that it is leaving.
     """
 
     target: ids.TargetId
-    completed: int
     failed: int
     is_draining: bool
 
@@ -108,7 +105,7 @@
 
     Attributes:
         pool: which pool.
-        incarnation: the sender's start.
+        incarnation: the sender's start; only in full reports, else 0.
         session: identifies the time that the router has followed this
             scheduler without a break; grants of other sessions are void.
         sequence: grows by one with each report of the session.
@@ -120,6 +117,7 @@
         workspaces: changed demands.
         slots: changed uses of slots.
         targets: changed experience with targets.
+        wants_answer: whether the sender waits for an acknowledgement.
     """
 
     pool: ids.PoolId
@@ -134,6 +132,7 @@
     workspaces: tuple[WorkspaceDemand, ...]
     slots: tuple[SlotUse, ...]
     targets: tuple[TargetUse, ...]
+    wants_answer: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -1,49 +1,49 @@
-@0xd1c6f0a4b8e3927f;
-# Messages between routers; `peer_codec` turns them into `messages` and back.
+@0xd1f6a8c27b3e5409;
+# Messages between routers, packed, one in a datagram. Items of lists refer
+# to names by their place in `names`, from 1; 0 is the empty name.
 
 struct Envelope {
   sender @0 :Text;
   union {
     heartbeat @1 :Heartbeat;
-    demandReport @2 :DemandReport;
-    grantUpdate @3 :GrantUpdate;
+    report @2 :DemandReport;
+    update @3 :GrantUpdate;
   }
 }
 
 struct Heartbeat {
   incarnation @0 :UInt64;
-  leaving @1 :Bool;
-  isReady @2 :Bool;
-  catalogueOffset @3 :UInt64;
-  intervalMs @4 :UInt32;
-  stamp @5 :UInt64;
+  catalogueOffset @1 :UInt64;
+  stamp @2 :UInt64;
+  intervalMs @3 :UInt32;
+  leaving @4 :Bool;
+  isReady @5 :Bool;
 }
 
 struct WorkspaceDemand {
-  workspace @0 :Text;
-  queued @1 :UInt32;
-  oldestAgeMs @2 :UInt32;
-  served @3 :Float64;
-  nextCost @4 :Float32;
-  preferred @5 :Text;
-  virtualTime @6 :Float64;
-  unsettled @7 :Float64;
+  workspace @0 :UInt16;
+  preferred @1 :UInt16;
+  served @2 :UInt64;
+  virtualTime @3 :UInt64;
+  unsettled @4 :UInt64;
+  oldestAgeMs @5 :UInt32;
+  nextCost @6 :UInt32;
+  queued @7 :UInt32;
 }
 
 struct SlotUse {
-  target @0 :Text;
-  workspace @1 :Text;
+  target @0 :UInt16;
+  workspace @1 :UInt16;
   granted @2 :UInt32;
   spent @3 :UInt32;
-  running @4 :UInt32;
-  estimate @5 :Float32;
+  estimate @4 :UInt32;
+  running @5 :UInt32;
 }
 
 struct TargetUse {
-  target @0 :Text;
-  completed @1 :UInt32;
-  failed @2 :UInt32;
-  isDraining @3 :Bool;
+  target @0 :UInt16;
+  failed @1 :UInt32;
+  isDraining @2 :Bool;
 }
 
 struct DemandReport {
@@ -51,25 +51,27 @@
   incarnation @1 :UInt64;
   session @2 :UInt64;
   sequence @3 :UInt32;
-  part @4 :UInt16;
-  parts @5 :UInt16;
-  acknowledged @6 :UInt32;
+  acknowledged @4 :UInt32;
+  part @5 :UInt16;
+  parts @6 :UInt16 = 1;
   isFull @7 :Bool;
-  floor @8 :Float64;
+  floor @8 :UInt64;
   workspaces @9 :List(WorkspaceDemand);
   slots @10 :List(SlotUse);
   targets @11 :List(TargetUse);
+  names @12 :List(Text);
+  wantsAnswer @13 :Bool;
 }
 
 struct Grant {
-  workspace @0 :Text;
-  target @1 :Text;
-  granted @2 :UInt32;
-  virtualTime @3 :Float64;
+  workspace @0 :UInt16;
+  target @1 :UInt16;
+  virtualTime @2 :UInt64;
+  granted @3 :UInt32;
 }
 
 struct QueuedElsewhere {
-  workspace @0 :Text;
+  workspace @0 :UInt16;
   queued @1 :UInt32;
 }
 
@@ -77,11 +79,12 @@
   pool @0 :Text;
   session @1 :UInt64;
   sequence @2 :UInt32;
-  part @3 :UInt16;
-  parts @4 :UInt16;
-  acknowledged @5 :UInt32;
+  acknowledged @3 :UInt32;
+  part @4 :UInt16;
+  parts @5 :UInt16 = 1;
   needsFull @6 :Bool;
-  floor @7 :Float64;
+  floor @7 :UInt64;
   grants @8 :List(Grant);
   queues @9 :List(QueuedElsewhere);
+  names @10 :List(Text);
 }
