--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue_state.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_state.py
@@ -94,7 +94,7 @@
         self._names_by_offset[verdict.offset] = verdict.name
         if len(self.verdicts) > MAX_VERDICTS:
             self.forgotten, oldest = self.verdicts.popitem(0)
-            del self._names_by_offset[oldest.offset]
+            self._names_by_offset.pop(oldest.offset, None)
 
     def _unindex(self, key: catalogue.EntryKey) -> None:
         old = self.catalogue.find(key)
