--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -24,11 +24,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PauseScheduler:
-    """The pool's scheduler stands still for a while."""
+class PauseRouter:
+    """A router stands still for a while.
+
+    Attributes:
+        is_scheduler: whether it is the pool's scheduler.
+    """
 
     at_s: float
     end_s: float
+    is_scheduler: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +66,27 @@
     end_s: float
 
 
-Fault = KillScheduler | PauseScheduler | Partition | DrainTarget | FailTarget
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartRouters:
+    """Some routers, the scheduler among them, start again empty.
+
+    Attributes:
+        end_s: when they start again.
+    """
+
+    at_s: float
+    end_s: float
+    count: int = 4
+
+
+Fault = (
+    KillScheduler
+    | PauseRouter
+    | Partition
+    | DrainTarget
+    | FailTarget
+    | RestartRouters
+)
 
 PLAIN_COSTS = load.Costs(
     median=370.0, sigma=0.8, largest=2048.0, hint_factor=1.5
@@ -133,7 +158,12 @@
         Scenario(
             "scheduler_paused",
             load.make_even,
-            faults=(PauseScheduler(FAULT_AT_S, end_s=15.0),),
+            faults=(PauseRouter(FAULT_AT_S, end_s=15.0),),
+        ),
+        Scenario(
+            "router_paused",
+            load.make_even,
+            faults=(PauseRouter(FAULT_AT_S, end_s=15.0, is_scheduler=False),),
         ),
         Scenario(
             "partition",
@@ -153,6 +183,11 @@
                 KillScheduler(FAULT_AT_S + 0.5, restart_s=20.0),
             ),
         ),
+        Scenario(
+            "cold_start",
+            load.make_even,
+            faults=(RestartRouters(FAULT_AT_S, end_s=11.0),),
+        ),
         Scenario(
             "partition_killed",
             load.make_even,
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -1,89 +1,183 @@
-"""Peer messages to and from packed Cap'n Proto, one to a datagram."""
+"""Packed Cap'n Proto form of the messages between routers.
 
+Costs and virtual times travel as whole units, times as milliseconds.
+"""
+
+from collections.abc import Iterable
 import dataclasses
 import pathlib
-from typing import Any
+import re
 
 import capnp
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
 
-capnp.remove_import_hook()
-SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+MAX_DATAGRAM_BYTES = 4096
+"""A longer datagram is none of ours."""
+MAX_WORDS = 16384
+"""Bound of what a reader may traverse, in words of 8 bytes."""
 
-_KINDS = {
-    messages.Heartbeat: "heartbeat",
-    messages.DemandReport: "demandReport",
-    messages.GrantUpdate: "grantUpdate",
-}
-_TYPES = {name: kind for kind, name in _KINDS.items()}
-_ITEMS = {
-    (messages.DemandReport, "workspaces"): messages.WorkspaceDemand,
-    (messages.DemandReport, "slots"): messages.SlotUse,
-    (messages.DemandReport, "targets"): messages.TargetUse,
-    (messages.GrantUpdate, "grants"): messages.Grant,
-    (messages.GrantUpdate, "queues"): messages.QueuedElsewhere,
-}
+_schema = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
 
 
-class DecodeError(Exception):
-    """A datagram that is no peer message."""
+class PeerCodecError(ValueError):
+    """A datagram is not a message of this protocol."""
 
 
 def encode(sender: ids.InstanceId, message: messages.PeerMessage) -> bytes:
-    """Returns the message as a datagram."""
+    """Returns the datagram for `message`."""
+    envelope = _schema.Envelope.new_message(sender=sender)
     kind = _KINDS[type(message)]
-    envelope = SCHEMA.Envelope.new_message(
-        sender=sender, **{kind: _dump(message)}
-    )
+    _write_message(envelope.init(kind), message)
     return envelope.to_bytes_packed()
 
 
 def decode(data: bytes) -> tuple[ids.InstanceId, messages.PeerMessage]:
-    """Returns the sender and the message in a datagram.
+    """Returns the sender and the message of a datagram.
 
     Raises:
-        DecodeError: the datagram is no peer message.
+        PeerCodecError: if the datagram can't be read.
     """
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise PeerCodecError(f"{len(data)} bytes are too many")
     try:
-        envelope = SCHEMA.Envelope.from_bytes_packed(data)
+        envelope = _schema.Envelope.from_bytes_packed(
+            data, traversal_limit_in_words=MAX_WORDS
+        )
         kind = envelope.which()
-        message = _load(_TYPES[str(kind)], getattr(envelope, str(kind)))
+        message = _read_message(getattr(envelope, str(kind)), _TYPES[str(kind)])
         return ids.InstanceId(envelope.sender), message
-    except (capnp.KjException, ValueError, KeyError) as error:
-        raise DecodeError(str(error)) from error
+    except (capnp.KjException, ValueError, LookupError) as error:
+        raise PeerCodecError(str(error)) from error
+
+
+_KINDS = {
+    messages.Heartbeat: "heartbeat",
+    messages.DemandReport: "report",
+    messages.GrantUpdate: "update",
+}
+_TYPES = {name: kind for kind, name in _KINDS.items()}
+_ITEMS = {
+    "workspaces": messages.WorkspaceDemand,
+    "slots": messages.SlotUse,
+    "targets": messages.TargetUse,
+    "grants": messages.Grant,
+    "queues": messages.QueuedElsewhere,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Field:
+    """A field of a message and its name in the schema."""
+
+    name: str
+    wire_name: str
+    is_float: bool
+    is_name: bool
+    item: type | None
+    largest: int
 
 
-def _camel(name: str) -> str:
-    first, *rest = name.split("_")
-    return first + "".join(part.capitalize() for part in rest)
+def _to_wire_name(name: str) -> str:
+    return re.sub(r"_(\w)", lambda match: match.group(1).upper(), name)
 
 
-_FIELDS = {
-    kind: [
-        (field.name, _camel(field.name)) for field in dataclasses.fields(kind)
-    ]
-    for kind in [*_KINDS, *_ITEMS.values()]
+_NAMES = {"workspace", "target", "preferred"}
+_WIDTHS = {"uint16": 16, "uint32": 32, "uint64": 64}
+_STRUCTS = {
+    messages.Heartbeat: _schema.Heartbeat,
+    messages.DemandReport: _schema.DemandReport,
+    messages.GrantUpdate: _schema.GrantUpdate,
+    messages.WorkspaceDemand: _schema.WorkspaceDemand,
+    messages.SlotUse: _schema.SlotUse,
+    messages.TargetUse: _schema.TargetUse,
+    messages.Grant: _schema.Grant,
+    messages.QueuedElsewhere: _schema.QueuedElsewhere,
 }
 
 
-def _dump(value: Any) -> dict[str, Any]:
-    dumped = {}
-    for name, wire_name in _FIELDS[type(value)]:
-        field = getattr(value, name)
-        if isinstance(field, tuple):
-            field = [_dump(item) for item in field]
-        dumped[wire_name] = field
-    return dumped
-
-
-def _load(kind: type, reader: Any) -> Any:
-    fields = {}
-    for name, wire_name in _FIELDS[kind]:
-        field = getattr(reader, wire_name)
-        item = _ITEMS.get((kind, name))
-        if item is not None:
-            field = tuple(_load(item, each) for each in field)
-        fields[name] = field
-    return kind(**fields)
+def _plan(kind: type) -> tuple[_Field, ...]:
+    fields = _STRUCTS[kind].schema.fields
+    plan = []
+    for field in dataclasses.fields(kind):
+        wire_name = _to_wire_name(field.name)
+        wire_type = fields[wire_name].proto.slot.type.which()
+        width = _WIDTHS.get(str(wire_type), 0)
+        is_float = field.type in (float, "float")
+        is_name = field.name in _NAMES
+        item = _ITEMS.get(field.name)
+        largest = 2**width - 1
+        plan.append(
+            _Field(field.name, wire_name, is_float, is_name, item, largest)
+        )
+    return tuple(plan)
+
+
+_PLANS = {kind: _plan(kind) for kind in _STRUCTS}
+
+
+class _Names:
+    """The names that the items of one message refer to."""
+
+    def __init__(self, names: Iterable[str] = ()):
+        self.names = ["", *names]
+        self.places = {name: place for place, name in enumerate(self.names)}
+
+    def place(self, name: str) -> int:
+        """Returns the place of `name`, which is added if need be."""
+        if name not in self.places:
+            self.places[name] = len(self.names)
+            self.names.append(name)
+        return self.places[name]
+
+
+def _write_message(builder, message) -> None:
+    names = _Names()
+    for field in _PLANS[type(message)]:
+        items = getattr(message, field.name)
+        if field.item is None:
+            _write_value(builder, field, items)
+        elif items:
+            listed = builder.init(field.wire_name, len(items))
+            for index, item in enumerate(items):
+                _write_item(listed[index], item, names)
+    if len(names.names) > 1:
+        builder.names = names.names[1:]
+
+
+def _write_item(builder, item, names: _Names) -> None:
+    for field in _PLANS[type(item)]:
+        value = getattr(item, field.name)
+        if isinstance(value, str):
+            setattr(builder, field.wire_name, names.place(value))
+        else:
+            _write_value(builder, field, value)
+
+
+def _write_value(builder, field: _Field, value) -> None:
+    if field.largest:
+        value = min(max(round(value), 0), field.largest)
+    setattr(builder, field.wire_name, value)
+
+
+def _read_message(reader, kind: type):
+    has_names = any(field.item for field in _PLANS[kind])
+    names = _Names(reader.names if has_names else ()).names
+    values = []
+    for field in _PLANS[kind]:
+        value = getattr(reader, field.wire_name)
+        if field.item is not None:
+            value = tuple(_read_item(i, field.item, names) for i in value)
+        values.append(float(value) if field.is_float else value)
+    return kind(*values)
+
+
+def _read_item(reader, kind: type, names: list[str]):
+    values = []
+    for field in _PLANS[kind]:
+        value = getattr(reader, field.wire_name)
+        if field.is_name:
+            value = names[value]
+        values.append(float(value) if field.is_float else value)
+    return kind(*values)
