Read load reports only where a pool is scheduled

Cause: every router asked every target for its load twice a second, which grows with routers times targets. Conclusion: only the scheduler of a pool needs the reports.

--- a/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
@@ -100,6 +100,7 @@
         try:
             return await self._serve_until_stop(serving, tasks)
         finally:
+            self.claims.close()
             for task in [serving, *tasks]:
                 task.cancel()
             await asyncio.gather(serving, *tasks, return_exceptions=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/load_poller.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/load_poller.py
@@ -1,4 +1,4 @@
-"""Reads targets' own load reports, spread over time."""
+"""Reads the load reports of the targets whose pool is scheduled here."""
 
 import asyncio
 
@@ -25,15 +25,20 @@
         self.interval_s = interval_s
 
     async def run(self) -> None:
-        """Polls all targets that this router needs to know of."""
+        """Polls until cancelled."""
         while True:
             await asyncio.sleep(self.interval_s)
-            due = [
-                target
-                for pool in self.fleet.catalogue.pools.values()
-                for target in pool.targets
-            ]
-            await asyncio.gather(*(self._poll(target) for target in due))
+            polls = [self._poll(target) for target in self._collect_due()]
+            await asyncio.gather(*polls)
+
+    def _collect_due(self) -> list[catalogue_lib.Target]:
+        schedulers = self.node.node.schedulers
+        return [
+            target
+            for name, pool in self.fleet.catalogue.pools.items()
+            if name in schedulers and schedulers[name].is_active
+            for target in pool.targets
+        ]
 
     async def _poll(self, target: catalogue_lib.Target) -> None:
         load = await self.targets.read_load(target)
