--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(CURDIR)/packages/lentilbeam-core/src:$(CURDIR)/packages/lentilbeam-router/src:$(CURDIR)/packages/lentilbeam-cli/src:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup test lint format demo golden bench bench-path bench-fairness bench-slopes bench-catalogue bench-once
+.PHONY: setup test lint format demo fleet golden bench bench-path bench-fairness bench-slopes bench-catalogue bench-once
 
 setup: $(READY)
 
@@ -38,6 +38,9 @@
 demo: setup
 	$(BIN)/python -m demo
 
+fleet: setup
+	$(BIN)/python -m demo.hold
+
 bench: bench-path bench-fairness bench-slopes bench-catalogue bench-once
 
 bench-path: setup
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -122,6 +122,16 @@
             total.update(answer.json())
         return dict(total)
 
+    @property
+    def log_url(self) -> str:
+        """Where the log service listens."""
+        return self._url(LOG)
+
+    @property
+    def instances_url(self) -> str:
+        """Where the instance list listens."""
+        return self._url(INSTANCES)
+
     def _url(self, name: str) -> str:
         return self.processes.all[name].url
 
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -101,6 +101,7 @@
                 stdout=sink,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
+                process_group=0,
             )
         process = Process(name, url, popen, output)
         self.all[name] = process
--- a/packages/lentilbeam-cli/src/lentilbeam_cli/options.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/options.py
@@ -8,6 +8,8 @@
 import expression
 
 OPERATOR_VARIABLE = "LENTILBEAM_OPERATOR"
+LOG_VARIABLE = "LENTILBEAM_LOG"
+INSTANCES_VARIABLE = "LENTILBEAM_INSTANCES"
 USAGE = """\
 usage: lentilbeam COMMAND [ARGUMENTS] [OPTIONS]
 
@@ -115,8 +117,16 @@
             name, default, text, flag_values=values, module_name="lentilbeam"
         )
 
-    define("log", None, "URL of the platform's log service.")
-    define("instances", None, "URL of the platform's instance list.")
+    define(
+        "log",
+        variables.get(LOG_VARIABLE),
+        f"URL of the platform's log service; ${LOG_VARIABLE} by default.",
+    )
+    define(
+        "instances",
+        variables.get(INSTANCES_VARIABLE),
+        f"URL of the instance list; ${INSTANCES_VARIABLE} by default.",
+    )
     define(
         "operator",
         variables.get(OPERATOR_VARIABLE),
