Cap requests in flight at a workspace's share plus half its root

Cause: with two workspaces, 24 slots and costs of two kinds, the gap reached 3.81 largest requests, as many short requests ran against few long ones.

--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -32,8 +32,8 @@
         resend_s: unacknowledged grants are sent again after this time.
         rebuild_s: how long a new scheduler waits for full reports.
         wake_grace_s: a queue that was empty for less keeps its place.
-        in_flight_factor: a workspace that competes holds at most this many
-            times its share of the slots.
+        in_flight_slack: a workspace that competes holds at most its share
+            of the slots and this many times the root of it.
         book: settings of the use of slots.
     """
 
@@ -42,7 +42,7 @@
     resend_s: float = 0.3
     rebuild_s: float = 0.15
     wake_grace_s: float = 0.05
-    in_flight_factor: float = 2.0
+    in_flight_slack: float = 0.5
     book: slots.Settings = slots.Settings()
 
 
@@ -460,9 +460,10 @@
 
     def _cap(self, account: virtual_time.Account) -> int:
         total = sum(target.slots for target in self.book.targets.values())
-        share = account.weight / max(self.ledger.weight, account.weight)
-        factor = self.settings.in_flight_factor
-        return max(1, math.ceil(total * share * factor))
+        part = account.weight / max(self.ledger.weight, account.weight)
+        share = total * part
+        slack = self.settings.in_flight_slack * math.sqrt(share)
+        return math.ceil(share + slack)
 
     def _choose_session(
         self, account: virtual_time.Account
