--- a/packages/lentilbeam-core/src/lentilbeam_core/agent.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/agent.py
@@ -25,6 +25,8 @@
 """Shorter queues are reported exactly."""
 QUEUE_STEPS = 8
 """Longer ones when they change by this part of the limit."""
+PROGRESS_STEP = 0.25
+"""Progress is reported in steps of this part of the largest request."""
 SESSION_BITS = 8
 UNREACHABLE_RETRY_AFTER_S = 1.0
 
@@ -219,8 +221,7 @@
         workspace = run.pending.request.workspace
         self._queue(workspace).served += cost - run.used
         run.used = cost
-        if cost > run.pending.estimate:
-            self._publish_overrun(run, now)
+        self._publish_progress(run, now)
 
     def end(
         self, name: ids.RequestId, cost: float, end: events.RunEnd, now: float
@@ -474,16 +475,19 @@
         runs = (self.running[n] for n in self.by_workspace.get(workspace, ()))
         return sum(costs.remaining(r.pending.estimate, r.used) for r in runs)
 
-    def _publish_overrun(self, run: Run, now: float) -> None:
-        """Reports a request whose use has outgrown its last charge."""
+    def _publish_progress(self, run: Run, now: float) -> None:
+        """Reports service that has grown by a large part of a request."""
         workspace = run.pending.request.workspace
+        entry = self.catalogue.workspaces.get(workspace)
         sent = self.sender.values.get(("demand", workspace))
-        known = sent.served if sent else 0.0
-        grown = self._queue(workspace).served - known
-        if grown > run.pending.estimate:
-            due = now + self.settings.lazy_s
-            self._publish_cell(run.target, workspace, now, due)
-            self._publish_demand(workspace, now, due)
+        if entry is None or sent is None:
+            return
+        grown = self._queue(workspace).served - sent.served
+        if grown < entry.limits.largest_request * PROGRESS_STEP:
+            return
+        due = now + self.settings.lazy_s
+        self._publish_cell(run.target, workspace, now, due)
+        self._publish_demand(workspace, now, due)
 
     def _publish_demand(
         self, workspace: ids.WorkspaceId, now: float, due: float
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -19,6 +19,9 @@
 """List items in one datagram."""
 SCAN_LIMIT = 8
 QUEUE_STEPS = 8
+CATCH_UP_STEP = 0.25
+"""Service behind the mean, relative to the largest request, that allows one
+more request in flight."""
 FULL_INTERVAL_S = 0.1
 
 
@@ -32,8 +35,9 @@
         resend_s: unacknowledged grants are sent again after this time.
         rebuild_s: how long a new scheduler waits for full reports.
         wake_grace_s: a queue that was empty for less keeps its place.
-        in_flight_slack: a workspace that competes holds at most its share
-            of the slots and this many times the root of it.
+        in_flight_slack: a workspace that competes and has its share of
+            service holds at most its share of the slots in use and this
+            many times the root of it.
         book: settings of the use of slots.
     """
 
@@ -459,11 +463,14 @@
         return accounts[0]
 
     def _cap(self, account: virtual_time.Account) -> int:
-        total = sum(target.slots for target in self.book.targets.values())
+        total = sum(self.book.occupied.values())
         part = account.weight / max(self.ledger.weight, account.weight)
         share = total * part
         slack = self.settings.in_flight_slack * math.sqrt(share)
-        return math.ceil(share + slack)
+        behind = self.ledger.mean_time() - account.virtual_time
+        step = account.limits.largest_request * CATCH_UP_STEP
+        extra = max(behind, 0.0) * account.weight / step
+        return math.ceil(share + slack + extra)
 
     def _choose_session(
         self, account: virtual_time.Account
--- a/packages/lentilbeam-core/src/lentilbeam_core/virtual_time.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/virtual_time.py
@@ -64,6 +64,7 @@
         self.times = sortedcontainers.SortedList()
         self.floor = 0.0
         self.weight = 0.0
+        self.weighted_time = 0.0
 
     def charge(self, account: Account, service: float) -> None:
         """Settles service that a workspace has received."""
@@ -100,6 +101,10 @@
             account.virtual_time = max(account.virtual_time, self.floor)
             self._place(account, account.place is not None)
 
+    def mean_time(self) -> float:
+        """Returns the weighted mean virtual time of those that wait."""
+        return self.weighted_time / self.weight if self.weight > 0 else 0.0
+
     def _lift(self, account: Account, now: float) -> None:
         if now - account.idle_since > self.wake_grace_s:
             account.virtual_time = max(account.virtual_time, self.least())
@@ -115,6 +120,9 @@
             account.place = place
         if time != account.time:
             _move(self.times, account.time, time)
+            before = account.time[0] if account.time else 0.0
+            after = time[0] if time else 0.0
+            self.weighted_time += account.weight * (after - before)
             account.time = time
 
 
--- a/tests/unit/fleet.py
+++ b/tests/unit/fleet.py
@@ -13,6 +13,7 @@
 
 POOL = ids.PoolId("assistants")
 LOAD_INTERVAL_S = 0.5
+PROGRESS_S = 0.2
 LOAD_LAG_S = 0.25
 SECOND_COST = 1000.0
 """Cost units that one slot serves in a second."""
@@ -265,6 +266,7 @@
             job = waiting.pop(0)
             job.started = self.now
             running.append(job)
+            self.at(self.now + PROGRESS_S, self._progress, job)
             self.at(
                 self.now + job.cost / SECOND_COST,
                 self._finish,
@@ -272,6 +274,13 @@
                 "completed",
             )
 
+    def _progress(self, job):
+        if job in self.running[job.target]:
+            cost = (self.now - job.started) * SECOND_COST
+            name = job.request.name
+            self.tell(job.router, events.RequestProgressed(name, cost))
+            self.at(self.now + PROGRESS_S, self._progress, job)
+
     def _finish(self, job, end):
         running = self.running[job.target]
         if end == "completed":
