--- a/demo/catalogue.py
+++ b/demo/catalogue.py
@@ -4,12 +4,8 @@
 from typing import Any
 
 from demo import orders
-from lentilbeam_core import catalogue as catalogue_lib
-from lentilbeam_core import catalogue_change
-from lentilbeam_core import ids
 
 OWNER = "demo"
-CHANGE_ID = "019b8d3c-5c00-7000-8000-000000000002"
 LARGEST_REQUEST_TOKENS = 4096.0
 
 
@@ -124,20 +120,3 @@
         "targets": [dataclasses.asdict(target) for target in targets],
         "idempotent_calls": calls,
     }
-
-
-def build_change(entries: list[dict[str, Any]]) -> catalogue_change.Change:
-    """Returns the change that brings all entries into being."""
-    return catalogue_change.Change(
-        name=catalogue_change.ChangeId(CHANGE_ID),
-        operator=OWNER,
-        bases=tuple(_build_base(entry) for entry in entries),
-        upserts=tuple(entries),
-        deletes=(),
-    )
-
-
-def _build_base(entry: dict[str, Any]) -> catalogue_change.Base:
-    kind = catalogue_lib.EntryKind(entry["kind"])
-    key = catalogue_lib.EntryKey(kind, entry["name"])
-    return catalogue_change.Base(key, ids.Offset(0))
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -12,9 +12,8 @@
 from demo import addresses
 from demo import catalogue
 from demo import processes
-from lentilbeam_core import catalogue_change
-from lentilbeam_core import catalogue_log
 
+APPLY_TIMEOUT_S = 40.0
 LOG = "log"
 INSTANCES = "instances"
 
@@ -217,13 +216,24 @@
         }
 
     async def _publish(self, workspaces: list[catalogue.WorkspaceSpec]) -> None:
+        path = self.folder / "catalogue.json"
         entries = catalogue.build_entries(
             workspaces, self.engines, self.bookings
         )
-        url = f"{self._url(LOG)}/streams/{catalogue_log.STREAM}/records"
-        change = catalogue.build_change(entries)
-        body = {"records": [catalogue_change.dump_change(change)]}
-        (await self.http.post(url, json=body)).raise_for_status()
+        path.write_text(json.dumps({"entries": entries}, indent=2))
+        process = self.processes.start(
+            "apply",
+            "",
+            "lentilbeam_cli",
+            "apply",
+            str(path),
+            "--wait",
+            f"--operator={catalogue.OWNER}",
+            f"--log_url={self._url(LOG)}",
+            f"--instances_url={self._url(INSTANCES)}",
+        )
+        if await process.wait(APPLY_TIMEOUT_S) != 0:
+            raise processes.StartError(f"apply:\n{process.read_tail()}")
 
     async def _wait_for_all(self, names: list[str], path: str) -> None:
         await asyncio.gather(
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -58,6 +58,7 @@
         gap: largest difference in tokens per weight that any two backlogged
             workspaces got within any interval, counted as requests end.
         utilisation: mean part of the engines' slots in use.
+        slowest_s: the longest time that a request took, with all its tries.
         broken_tries: tries that ended without a typed answer, and that the
             callers made good by another one.
         violations: number of violations of each invariant.
@@ -67,6 +68,7 @@
     shares: list[Share]
     gap: float
     utilisation: float
+    slowest_s: float
     broken_tries: int
     violations: dict[str, int]
 
@@ -84,6 +86,7 @@
         shares=[measure_share(each, outcomes) for each in workspaces],
         gap=measure_gap(outcomes, workspaces),
         utilisation=measure_utilisation(outcomes, slots),
+        slowest_s=max(r.ended_at - r.started_at for r in results),
         broken_tries=sum(len(result.breaks) for result in results),
         violations={
             "untyped outcomes": len(outcomes.untyped),
