--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 
 bench-catalogue: setup
 	$(BIN)/python -m bench.catalogue
+	$(BIN)/python -m bench.catalogue_spread
 
 bench-slopes: setup
 	$(BIN)/python -m bench.slopes
--- /dev/null
+++ b/bench/catalogue_spread.py
@@ -0,0 +1,222 @@
+"""How soon a change is in force at all 7 routers.
+
+`make bench-catalogue` runs the routers' readers in virtual time: three data
+centres, the log in one of them, another one cut off from the log, 1% loss.
+A lost segment costs a retransmission timeout, a lost heartbeat is not sent
+again. Prints one line of JSON with the targets beside the figures.
+"""
+
+import asyncio
+import itertools
+import json
+import random
+
+import httpx
+
+from lentilbeam_core import catalogue_log
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import ids
+from lentilbeam_core import node
+from lentilbeam_router import catalogue_reader
+from lentilbeam_router import platform_log
+from tests import model_log
+from tests import virtual_time
+from tests.unit import catalogue_cases as cases
+
+CENTRES = {
+    "router-1": "north",
+    "router-2": "north",
+    "router-3": "north",
+    "router-4": "west",
+    "router-5": "west",
+    "router-6": "east",
+    "router-7": "east",
+}
+LOG_CENTRE = "north"
+CUT_OFF_CENTRE = "east"
+FAR_S = 0.0035
+NEAR_S = 0.0003
+LOSS = 0.01
+RETRANSMISSION_S = 0.2
+SCHEDULER = "router-6"
+"""Schedules the only pool; it is cut off from the log itself."""
+CHANGES = 1000
+MEAN_PAUSE_S = 1.0
+SETTLE_S = 60.0
+SEED = 3
+TARGET_MEDIAN_S = 1.0
+TARGET_P99_S = 5.0
+GOLD = cases.key("class", "gold")
+
+
+class Network:
+    """Delays and losses between data centres."""
+
+    def __init__(self):
+        self.rng = random.Random(SEED)
+
+    def delay(self, source: str, receiver: str) -> float:
+        """Returns a one-way delay, without loss."""
+        base = NEAR_S if source == receiver else FAR_S
+        return base * (1 + self.rng.expovariate(5))
+
+    def stream_delay(self, source: str, receiver: str) -> float:
+        """Returns a one-way delay with retransmissions."""
+        delay = self.delay(source, receiver)
+        timeout = RETRANSMISSION_S
+        while self.rng.random() < LOSS:
+            delay += timeout
+            timeout *= 2
+        return delay
+
+
+class Router:
+    """One router's reader, its heartbeats, and what it has in force."""
+
+    def __init__(self, fleet: "Fleet", name: str):
+        self.fleet = fleet
+        self.name = name
+        self.centre = CENTRES[name]
+        self.in_force_at: dict[int, float] = {}
+        self.heard: dict[str, ids.Offset] = {}
+        http = httpx.AsyncClient(transport=httpx.MockTransport(self.route))
+        self.reader = catalogue_reader.CatalogueReader(
+            platform_log.LogClient(model_log.URL, http),
+            fleet.clock,
+            self.change,
+            catalogue_reader.Settings(),
+            self.list_peers,
+            random.Random(name),
+        )
+
+    def change(self, catalogue, offset: ids.Offset) -> None:
+        """Notes when the changes up to `offset` came into force."""
+        del catalogue
+        for changed in range(len(self.in_force_at) + 1, offset + 1):
+            self.in_force_at[changed] = self.fleet.clock.monotonic()
+
+    def list_peers(self) -> list[catalogue_reader.Peer]:
+        """Returns what heartbeats told of the peers."""
+        return [
+            catalogue_reader.Peer(f"http://{name}", offset)
+            for name, offset in self.heard.items()
+        ]
+
+    async def route(self, request: httpx.Request) -> httpx.Response:
+        """Carries a request to the log or to a peer, and the answer back."""
+        network = self.fleet.network
+        host = request.url.host
+        is_log = host not in CENTRES
+        if is_log and self.centre == CUT_OFF_CENTRE:
+            raise httpx.ConnectError("no route")
+        centre = LOG_CENTRE if is_log else CENTRES[host]
+        await asyncio.sleep(network.stream_delay(self.centre, centre))
+        if is_log:
+            response = await self.fleet.log.handle(request)
+        else:
+            reader = self.fleet.routers[host].reader
+            after = int(request.url.params["after"])
+            response = httpx.Response(200, json=reader.build_export(after))
+        await asyncio.sleep(network.stream_delay(centre, self.centre))
+        return response
+
+    async def send_heartbeats(self, peer: "Router") -> None:
+        """Tells a peer again and again what is in force here."""
+        network = self.fleet.network
+        while True:
+            await asyncio.sleep(_choose_interval_s(self, peer))
+            if network.rng.random() >= LOSS:
+                asyncio.get_running_loop().call_later(
+                    network.delay(self.centre, peer.centre),
+                    peer.heard.__setitem__,
+                    self.name,
+                    self.reader.offset,
+                )
+
+
+def _choose_interval_s(sender: Router, receiver: Router) -> float:
+    settings = node.Settings(ids.InstanceId(sender.name), sender.centre)
+    if sender.name == SCHEDULER:
+        return settings.heartbeat_s
+    if receiver.name == SCHEDULER:
+        return settings.follower_heartbeat_s
+    return settings.slow_heartbeat_s
+
+
+class Fleet:
+    """All routers and the log, in virtual time."""
+
+    def __init__(self, clock: clock_lib.ManualClock):
+        self.clock = clock
+        self.network = Network()
+        self.log = model_log.ModelLog(clock)
+        self.routers = {name: Router(self, name) for name in CENTRES}
+        self.appended_at: dict[int, float] = {}
+
+    async def run(self) -> None:
+        """Appends all changes and lets them spread."""
+        routers = self.routers.values()
+        jobs = [router.reader.run() for router in routers]
+        jobs += [
+            router.send_heartbeats(peer)
+            for router, peer in itertools.permutations(routers, 2)
+        ]
+        tasks = [asyncio.create_task(job) for job in jobs]
+        for number in range(CHANGES):
+            pause = self.network.rng.expovariate(1 / MEAN_PAUSE_S)
+            await asyncio.sleep(pause)
+            self.append(number)
+        await asyncio.sleep(SETTLE_S)
+        for task in tasks:
+            task.cancel()
+
+    def append(self, number: int) -> None:
+        """Appends a change that is based on the newest version."""
+        base = max(self.appended_at, default=0)
+        entry = cases.make_class("gold", weight=1 + number % 8)
+        change = cases.make_change(number, [entry], bases={GOLD: base})
+        offset = self.log.append(catalogue_log.STREAM, [change])
+        self.appended_at[offset] = self.clock.monotonic()
+
+
+def main() -> None:
+    """Prints the figures as one line of JSON."""
+    clock = clock_lib.ManualClock(virtual_time.START)
+    fleet = Fleet(clock)
+    virtual_time.run(fleet.run(), clock)
+    spread = {
+        name: [
+            router.in_force_at[offset] - appended
+            for offset, appended in fleet.appended_at.items()
+        ]
+        for name, router in fleet.routers.items()
+    }
+    slowest = sorted(map(max, zip(*spread.values(), strict=True)))
+    connected = sorted(
+        max(times)
+        for times in zip(
+            *(
+                spread[name]
+                for name, centre in CENTRES.items()
+                if centre != CUT_OFF_CENTRE
+            ),
+            strict=True,
+        )
+    )
+    median, p99 = slowest[CHANGES // 2], slowest[CHANGES * 99 // 100]
+    report = {
+        "routers": len(CENTRES),
+        "changes": CHANGES,
+        "all_median_s": round(median, 3),
+        "all_p99_s": round(p99, 3),
+        "all_max_s": round(slowest[-1], 3),
+        "connected_median_s": round(connected[CHANGES // 2], 3),
+        "connected_p99_s": round(connected[CHANGES * 99 // 100], 3),
+        "targets": {"median_s": TARGET_MEDIAN_S, "p99_s": TARGET_P99_S},
+        "is_met": median <= TARGET_MEDIAN_S and p99 <= TARGET_P99_S,
+    }
+    print(json.dumps(report))
+
+
+if __name__ == "__main__":
+    main()
