--- a/packages/lentilbeam-router/src/lentilbeam_router/catalogue_reader.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/catalogue_reader.py
@@ -80,7 +80,8 @@
     """Keeps the catalogue in force and calls back when it has changed.
 
     Attributes:
-        counters: records, verdicts, errors and snapshots, by name.
+        counters: of records, verdicts, errors and snapshots; the names
+            begin with `catalogue.`.
         list_peers: returns the peers that may be asked at the moment.
     """
 
@@ -92,6 +93,7 @@
         settings: Settings | None = None,
         list_peers: Callable[[], list[Peer]] = list_no_peers,
         rng: random.Random | None = None,
+        counters: collections.Counter[str] | None = None,
     ):
         self.log = log
         self.clock = clock
@@ -100,7 +102,7 @@
         self.list_peers = list_peers
         self.rng = rng or random.Random()
         self.follower = catalogue_follow.Follower()
-        self.counters: collections.Counter[str] = collections.Counter()
+        self.counters = collections.Counter() if counters is None else counters
         self.newest_snapshot = ids.Offset(0)
         self.is_caught_up = False
         self.snapshot_due = clock.monotonic() + self._jitter(
@@ -135,7 +137,7 @@
         while True:
             read = await self._read_page()
             if read.is_error():
-                self.counters["log_errors"] += 1
+                self.counters["catalogue.log_errors"] += 1
                 await asyncio.sleep(self._pick(self.settings.retry_s))
                 continue
             self._take_page(read.ok)
@@ -154,10 +156,12 @@
         )
 
     def _take_page(self, page: platform_log.Page) -> None:
+        gaps = self.follower.gaps
         progress = self.follower.take_page(page)
-        self.counters["records"] += len(page.records)
+        self.counters["catalogue.gaps"] += self.follower.gaps - gaps
+        self.counters["catalogue.records"] += len(page.records)
         for verdict in progress.verdicts:
-            self.counters[verdict.status.value] += 1
+            self.counters[f"catalogue.{verdict.status.value}"] += 1
         if progress.snapshot is not None:
             self._see_snapshot(progress.snapshot)
         if progress.is_changed:
@@ -191,7 +195,7 @@
         asked = self.rng.sample(peers, min(len(peers), MAX_PEERS_ASKED))
         for state in await asyncio.gather(*map(self._fetch, asked)):
             if state is not None and self.follower.take_offer(state):
-                self.counters["peer_offers_taken"] += 1
+                self.counters["catalogue.peer_offers_taken"] += 1
                 self._report()
 
     async def _fetch(self, peer: Peer) -> catalogue_state.State | None:
@@ -205,13 +209,13 @@
             response.raise_for_status()
             value = msgspec.json.decode(response.content)
         except (httpx.HTTPError, msgspec.DecodeError, RecursionError):
-            self.counters["peer_errors"] += 1
+            self.counters["catalogue.peer_errors"] += 1
             return None
         if catalogue_snapshot.read_as_of(value) is None:
             return None
         parsed = catalogue_snapshot.parse_snapshot(value)
         if parsed.is_error():
-            self.counters["peer_errors"] += 1
+            self.counters["catalogue.peer_errors"] += 1
         return parsed.default_value(None)
 
     async def _keep_snapshot(self) -> None:
@@ -230,9 +234,9 @@
         snapshot = catalogue_snapshot.dump_snapshot(state)
         appended = await self.log.append(catalogue_log.STREAM, [snapshot])
         if appended.is_ok():
-            self.counters["snapshots_appended"] += 1
+            self.counters["catalogue.snapshots_appended"] += 1
         else:
-            self.counters["log_errors"] += 1
+            self.counters["catalogue.log_errors"] += 1
             self.snapshot_due = self.clock.monotonic() + self._pick(
                 self.settings.poll_s
             )
