Announce a longer heartbeat interval before keeping to it

Cause: `lentilbeam status` on an idle fleet showed routers that take each other for unreachable in turn. A router that stopped scheduling, or that heard a peer again, went from 0.15 or 0.5 s to 4 s at once; its peers still held it to the old promise, took it for unreachable, beat faster, and so on. Ruled out: losses (loopback, none), lagging list (static). Conclusion: a longer interval holds from the beat that announces it.

--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -341,9 +341,8 @@
     def _beat(self, now: float, effects: list[events.Effect]) -> None:
         for peer in self._peers():
             interval_s = self._interval_s(peer, now)
-            said_at = self.said_at.get(peer, -math.inf)
             is_shorter = interval_s < self.promised_s.get(peer, math.inf)
-            if now < said_at + interval_s and not is_shorter:
+            if now < self._beat_due(peer, now) and not is_shorter:
                 continue
             self.said_at[peer] = now
             self.promised_s[peer] = interval_s
@@ -356,11 +355,20 @@
             )
             effects.append(events.SendMessage(peer, beat))
 
+    def _beat_due(self, peer: ids.InstanceId, now: float) -> float:
+        """Returns when the next beat is due.
+
+        A longer interval holds only once a beat has announced it, or else
+        the peer would take this router for unreachable.
+        """
+        if peer not in self.said_at:
+            return now
+        promised_s = self.promised_s.get(peer, math.inf)
+        interval_s = min(promised_s, self._interval_s(peer, now))
+        return self.said_at[peer] + interval_s
+
     def _due(self, now: float) -> float:
-        dues = [
-            self.said_at.get(peer, now) + self._interval_s(peer, now)
-            for peer in self._peers()
-        ]
+        dues = [self._beat_due(peer, now) for peer in self._peers()]
         bound_s = self.settings.membership.silence_s + 1e-6
         for pool, agent in self.agents.items():
             dues += [agent.due(now), self.schedulers[pool].due(now)]
