--- a/tests/unit/fleet.py
+++ b/tests/unit/fleet.py
@@ -1,5 +1,6 @@
 """A few nodes, a lossy mailbox and plain targets in virtual time."""
 
+import collections.abc
 import dataclasses
 import heapq
 import itertools
@@ -13,6 +14,7 @@
 
 POOL = ids.PoolId("assistants")
 LOAD_INTERVAL_S = 0.5
+PROGRESS_S = 0.2
 LOAD_LAG_S = 0.25
 SECOND_COST = 1000.0
 """Cost units that one slot serves in a second."""
@@ -265,6 +267,7 @@
             job = waiting.pop(0)
             job.started = self.now
             running.append(job)
+            self.at(self.now + PROGRESS_S, self._progress, job)
             self.at(
                 self.now + job.cost / SECOND_COST,
                 self._finish,
@@ -272,6 +275,13 @@
                 "completed",
             )
 
+    def _progress(self, job):
+        if job in self.running[job.target]:
+            cost = (self.now - job.started) * SECOND_COST
+            name = job.request.name
+            self.tell(job.router, events.RequestProgressed(name, cost))
+            self.at(self.now + PROGRESS_S, self._progress, job)
+
     def _finish(self, job, end):
         running = self.running[job.target]
         if end == "completed":
@@ -337,6 +347,18 @@
 SAMPLE_S = 0.02
 
 
+def draw_heavy_tailed(source):
+    """Draws a cost with a heavy tail."""
+    return min(max(source.lognormvariate(6.5, 0.9), 50.0), LARGEST)
+
+
+def draw_of_two_kinds(source):
+    """Draws a short cost or, seldom, the largest."""
+    if source.random() < 0.15:
+        return LARGEST
+    return source.uniform(50.0, 300.0)
+
+
 @dataclasses.dataclass(frozen=True)
 class Load:
     """Closed-loop load that keeps every workspace backlogged.
@@ -345,11 +367,13 @@
         depth: requests of each workspace at each of its routers.
         homes: routers of each workspace; all routers if not listed.
         hint_error: hints are wrong by up to this factor, either way.
+        draw: draws a cost from a random source.
     """
 
     depth: int = 4
     homes: dict = dataclasses.field(default_factory=dict)
     hint_error: float = 4.0
+    draw: collections.abc.Callable = draw_heavy_tailed
 
 
 def saturate(shape, load, until, plan=lambda fleet: None):
@@ -358,7 +382,7 @@
     choice = random.Random(shape.seed + 1)
 
     def send(router, workspace):
-        cost = min(max(choice.lognormvariate(6.5, 0.9), 50.0), LARGEST)
+        cost = load.draw(choice)
         error = load.hint_error ** choice.uniform(-1, 1)
         fleet.submit(router, workspace, cost, min(cost * error, LARGEST))
 
