--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -19,6 +19,9 @@
 """List items in one datagram."""
 SCAN_LIMIT = 8
 QUEUE_STEPS = 8
+CATCH_UP_STEP = 0.25
+"""Service behind the mean, relative to the largest request, that allows one
+more request in flight."""
 FULL_INTERVAL_S = 0.1
 
 
@@ -32,8 +35,6 @@
         resend_s: unacknowledged grants are sent again after this time.
         rebuild_s: how long a new scheduler waits for full reports.
         wake_grace_s: a queue that was empty for less keeps its place.
-        in_flight_factor: a workspace that competes holds at most this many
-            times its share of the slots.
         book: settings of the use of slots.
     """
 
@@ -42,7 +43,6 @@
     resend_s: float = 0.3
     rebuild_s: float = 0.15
     wake_grace_s: float = 0.05
-    in_flight_factor: float = 2.0
     book: slots.Settings = slots.Settings()
 
 
@@ -459,10 +459,13 @@
         return accounts[0]
 
     def _cap(self, account: virtual_time.Account) -> int:
-        total = sum(target.slots for target in self.book.targets.values())
-        share = account.weight / max(self.ledger.weight, account.weight)
-        factor = self.settings.in_flight_factor
-        return max(1, math.ceil(total * share * factor))
+        """Returns the share of the slots in use, more for one behind."""
+        total = sum(self.book.occupied.values())
+        part = account.weight / max(self.ledger.weight, account.weight)
+        behind = self.ledger.mean_time() - account.virtual_time
+        step = account.limits.largest_request * CATCH_UP_STEP
+        extra = max(behind, 0.0) * account.weight / step
+        return max(1, math.ceil(total * part + extra))
 
     def _choose_session(
         self, account: virtual_time.Account
