Forget gone routers; keep requests that retry at once; name heirs

Causes found by reading: a retried request that started again at once was forgotten, so its slot leaked; a leaving router that died stayed counted as long as the list named it; gone routers were beaten at and kept for ever; a fleet that leaves as a whole had one scheduler per router; a workspace first reported after the full report was charged its whole past.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -83,7 +83,9 @@
             entries.pools[POOL], scheduler_lib.Settings()
         )
         self.scheduler.configure(entries.pools[POOL], entries)
-        members = scheduler_lib.Members({ROUTER: None}, frozenset({ROUTER}), 1)
+        members = scheduler_lib.Members(
+            {ROUTER: None}, frozenset({ROUTER}), frozenset({ROUTER}), 1
+        )
         self.scheduler.set_members(members, 0.0)
         self.scheduler.activate(0.0)
         self.sequence = 1
--- a/packages/lentilbeam-core/src/lentilbeam_core/agent.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/agent.py
@@ -27,6 +27,8 @@
 """Longer ones when they change by this part of the limit."""
 PROGRESS_STEP = 0.25
 """Progress is reported in steps of this part of the largest request."""
+IDLE_S = 60.0
+"""A workspace unused for longer is left out of full reports."""
 SESSION_BITS = 8
 UNREACHABLE_RETRY_AFTER_S = 1.0
 
@@ -127,6 +129,7 @@
         self.unanswered_since = math.inf
         self.answered_at = -math.inf
         self.followed_at = -math.inf
+        self.introduced: set[ids.WorkspaceId] = set()
         self.floor = 0.0
         self.counters: dict[str, int] = {}
 
@@ -154,6 +157,7 @@
         self.sender = channel.StateSender()
         self.receiver = channel.StateReceiver()
         self.elsewhere = {}
+        self.introduced = set()
         self.unanswered_since = now
         self.answered_at = -math.inf
         self.held = [HeldSlot(held.target, 1) for held in self.held]
@@ -162,8 +166,9 @@
             cell.granted = cell.spent = 0
         for target in self.uses:
             self._publish_target(target, now)
-        for workspace in self.queues:
-            self._publish_demand(workspace, now, now)
+        for workspace, queue in self.queues.items():
+            if queue.pending or now - queue.used_at <= IDLE_S:
+                self._publish_demand(workspace, now, now)
         for target, workspace in self.cells:
             self._publish_cell(target, workspace, now, now)
         self.sender.want(now)
@@ -324,9 +329,9 @@
             for index, part in enumerate(chunks)
         ]
 
-    def is_backlogged(self) -> bool:
-        """Tells whether any request waits."""
-        return bool(self.waiting)
+    def holds(self, name: ids.RequestId) -> bool:
+        """Tells whether the request waits or runs."""
+        return name in self.waiting or name in self.running
 
     def _make_part(
         self, items: list[object], part: int, parts: int
@@ -363,6 +368,7 @@
             if kind == "demand":
                 sent = self.sender.values[kind, name]
                 self.queues[name].acknowledged_served = sent.served
+                self.introduced.add(name)
 
     def _take_grant(
         self, grant: messages.Grant, now: float
@@ -493,7 +499,7 @@
         self, workspace: ids.WorkspaceId, now: float, due: float
     ) -> None:
         queue = self.queues[workspace]
-        is_first = self.sender.acknowledged == 0
+        is_first = workspace not in self.introduced
         head = queue.pending[0] if queue.pending else None
         demand = messages.WorkspaceDemand(
             workspace=workspace,
--- a/packages/lentilbeam-core/src/lentilbeam_core/membership.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/membership.py
@@ -104,13 +104,20 @@
         margin_s = 1e-6
         return min((e + margin_s for e in ends if e >= now), default=math.inf)
 
+    def is_heard(self, name: ids.InstanceId, now: float) -> bool:
+        """Tells whether the instance gives signs of life."""
+        if name == self.me:
+            return True
+        peer = self.peers.get(name)
+        return peer is not None and now - peer.last_heard <= self.bound_s(peer)
+
     def state(self, name: ids.InstanceId, now: float) -> PeerState:
         """Returns what is believed of the instance `name`."""
         listed = self.listed.get(name)
         if name == self.me:
             return PeerState.LEAVING if self.is_leaving else PeerState.LIVE
         peer = self.peers.get(name, Peer())
-        is_heard = now - peer.last_heard <= self.bound_s(peer)
+        is_heard = self.is_heard(name, now)
         if peer.said_leaving and (is_heard or listed):
             return PeerState.LEAVING
         if listed and listed.state is events.ListedState.LEAVING:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -43,10 +43,10 @@
             cost units, with what running requests have used so far.
         next_cost: estimated cost of the next request in the queue.
         preferred: target that likely caches the next request's prefix, or "".
-        virtual_time: highest virtual time seen in grants; only in the first
-            report of a session.
-        unsettled: part of `served` that no scheduler has acknowledged; only
-            in the first report of a session.
+        virtual_time: highest virtual time seen in grants; only until the
+            session's scheduler has acknowledged the workspace, else 0.
+        unsettled: part of `served` that no earlier scheduler has
+            acknowledged; sent as long as `virtual_time`.
     """
 
     workspace: ids.WorkspaceId
--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -150,11 +150,11 @@
                 agent.progress(event.name, event.cost, now)
             case events.RequestEnded():
                 effects += agent.end(event.name, event.cost, event.end, now)
-                if event.name not in agent.waiting:
+                if not agent.holds(event.name):
                     del self.pools_by_request[event.name]
             case events.RequestWithdrawn():
                 agent.withdraw(event.name, now)
-                if event.name not in agent.running:
+                if not agent.holds(event.name):
                     del self.pools_by_request[event.name]
 
     def _arrive(
@@ -219,10 +219,12 @@
             name: self._data_centre(name)
             for name, state in named.items()
             if state in (states.LIVE, states.LEAVING)
+            and self.membership.is_heard(name, now)
         }
         live = frozenset(n for n, s in named.items() if s is states.LIVE)
         silent = sum(s is states.UNREACHABLE for s in named.values())
-        return scheduler_lib.Members(heard, live, len(live) + silent)
+        known = frozenset(n for n, s in named.items() if s is not states.GONE)
+        return scheduler_lib.Members(heard, live, known, len(live) + silent)
 
     def _data_centre(self, name: ids.InstanceId) -> ids.DataCentreId | None:
         if name == self.settings.name:
@@ -242,6 +244,8 @@
         self._suspect_silent(now)
         members = self._members(now)
         able = [n for n in sorted(members.live) if self._can_schedule(n)]
+        if not able:
+            able = [n for n in sorted(members.heard) if self._can_schedule(n)]
         for pool, agent in self.agents.items():
             chosen = rendezvous.choose(pool, able) or self.settings.name
             scheduler = self.schedulers[pool]
@@ -329,17 +333,17 @@
             return self.settings.follower_heartbeat_s
         return self.settings.slow_heartbeat_s
 
-    def _peers(self) -> list[ids.InstanceId]:
-        listed = set(self.membership.listed)
-        heard = {
+    def _peers(self, now: float) -> list[ids.InstanceId]:
+        gone = membership_lib.PeerState.GONE
+        return [
             name
-            for name, peer in self.membership.peers.items()
-            if not math.isinf(peer.last_heard)
-        }
-        return sorted((listed | heard) - {self.settings.name})
+            for name in self.membership.names()
+            if name != self.settings.name
+            and self.membership.state(name, now) is not gone
+        ]
 
     def _beat(self, now: float, effects: list[events.Effect]) -> None:
-        for peer in self._peers():
+        for peer in self._peers(now):
             interval_s = self._interval_s(peer, now)
             said_at = self.said_at.get(peer, -math.inf)
             is_shorter = interval_s < self.promised_s.get(peer, math.inf)
@@ -359,7 +363,7 @@
     def _due(self, now: float) -> float:
         dues = [
             self.said_at.get(peer, now) + self._interval_s(peer, now)
-            for peer in self._peers()
+            for peer in self._peers(now)
         ]
         bound_s = self.settings.membership.silence_s + 1e-6
         for pool, agent in self.agents.items():
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -53,11 +53,13 @@
     Attributes:
         heard: routers that are heard, with their data centres.
         live: those of them that are not leaving.
+        known: routers that are not gone.
         total: routers that are live or listed so and silent.
     """
 
     heard: dict[ids.InstanceId, ids.DataCentreId | None]
     live: frozenset[ids.InstanceId]
+    known: frozenset[ids.InstanceId]
     total: int
 
 
@@ -81,7 +83,7 @@
         self.sessions: dict[ids.InstanceId, sessions.Session] = {}
         self.baselines: dict[ids.InstanceId, sessions.Baseline] = {}
         self.demanding: dict[ids.WorkspaceId, set[ids.InstanceId]] = {}
-        self.members = Members({}, frozenset(), 0)
+        self.members = Members({}, frozenset(), frozenset(), 0)
         self.strangers: dict[ids.InstanceId, float] = {}
         self.outbox: list[Addressed] = []
         self.is_active = False
@@ -129,6 +131,9 @@
             if is_counted != session.is_counted:
                 session.is_counted = is_counted
                 self._recount(session, now)
+        for name in set(self.sessions) - members.known:
+            self._drop(name, now)
+            del self.baselines[name]
 
     def receive(
         self,
@@ -260,7 +265,7 @@
         self.ledger.floor = max(self.ledger.floor, report.floor)
         for demand in report.workspaces:
             if demand.workspace in self.catalogue.workspaces:
-                self._take_demand(session, demand, report.is_full, now)
+                self._take_demand(session, demand, now)
         ended: dict[ids.TargetId, int] = {}
         for use in report.slots:
             if use.workspace in self.catalogue.workspaces:
@@ -279,7 +284,6 @@
         self,
         session: sessions.Session,
         demand: messages.WorkspaceDemand,
-        is_full: bool,
         now: float,
     ) -> None:
         workspace = demand.workspace
@@ -288,8 +292,7 @@
         if workspace not in served:
             time = max(account.virtual_time, demand.virtual_time)
             account.virtual_time = time
-            settled = demand.served - demand.unsettled if is_full else 0.0
-            served[workspace] = settled
+            served[workspace] = demand.served - demand.unsettled
         self.ledger.charge(account, demand.served - served[workspace])
         served[workspace] = max(served[workspace], demand.served)
         before = session.demands.get(workspace)
