--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/load_poller.py
@@ -0,0 +1,52 @@
+"""Reads the load reports of the targets whose pool is scheduled here."""
+
+import asyncio
+
+from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import events
+from lentilbeam_router import fleet
+from lentilbeam_router import node_task
+from lentilbeam_router import target_client
+
+
+class LoadPoller:
+    """Posts a `TargetReported` event for each load report it reads."""
+
+    def __init__(
+        self,
+        fleet_view: fleet.Fleet,
+        node: node_task.NodeTask,
+        targets: target_client.TargetClient,
+        interval_s: float,
+    ):
+        self.fleet = fleet_view
+        self.node = node
+        self.targets = targets
+        self.interval_s = interval_s
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        while True:
+            await asyncio.sleep(self.interval_s)
+            polls = [self._poll(target) for target in self._collect_due()]
+            await asyncio.gather(*polls)
+
+    def _collect_due(self) -> list[catalogue_lib.Target]:
+        schedulers = self.node.node.schedulers
+        return [
+            target
+            for name, pool in self.fleet.catalogue.pools.items()
+            if name in schedulers and schedulers[name].is_active
+            for target in pool.targets
+        ]
+
+    async def _poll(self, target: catalogue_lib.Target) -> None:
+        load = await self.targets.read_load(target)
+        if load is None:
+            self.node.metrics.count("target_load.errors")
+            return
+        self.node.post(
+            events.TargetReported(
+                target.name, load.running, load.waiting, load.draining
+            )
+        )
