--- a/tests/unit/fleet.py
+++ b/tests/unit/fleet.py
@@ -69,6 +69,7 @@
         self.running = {f"t{i}": [] for i in range(shape.targets)}
         self.waiting = {f"t{i}": [] for i in range(shape.targets)}
         self.broken = set()
+        self.unreachable = set()
         self.ended_cost = dict.fromkeys(shape.weights, 0.0)
         self.refused = []
         self.dispatched = []
@@ -258,6 +259,9 @@
         if job.target in self.broken:
             self.at(self.now + 0.002, self._finish, job, "failed")
             return
+        if job.target in self.unreachable:
+            self.at(self.now + 0.002, self._finish, job, "unreachable")
+            return
         self.waiting[job.target].append(job)
         self._fill(job.target)
 
@@ -289,12 +293,13 @@
                 return
             running.remove(job)
             self.ended_cost[job.request.workspace] += job.cost
-        self.jobs.pop(job.request.name, None)
+        if end != "unreachable":
+            self.jobs.pop(job.request.name, None)
         cost = job.cost if end == "completed" else 0.0
         ended = events.RequestEnded(job.request.name, cost, events.RunEnd(end))
         self._fill(job.target)
         self.tell(job.router, ended)
-        if self.on_end:
+        if self.on_end and end != "unreachable":
             self.on_end(job)
 
 
--- a/tests/unit/test_scheduler_limits.py
+++ b/tests/unit/test_scheduler_limits.py
@@ -1,6 +1,7 @@
 """Limits hold fleet-wide; only what exceeds them is refused, at once."""
 
 from lentilbeam_core import catalogue
+from lentilbeam_core import events
 from lentilbeam_core import outcome
 from tests.unit import fleet
 
@@ -137,3 +138,34 @@
     run.run(6.0)
     assert {job.target for job in run.dispatched} == {"t0", "t2"}
     assert run.jobs == {}
+
+
+def test_requests_that_reach_no_target_run_elsewhere():
+    run = fleet.Fleet(fleet.Shape())
+    run.run(1.0)
+    run.unreachable.add("t0")
+    for index in range(60):
+        run.submit(run.names[index % 3], "ab"[index % 2], 400.0, 400.0)
+    run.run(8.0)
+    assert run.jobs == {}
+    assert run.refused == []
+    (scheduler,) = run.schedulers()
+    book = run.nodes[scheduler].schedulers[fleet.POOL].book
+    assert set(book.occupied.values()) <= {0}
+
+
+def test_a_leaving_router_that_dies_holds_no_slots():
+    run = fleet.Fleet(fleet.Shape(targets=1, slots=3))
+    run.run(1.0)
+    (scheduler,) = run.schedulers()
+    leaver, other = [name for name in run.names if name != scheduler]
+    for _ in range(3):
+        run.submit(leaver, "a", 60_000.0, 4000.0)
+    run.run(1.5)
+    run.tell(leaver, events.DrainStarted())
+    run.run(2.0)
+    run.kill(leaver)
+    for _ in range(6):
+        run.submit(other, "b", 500.0, 500.0)
+    run.run(5.0)
+    assert [job.request.workspace for job in run.jobs.values()] == ["a"] * 3
