Claim while a request waits for its grant; join known answers first

Cause: (1) a granted booking held its slot idle while its claim was appended and read back, 18 to 40 ms beside 30 ms of work; (2) lost claims ended as router_fault, since a field had been renamed (lost.ended); (3) a closing router told a retry of a known request that it was not run; (4) httpcore looks at every idle connection on each request. Ruled out: the log stand-in and the claim book; both were in time. Conclusion: claims run beside the queue; refusals ask for known claims first; at most 8 idle connections to targets are kept.

--- a/packages/lentilbeam-router/src/lentilbeam_router/caller_api.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/caller_api.py
@@ -95,13 +95,20 @@
     async def _serve_checked(
         self, request: requests.CallerRequest
     ) -> litestar.Response:
-        refusal = self._find_refusal(request)
-        if refusal is not None:
-            return responses.build_problem(refusal)
         entry = self.store.find(request.workspace, request.name)
+        if entry is not None and entry.fingerprint != request.fingerprint:
+            refusal = problems.build_refusal(
+                outcome.RefusalReason.KEY_IN_USE,
+                "the request_id was used for another request",
+                request.name,
+            )
+            return responses.build_problem(refusal)
         if entry is not None and entry.is_final:
             feed = entry.feed
         else:
+            refusal = self._find_refusal(request)
+            if refusal is not None:
+                return responses.build_problem(refusal)
             feed = self.pipeline.start(request)
         if request.is_streamed:
             return await responses.build_stream(feed, 0)
@@ -110,13 +117,9 @@
     def _find_refusal(
         self, request: requests.CallerRequest
     ) -> problems.Problem | None:
-        entry = self.store.find(request.workspace, request.name)
-        if entry is not None and entry.fingerprint != request.fingerprint:
-            return problems.build_refusal(
-                outcome.RefusalReason.KEY_IN_USE,
-                "the request_id was used for another request",
-                request.name,
-            )
+        if self.pipeline.is_claimed(request):
+            # It ran or runs: the pipeline finds out what became of it.
+            return None
         if self._is_too_large(request):
             return problems.build_refusal(
                 outcome.RefusalReason.TOO_LARGE,
--- a/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
@@ -32,6 +32,7 @@
 from lentilbeam_router import peer_link
 from lentilbeam_router import pipeline
 from lentilbeam_router import platform_log
+from lentilbeam_router import relay
 from lentilbeam_router import settings as settings_lib
 from lentilbeam_router import target_client
 from lentilbeam_router import web_server
@@ -79,9 +80,10 @@
             self.node,
             self.claims,
             self.lost,
-            self.targets,
+            relay.Relay(self.node, self.targets, self.store),
             self.store,
             self.clock,
+            log,
         )
         self.reader = self._build_reader()
         self.server = self._build_server()
@@ -186,7 +188,7 @@
 
     def _build_claims(self) -> claim_task.ClaimTask:
         platform = self.settings.platform
-        window = request_key.KeyWindow(log_retention_s=platform.log_retention_s)
+        window = request_key.build_window(platform.log_retention_s)
         return claim_task.ClaimTask(
             claim_events.Settings(window=window),
             self.settings.instance,
--- a/packages/lentilbeam-router/src/lentilbeam_router/lost_claims.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/lost_claims.py
@@ -11,7 +11,6 @@
 from lentilbeam_core import answers
 from lentilbeam_core import claim_events
 from lentilbeam_core import endings
-from lentilbeam_core import outcome
 from lentilbeam_router import answer_feed
 from lentilbeam_router import fleet
 from lentilbeam_router import problems
@@ -45,11 +44,8 @@
             whole = await self._fetch(run, lost)
             if whole is not None:
                 return whole
-        decided = endings.decide_lost_claim(lost.outcome)
-        if decided is outcome.Outcome.COMPLETED:
-            # It ran, but its answer is gone: never a whole answer.
-            decided = outcome.Outcome.OUTCOME_UNKNOWN
-        known = lost.outcome.value if lost.outcome else "not known"
+        decided = endings.decide_lost_claim(lost.ended)
+        known = lost.ended.value if lost.ended else "not known"
         return problems.build_failure(
             decided,
             "claimed_elsewhere",
--- a/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
@@ -1,12 +1,15 @@
 """A request's way through the router, from the queue to settlement.
 
-enqueue -> grant -> claim -> dispatch -> relay -> settle. Each run is a task
-of its own that feeds an `AnswerFeed`; callers only read the feed, so that a
-caller that was cut off can attach again.
+enqueue -> grant -> claim -> dispatch -> relay -> settle. The claim is made
+while the request waits for its grant, so that no slot idles meanwhile. Each
+run is a task of its own that feeds an `AnswerFeed`; callers only read the
+feed, so that a caller that was cut off can attach again.
 """
 
 import asyncio
 
+import structlog
+
 from lentilbeam_core import claim_events
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import events
@@ -17,21 +20,11 @@
 from lentilbeam_router import lost_claims
 from lentilbeam_router import node_task
 from lentilbeam_router import problems
+from lentilbeam_router import relay as relay_lib
 from lentilbeam_router import requests
 from lentilbeam_router import runs
-from lentilbeam_router import target_client
-
-MAX_RERUNS = 2
-"""How often an idempotent request is run again after a failed try."""
-
-MAX_RESUMES = 2
-"""How often a broken stream is resumed on its target."""
 
-_TARGET_ENDS = {
-    target_client.FaultKind.UNREACHABLE: outcome.TargetEnd.NOT_STARTED,
-    target_client.FaultKind.ERROR_ANSWER: outcome.TargetEnd.ERROR_ANSWER,
-    target_client.FaultKind.BROKEN: outcome.TargetEnd.BROKEN,
-}
+Mailbox = asyncio.Queue[node_task.Decision]
 
 
 class Pipeline:
@@ -42,16 +35,18 @@
         node: node_task.NodeTask,
         claims: claim_task.ClaimTask,
         lost: lost_claims.LostClaims,
-        targets: target_client.TargetClient,
+        relay: relay_lib.Relay,
         store: answer_store.AnswerStore,
         clock: clock_lib.Clock,
+        log: structlog.BoundLogger,
     ):
         self.node = node
         self.claims = claims
         self.lost = lost
-        self.targets = targets
+        self.relay = relay
         self.store = store
         self.clock = clock
+        self.log = log
         self.metrics = node.metrics
         self.timeline = node.timeline
         self.tasks: set[asyncio.Task] = set()
@@ -62,196 +57,93 @@
         deadline = self.clock.monotonic() + request.deadline_s
         task = asyncio.create_task(self._run(runs.Run(request, feed, deadline)))
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._finish_task)
         return feed
 
+    def is_claimed(self, request: requests.CallerRequest) -> bool:
+        """Whether a claim of the request's key is known."""
+        if request.is_idempotent:
+            return False
+        return self.claims.look_up(request.key) is not None
+
     async def wait_until_idle(self, limit_s: float) -> int:
         """Waits until no request runs; returns how many are left then."""
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=limit_s)
         return len(self.tasks)
 
+    def _finish_task(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.metrics.count("router.faults")
+            self.log.error("request task failed", exc_info=task.exception())
+
     async def _run(self, run: runs.Run) -> None:
         started = self.clock.monotonic()
         self.timeline.record("request.admitted", run.name)
         mailbox = self.node.open_mailbox(run.name)
+        claiming = asyncio.create_task(self._claim(run))
         try:
-            run.feed.finish(await self._serve(run, mailbox))
+            end = await self._serve(run, mailbox, claiming)
+            run.feed.finish(end)
         finally:
-            self.node.close_mailbox(run.name)
+            claiming.cancel()
+            self._close_mailbox(run, mailbox)
             self._settle(run, started)
 
     async def _serve(
-        self, run: runs.Run, mailbox: asyncio.Queue[node_task.Decision]
+        self,
+        run: runs.Run,
+        mailbox: Mailbox,
+        claiming: asyncio.Task[answer_feed.End | None],
     ) -> answer_feed.End:
-        self._enqueue(run)
+        self.node.post(events.RequestArrived(run.build_queued()))
         while True:
-            decision = await mailbox.get()
+            decision = await _wait_for_decision(mailbox, claiming)
+            if decision is None:
+                self.node.post(events.RequestWithdrawn(run.name))
+                return claiming.result()
             if isinstance(decision, node_task.Refused):
-                return self._refuse(run, decision)
-            end = await self._claim(run)
+                return await self._refuse(run, decision)
+            end = await claiming or self._start_run(run)
             if end is not None:
-                self._leave_target(run, events.RunEnd.CANCELLED)
+                self.relay.leave_target(run, events.RunEnd.CANCELLED)
                 return end
-            end = await self._dispatch(run, decision)
+            end = await self.relay.dispatch(run, decision)
             if end is not None:
                 return end
 
-    def _enqueue(self, run: runs.Run) -> None:
-        request = run.request
-        queued = events.QueuedRequest(
-            name=run.name,
-            workspace=request.workspace,
-            pool=request.pool.name,
-            call=request.call,
-            cost_hint=request.cost_hint,
-            deadline=run.deadline,
-            prefix=request.prefix,
-        )
-        self.node.post(events.RequestArrived(queued))
-
     async def _claim(self, run: runs.Run) -> answer_feed.End | None:
-        """Returns None if the request may be run, else its end."""
+        """Returns None once the request may be run, or else its end."""
         if run.request.is_idempotent:
             return None
-        if run.won is None:
-            result = await self.claims.obtain(run.request.key, run.deadline)
-            match result:
-                case claim_events.ClaimWon():
-                    run.won = result
-                case claim_events.ClaimRefused():
-                    return self._refuse_claim(run, result)
-                case claim_events.ClaimLost():
-                    return await self.lost.resolve(run, result)
-        if self.claims.start_run(run.won):
-            return None
+        result = await self.claims.obtain(run.request.key, run.deadline)
+        match result:
+            case claim_events.ClaimWon():
+                run.won = result
+                return None
+            case claim_events.ClaimLost():
+                return await self.lost.resolve(run, result)
+        self.metrics.count(f"refused.{result.reason.value}")
         return problems.build_refusal(
-            outcome.RefusalReason.KEY_TOO_OLD,
-            "the claim ended before the request could be run",
-            run.request.name,
-        )
-
-    def _refuse_claim(
-        self, run: runs.Run, refused: claim_events.ClaimRefused
-    ) -> problems.Problem:
-        self.metrics.count(f"refused.{refused.reason.value}")
-        return problems.build_refusal(
-            refused.reason,
+            result.reason,
             "the request could not be claimed and was not run",
             run.request.name,
-            refused.retry_after_s,
+            result.retry_after_s,
         )
 
-    async def _dispatch(
-        self, run: runs.Run, granted: node_task.Granted
-    ) -> answer_feed.End | None:
-        """Runs a try; returns the end, or None if another try is coming."""
-        target = granted.target
-        self.timeline.record("request.dispatched", run.name, target.name)
-        while True:
-            try:
-                await self._relay(run, granted)
-            except target_client.TargetError as fault:
-                self._note_fault(run, granted, fault)
-                if self._can_resume(run, fault):
-                    run.resumes += 1
-                    self.metrics.count("relay.resumed")
-                    continue
-                return self._handle_fault(run, fault)
-            run.last_end = outcome.TargetEnd.WHOLE_ANSWER
-            self._leave_target(run, events.RunEnd.COMPLETED)
-            return answer_feed.Whole(
-                run.assembler.length, run.assembler.sha256, run.cost
-            )
-
-    async def _relay(self, run: runs.Run, granted: node_task.Granted) -> None:
-        """Passes one try's answer on to the feed.
-
-        Raises:
-            TargetError: the answer did not come whole.
-        """
-        request = run.request
-        order = target_client.TargetRequest(
-            name=request.target_name,
-            workspace=request.workspace,
-            call=request.call,
-            input=request.input,
-            is_idempotent=request.is_idempotent,
-            offset=run.assembler.length,
-        )
-        pieces = self.targets.run(
-            granted.target, request.pool.kind, order, run.hand_over
-        )
-        async for piece in pieces:
-            passed_on = run.assembler.take(piece)
-            if passed_on:
-                self.store.grow(request, run.feed, passed_on)
-            self._note_cost(run, piece.cost)
-        if not run.assembler.is_complete:
-            raise target_client.TargetError(
-                target_client.FaultKind.BROKEN, run.assembler.describe_fault()
-            )
-
-    def _note_cost(self, run: runs.Run, cost: float) -> None:
-        if cost > run.cost:
-            run.cost = cost
-            self.node.post(events.RequestProgressed(run.name, cost))
-
-    def _note_fault(
-        self,
-        run: runs.Run,
-        granted: node_task.Granted,
-        fault: target_client.TargetError,
-    ) -> None:
-        run.last_end = _TARGET_ENDS[fault.kind]
-        self.metrics.count(f"target_fault.{fault.kind.value}")
-        detail = f"{granted.target.name}: {fault.detail}"
-        self.timeline.record("request.fault", run.name, detail)
-
-    def _can_resume(
-        self, run: runs.Run, fault: target_client.TargetError
-    ) -> bool:
-        return (
-            run.request.is_idempotent
-            and run.assembler.length > 0
-            and run.assembler.can_resume
-            and run.resumes < MAX_RESUMES
-            and fault.kind is not target_client.FaultKind.ERROR_ANSWER
-        )
-
-    def _handle_fault(
-        self, run: runs.Run, fault: target_client.TargetError
-    ) -> answer_feed.End | None:
-        is_unreachable = fault.kind is target_client.FaultKind.UNREACHABLE
-        if is_unreachable and self._may_try_again(run):
-            # The node puts the request at the front of its queue again.
-            self._leave_target(run, events.RunEnd.UNREACHABLE)
-            return None
-        self._leave_target(run, events.RunEnd.FAILED)
-        if self._may_try_again(run) and run.reruns < MAX_RERUNS:
-            run.reruns += 1
-            self.metrics.count("request.rerun")
-            self._enqueue(run)
+    def _start_run(self, run: runs.Run) -> problems.Problem | None:
+        if run.won is None or self.claims.start_run(run.won):
             return None
-        return problems.build_failure(
-            outcome.decide_outcome(run.exchange),
-            fault.kind.value,
-            fault.detail,
+        return problems.build_refusal(
+            outcome.RefusalReason.KEY_TOO_OLD,
+            "the claim ended before the request could be run",
             run.request.name,
         )
 
-    def _may_try_again(self, run: runs.Run) -> bool:
-        """Whether another try can neither repeat nor damage anything."""
-        if run.assembler.length > 0:
-            return False
-        return run.request.is_idempotent or not run.hand_over.has_happened
-
-    def _leave_target(self, run: runs.Run, end: events.RunEnd) -> None:
-        self.node.post(events.RequestEnded(run.name, run.cost, end))
-
-    def _refuse(
+    async def _refuse(
         self, run: runs.Run, refused: node_task.Refused
-    ) -> problems.Problem:
+    ) -> answer_feed.End:
         if run.hand_over.has_happened:
             return problems.build_failure(
                 outcome.Outcome.OUTCOME_UNKNOWN,
@@ -259,6 +151,10 @@
                 "an earlier try reached a target and none could follow",
                 run.request.name,
             )
+        if run.won is None and not run.request.is_idempotent:
+            holder = self.claims.look_up(run.request.key)
+            if holder is not None:
+                return await self.lost.resolve(run, holder)
         return problems.build_refusal(
             refused.reason,
             "the request was not run",
@@ -266,6 +162,13 @@
             refused.retry_after_s,
         )
 
+    def _close_mailbox(self, run: runs.Run, mailbox: Mailbox) -> None:
+        """Gives back a grant that came too late to be used."""
+        self.node.close_mailbox(run.name)
+        while not mailbox.empty():
+            if isinstance(mailbox.get_nowait(), node_task.Granted):
+                self.relay.leave_target(run, events.RunEnd.CANCELLED)
+
     def _settle(self, run: runs.Run, started: float) -> None:
         if run.won is not None:
             self.claims.settle(run.won, run.exchange)
@@ -285,3 +188,21 @@
         self.metrics.count(f"outcome.{ended.value}")
         self.metrics.time("request", self.clock.monotonic() - started)
         self.timeline.record("request.ended", run.name, ended.value)
+
+
+async def _wait_for_decision(
+    mailbox: Mailbox, claiming: asyncio.Task[answer_feed.End | None]
+) -> node_task.Decision | None:
+    """Returns the node's decision, or None if the claim ended the request."""
+    deciding = asyncio.ensure_future(mailbox.get())
+    try:
+        if not claiming.done():
+            await asyncio.wait(
+                [deciding, claiming], return_when=asyncio.FIRST_COMPLETED
+            )
+        is_ended = claiming.done() and claiming.result() is not None
+        if is_ended and not deciding.done():
+            return None
+        return await deciding
+    finally:
+        deciding.cancel()
--- a/packages/lentilbeam-router/src/lentilbeam_router/runs.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/runs.py
@@ -2,6 +2,7 @@
 
 from lentilbeam_core import answers
 from lentilbeam_core import claim_events
+from lentilbeam_core import events
 from lentilbeam_core import ids
 from lentilbeam_core import outcome
 from lentilbeam_router import answer_feed
@@ -42,6 +43,19 @@
         """The id by which the node knows the request."""
         return self.request.run_name
 
+    def build_queued(self) -> events.QueuedRequest:
+        """Returns the request as the node's queue knows it."""
+        request = self.request
+        return events.QueuedRequest(
+            name=request.run_name,
+            workspace=request.workspace,
+            pool=request.pool.name,
+            call=request.call,
+            cost_hint=request.cost_hint,
+            deadline=self.deadline,
+            prefix=request.prefix,
+        )
+
     @property
     def exchange(self) -> outcome.Exchange:
         """What is known of the exchange with targets."""
--- a/packages/lentilbeam-router/src/lentilbeam_router/target_client.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/target_client.py
@@ -20,6 +20,9 @@
 
 HANDED_OVER_EVENT = "http11.send_request_headers.started"
 KEEPALIVE_S = 5.0
+MAX_IDLE_CONNECTIONS = 8
+"""The pool looks at all idle connections on each request."""
+
 LOAD_TIMEOUT_S = 2.0
 
 
@@ -109,7 +112,11 @@
         )
         self.pooled = open_http(
             timeout,
-            httpx.Limits(max_connections=None, keepalive_expiry=KEEPALIVE_S),
+            httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+                keepalive_expiry=KEEPALIVE_S,
+            ),
         )
         # A fresh connection for each request that must not be repeated: a
         # kept one may have gone silent without either end knowing.
