Leave workspaces with limits out of the reuse of slots

Cause: a router that reused a slot whose release the scheduler had granted elsewhere ran one request more than the fleet-wide concurrency.

--- a/packages/lentilbeam-core/src/lentilbeam_core/agent.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/agent.py
@@ -441,9 +441,21 @@
         return effects
 
     def _least_served(self) -> ids.WorkspaceId | None:
-        backlogged = [w for w, q in self.queues.items() if q.pending]
+        backlogged = [
+            workspace
+            for workspace, queue in self.queues.items()
+            if queue.pending and not self._is_limited(workspace)
+        ]
         return min(backlogged, key=self._local_virtual_time, default=None)
 
+    def _is_limited(self, workspace: ids.WorkspaceId) -> bool:
+        """Tells whether only a scheduler can hold the workspace's limits."""
+        entry = self.catalogue.workspaces.get(workspace)
+        if entry is None:
+            return True
+        limits = entry.limits
+        return limits.concurrency is not None or limits.rate_per_s is not None
+
     def _local_virtual_time(self, workspace: ids.WorkspaceId) -> float:
         queue = self.queues[workspace]
         recent = queue.served - queue.acknowledged_served
