Collect schema findings in one place

Settings, requests and catalogue entries share it: pointers below a place, the deepest fault of alternatives, and messages of bounded length.

--- a/packages/lentilbeam-core/src/lentilbeam_core/catalogue_json.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/catalogue_json.py
@@ -13,7 +13,6 @@
 
 import expression
 import jsonschema
-from jsonschema import exceptions as schema_exceptions
 import msgspec
 
 from lentilbeam_core import catalogue
@@ -23,7 +22,6 @@
 MAX_WEIGHT = 1e6
 MAX_COUNT = 1_000_000
 MAX_COST = 1e12
-MAX_MESSAGE_LENGTH = 200
 
 Name = Annotated[
     str,
@@ -126,9 +124,11 @@
     try:
         return msgspec.convert(raw, type=wire_type)
     except msgspec.ValidationError as error:
-        faults = _find_schema_faults(raw, wire_type, pointer)
+        faults = findings.collect_findings(
+            _build_validator(wire_type), raw, pointer
+        )
         fallback = findings.Finding(pointer, str(error))
-        found.extend(faults or (fallback,))
+        found.extend(faults or [fallback])
         return None
 
 
@@ -276,26 +276,6 @@
     )
 
 
-def _find_schema_faults(
-    raw: Any, wire_type: type, pointer: str
-) -> tuple[findings.Finding, ...]:
-    errors = _validator(wire_type).iter_errors(raw)
-    found = [_to_finding(error, pointer) for error in errors]
-    return tuple(sorted(found, key=lambda f: (f.pointer, f.message)))
-
-
-def _to_finding(
-    error: schema_exceptions.ValidationError, pointer: str
-) -> findings.Finding:
-    deepest = schema_exceptions.best_match([error])
-    path = deepest.absolute_path
-    message = deepest.message
-    if len(message) > MAX_MESSAGE_LENGTH:
-        message = message[:MAX_MESSAGE_LENGTH] + "…"
-    return findings.Finding(findings.join_pointer(pointer, *path), message)
-
-
 @functools.cache
-def _validator(wire_type: type) -> jsonschema.Draft202012Validator:
-    schema = msgspec.json.schema(wire_type)
-    return jsonschema.Draft202012Validator(schema)
+def _build_validator(wire_type: type) -> jsonschema.Draft202012Validator:
+    return jsonschema.Draft202012Validator(msgspec.json.schema(wire_type))
--- a/packages/lentilbeam-core/src/lentilbeam_core/findings.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/findings.py
@@ -4,6 +4,9 @@
 from typing import Any
 
 import jsonschema
+from jsonschema import exceptions as schema_exceptions
+
+MAX_MESSAGE_LENGTH = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,11 +34,25 @@
 
 
 def collect_findings(
-    validator: jsonschema.Draft202012Validator, value: Any
+    validator: jsonschema.Draft202012Validator, value: Any, pointer: str = ""
 ) -> list[Finding]:
-    """Returns all places where `value` breaks a JSON schema, in order."""
-    found = [
-        Finding(join_pointer("", *error.absolute_path), error.message)
-        for error in validator.iter_errors(value)
-    ]
+    """Returns all places where `value` breaks a JSON schema, in order.
+
+    Args:
+        validator: of the schema.
+        value: JSON data.
+        pointer: place of `value` in its document.
+    """
+    errors = validator.iter_errors(value)
+    found = [_describe(error, pointer) for error in errors]
     return sorted(found, key=lambda f: (f.pointer, f.message))
+
+
+def _describe(
+    error: schema_exceptions.ValidationError, pointer: str
+) -> Finding:
+    deepest = schema_exceptions.best_match([error])
+    message = deepest.message
+    if len(message) > MAX_MESSAGE_LENGTH:
+        message = message[:MAX_MESSAGE_LENGTH] + "…"
+    return Finding(join_pointer(pointer, *deepest.absolute_path), message)
