--- a/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
@@ -206,6 +206,7 @@
             catalogue_reader.Settings(log_retention_s=retention_s),
             self.fleet.list_catalogue_peers,
             random.Random(self.incarnation),
+            self.metrics.counters,
         )
 
     def _build_server(self) -> web_server.WebServer:
