--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -80,7 +80,7 @@
     def __init__(self, count: int):
         entries = make_catalogue(count)
         self.scheduler = scheduler_lib.Scheduler(
-            entries.pools[POOL], scheduler_lib.Settings()
+            ROUTER, entries.pools[POOL], scheduler_lib.Settings()
         )
         self.scheduler.configure(entries.pools[POOL], entries)
         members = scheduler_lib.Members(
--- a/packages/lentilbeam-core/src/lentilbeam_core/agent.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/agent.py
@@ -38,9 +38,8 @@
     """Settings of the router's side.
 
     Attributes:
-        batch_s: least time between two reports.
+        pace: how often reports are sent to another router.
         lazy_s: how long a change may wait that changes no decision.
-        resend_s: unacknowledged state is sent again after this time.
         autonomy_s: a scheduler that has not answered for this long is
             silent, and slots are used again without it.
         max_tries: targets tried for one request while none took a byte.
@@ -50,10 +49,9 @@
         prefix_memory: settings of the prefix memory.
     """
 
-    batch_s: float = 0.004
-    lazy_s: float = 0.2
-    resend_s: float = 0.1
-    autonomy_s: float = 0.16
+    pace: channel.Pace = channel.Pace(interval_s=0.15, resend_s=0.3)
+    lazy_s: float = 0.25
+    autonomy_s: float = 0.3
     max_tries: int = 4
     retry_ratio: float = 0.1
     retry_burst: float = 16.0
@@ -122,9 +120,10 @@
         self.estimator = costs.Estimator(settings.estimates)
         self.prefixes = prefixes.PrefixMemory(settings.prefix_memory)
         self.retry_budget = settings.retry_burst
+        self.is_local = False
         self.scheduler: ids.InstanceId | None = None
         self.session = (incarnation & 0xFFFFFF) << SESSION_BITS
-        self.sender = channel.StateSender()
+        self.sender = channel.StateSender(settings.pace)
         self.receiver = channel.StateReceiver()
         self.unanswered_since = math.inf
         self.answered_at = -math.inf
@@ -149,12 +148,19 @@
             queue = self._queue(workspace)
             queue.virtual_time = max(queue.virtual_time, time)
 
-    def follow(self, scheduler: ids.InstanceId, now: float) -> None:
-        """Begins a session with `scheduler`: all state is sent anew."""
+    def follow(
+        self, scheduler: ids.InstanceId, is_local: bool, now: float
+    ) -> None:
+        """Begins a session with `scheduler`: all state is sent anew.
+
+        One in this process is local, and messages to it cost nothing.
+        """
+        self.is_local = is_local
         self.scheduler = scheduler
         self.session += 1
         self.followed_at = now
-        self.sender = channel.StateSender()
+        pace = channel.Pace() if is_local else self.settings.pace
+        self.sender = channel.StateSender(pace)
         self.receiver = channel.StateReceiver()
         self.elsewhere = {}
         self.introduced = set()
@@ -273,7 +279,7 @@
         if update.session != self.session:
             return []
         if update.needs_full:
-            self.follow(self.scheduler, now)
+            self.follow(self.scheduler, self.is_local, now)
             return []
         self._take_acknowledgement(update.acknowledged, now)
         if not self.receiver.accept(update.sequence, update.part, update.parts):
@@ -306,17 +312,15 @@
 
     def due(self, now: float) -> float:
         """Returns when `tick` or `report` is to be called next."""
-        settings = self.settings
-        due = self.sender.due(settings.batch_s, settings.resend_s)
+        due = self.sender.due()
         if self.held and self.waiting:
-            alone_at = self.unanswered_since + settings.autonomy_s
+            alone_at = self.unanswered_since + self.settings.autonomy_s
             due = min(due, alone_at if alone_at > now else math.inf)
         return min(due, self.deadlines[0][0] if self.deadlines else math.inf)
 
     def report(self, now: float) -> list[messages.DemandReport]:
         """Returns the report that is due, in parts; empty if none is."""
-        settings = self.settings
-        if self.sender.due(settings.batch_s, settings.resend_s) > now:
+        if self.sender.due() > now:
             return []
         items = self.sender.collect(now)
         if self.sender.is_urgent():
@@ -525,6 +529,9 @@
                 queue.served - queue.acknowledged_served if is_first else 0.0
             ),
         )
+        sent = self.sender.values.get(("demand", workspace))
+        if demand.queued > SMALL_QUEUE and self._has_grown(demand, sent):
+            self.sender.hurry()
         if self._is_significant(demand):
             self.sender.put(("demand", workspace), demand, due, due <= now)
 
@@ -539,9 +546,17 @@
             return True
         if demand.queued < SMALL_QUEUE or sent.queued < SMALL_QUEUE:
             return demand.queued != sent.queued
+        return self._has_grown(demand, sent) or self._has_grown(sent, demand)
+
+    def _has_grown(
+        self,
+        demand: messages.WorkspaceDemand,
+        sent: messages.WorkspaceDemand | None,
+    ) -> bool:
+        """Tells whether a queue has grown by a part of its limit."""
         limits = self.catalogue.workspaces[demand.workspace].limits
-        change = abs(demand.queued - sent.queued)
-        return change * QUEUE_STEPS >= limits.queue_length
+        growth = demand.queued - (sent.queued if sent else 0)
+        return growth * QUEUE_STEPS >= limits.queue_length
 
     def _publish_cell(
         self,
--- a/packages/lentilbeam-core/src/lentilbeam_core/channel.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/channel.py
@@ -5,13 +5,32 @@
 """
 
 from collections.abc import Hashable
+import dataclasses
 import math
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How often messages may be sent.
+
+    Attributes:
+        batch_s: least time between two messages.
+        interval_s: the same on average.
+        burst: messages that may run ahead of the average.
+        resend_s: urgent state is sent again after this time without answer.
+    """
+
+    batch_s: float = 0.004
+    interval_s: float = 0.0
+    burst: int = 3
+    resend_s: float = 0.1
+
+
 class StateSender:
     """The sender's side: knows what the receiver may not have yet."""
 
-    def __init__(self):
+    def __init__(self, pace: Pace):
+        self.pace = pace
         self.sequence = 0
         self.acknowledged = 0
         self.values: dict[Hashable, object] = {}
@@ -19,6 +38,7 @@
         self.wanted_at = math.inf
         self.sent_at = -math.inf
         self.urgent = 0
+        self.average_at = -math.inf
 
     def put(
         self,
@@ -41,6 +61,10 @@
         self.want(due)
         return True
 
+    def hurry(self) -> None:
+        """Lets the next message go ahead of the average pace."""
+        self.average_at = -math.inf
+
     def is_urgent(self) -> bool:
         """Tells whether an urgent change is not acknowledged yet."""
         return self.urgent > self.acknowledged
@@ -53,6 +77,7 @@
         """Returns the values for the next message and counts it as sent."""
         self.sequence += 1
         self.sent_at = now
+        self.average_at = max(self.average_at, now) + self.pace.interval_s
         self.wanted_at = math.inf
         return [self.values[key] for key in self.changed]
 
@@ -66,12 +91,15 @@
             del self.changed[key]
         return arrived
 
-    def due(self, batch_s: float, resend_s: float) -> float:
+    def due(self) -> float:
         """Returns when to send next; infinite if all is acknowledged."""
-        wanted_at = max(self.wanted_at, self.sent_at + batch_s)
+        pace = self.pace
+        ahead_s = pace.interval_s * pace.burst
+        allowed_at = max(self.sent_at + pace.batch_s, self.average_at - ahead_s)
+        wanted_at = max(self.wanted_at, allowed_at)
         if not self.is_urgent():
             return wanted_at
-        return min(wanted_at, self.sent_at + resend_s)
+        return min(wanted_at, max(self.sent_at + pace.resend_s, allowed_at))
 
 
 class StateReceiver:
--- a/packages/lentilbeam-core/src/lentilbeam_core/membership.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/membership.py
@@ -32,7 +32,7 @@
             heartbeat intervals that it announced is unreachable.
     """
 
-    silence_s: float = 0.38
+    silence_s: float = 0.45
     missed_beats: float = 2.5
 
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -44,8 +44,8 @@
     name: ids.InstanceId
     data_centre: ids.DataCentreId
     membership: membership_lib.Settings = membership_lib.Settings()
-    heartbeat_s: float = 0.15
-    follower_heartbeat_s: float = 0.25
+    heartbeat_s: float = 0.2
+    follower_heartbeat_s: float = 0.3
     slow_heartbeat_s: float = 4.0
     silent_heartbeat_s: float = 0.5
     agent: agent_lib.Settings = agent_lib.Settings()
@@ -204,7 +204,7 @@
                     pool, self.incarnation, self.settings.agent
                 )
                 self.schedulers[name] = scheduler_lib.Scheduler(
-                    pool, self.settings.scheduler
+                    self.settings.name, pool, self.settings.scheduler
                 )
             self.agents[name].configure(pool, event.catalogue)
             self.schedulers[name].configure(pool, event.catalogue)
@@ -259,7 +259,7 @@
                 agent.adopt(scheduler.virtual_times(), scheduler.floor())
             if self.followed.get(pool) != chosen:
                 self.followed[pool] = chosen
-                agent.follow(chosen, now)
+                agent.follow(chosen, is_mine, now)
                 effects.append(events.RecordEvent("follow", pool, chosen))
 
     def _suspect_silent(self, now: float) -> None:
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -8,6 +8,7 @@
 import math
 
 from lentilbeam_core import catalogue as catalogue_lib
+from lentilbeam_core import channel
 from lentilbeam_core import events
 from lentilbeam_core import ids
 from lentilbeam_core import messages
@@ -30,17 +31,17 @@
     """Settings of a pool's scheduler.
 
     Attributes:
-        batch_s: least time between two updates to a router.
+        pace: how often updates are sent to another router.
         acknowledge_s: how long an acknowledgement may wait for company.
-        resend_s: unacknowledged grants are sent again after this time.
         rebuild_s: how long a new scheduler waits for full reports.
         wake_grace_s: a queue that was empty for less keeps its place.
         book: settings of the use of slots.
     """
 
-    batch_s: float = 0.002
-    acknowledge_s: float = 0.06
-    resend_s: float = 0.3
+    pace: channel.Pace = channel.Pace(
+        batch_s=0.002, interval_s=0.15, resend_s=0.5
+    )
+    acknowledge_s: float = 0.1
     rebuild_s: float = 0.15
     wake_grace_s: float = 0.05
     book: slots.Settings = slots.Settings()
@@ -74,7 +75,13 @@
 class Scheduler:
     """Grants slots of one pool to the least served workspaces."""
 
-    def __init__(self, pool: catalogue_lib.Pool, settings: Settings):
+    def __init__(
+        self,
+        me: ids.InstanceId,
+        pool: catalogue_lib.Pool,
+        settings: Settings,
+    ):
+        self.me = me
         self.pool = pool
         self.settings = settings
         self.catalogue = catalogue_lib.EMPTY
@@ -187,9 +194,8 @@
             return math.inf
         if not self.is_ready:
             return self.active_since + self.settings.rebuild_s
-        settings = self.settings
         dues = [
-            session.sender.due(settings.batch_s, settings.resend_s)
+            session.sender.due()
             for session in self.sessions.values()
             if session.is_counted
         ]
@@ -209,7 +215,10 @@
         self, sender: ids.InstanceId, report: messages.DemandReport, now: float
     ) -> sessions.Session:
         self._drop(sender, now)
-        session = sessions.Session(sender, report.incarnation, report.session)
+        pace = channel.Pace() if sender == self.me else self.settings.pace
+        session = sessions.Session(
+            sender, report.incarnation, report.session, pace
+        )
         session.is_counted = sender in self.members.heard
         self.sessions[sender] = session
         self._update_fraction()
@@ -515,15 +524,12 @@
             change = abs(elsewhere - (told.queued if told else 0))
             if change * QUEUE_STEPS < limit:
                 continue
-            session.sender.put(
-                key,
-                messages.QueuedElsewhere(account.name, max(elsewhere, 0)),
-                now + self.settings.acknowledge_s,
-            )
+            queued = messages.QueuedElsewhere(account.name, max(elsewhere, 0))
+            session.sender.put(key, queued, now)
+            session.sender.hurry()
 
     def _send(self, session: sessions.Session, now: float) -> None:
-        settings = self.settings
-        if session.sender.due(settings.batch_s, settings.resend_s) > now:
+        if session.sender.due() > now:
             return
         items = session.sender.collect(now)
         chunks = [
--- a/packages/lentilbeam-core/src/lentilbeam_core/sessions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/sessions.py
@@ -44,11 +44,12 @@
         name: ids.InstanceId,
         incarnation: ids.Incarnation,
         number: int,
+        pace: channel.Pace,
     ):
         self.name = name
         self.incarnation = incarnation
         self.number = number
-        self.sender = channel.StateSender()
+        self.sender = channel.StateSender(pace)
         self.receiver = channel.StateReceiver()
         self.demands: dict[ids.WorkspaceId, messages.WorkspaceDemand] = {}
         self.oldest_at: dict[ids.WorkspaceId, float] = {}
--- a/packages/lentilbeam-core/src/lentilbeam_core/slots.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/slots.py
@@ -22,7 +22,7 @@
         ejector: settings of ejection.
     """
 
-    control_delay_s: float = 0.02
+    control_delay_s: float = 0.25
     mean_run_s: float = 1.0
     memory_s: float = 20.0
     prefix_bonus: float = 0.25
--- a/tests/unit/test_channel.py
+++ b/tests/unit/test_channel.py
@@ -18,7 +18,10 @@
 @hypothesis.settings(derandomize=True, deadline=None)
 @hypothesis.given(FATES)
 def test_copies_converge(fates):
-    sender, receiver = channel.StateSender(), channel.StateReceiver()
+    sender, receiver = (
+        channel.StateSender(channel.Pace()),
+        channel.StateReceiver(),
+    )
     copy, late = {}, []
 
     def deliver(message):
