Claim nothing about a request when a call to attach is bad

Cause: attaching to a request that ran, at a bad offset, was answered with outcome refused_not_run and the request's id, which is false. Found by reading the answers of a running fleet. Before: the golden caller session showed it; after: no outcome is told for calls that don't run a request. Conclusion: Problem.outcome is optional.

--- a/packages/lentilbeam-router/src/lentilbeam_router/api_types.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/api_types.py
@@ -52,16 +52,17 @@
 class ProblemBody(msgspec.Struct):
     """Why there is no answer (RFC 9457).
 
-    `outcome` is `refused_not_run`, `outcome_unknown` or `failed_by_target`.
+    `outcome` is `refused_not_run`, `outcome_unknown` or `failed_by_target`;
+    it is absent where the call was not about running a request.
     """
 
     type: str
     title: str
     status: int
     detail: str
-    outcome: str
     reason: str
     findings: list[FindingBody]
+    outcome: str | None = None
     request_id: str | None = None
     retry_after_s: float | None = None
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/attach.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/attach.py
@@ -19,7 +19,9 @@
 ANSWER_TIMEOUT_S = 15.0
 """A peer that is silent for longer is taken for cut off."""
 
+BAD_REQUEST = 400
 NOT_FOUND = 404
+CONFLICT = 409
 CONTINUATION_MASK = 0xC0
 CONTINUATION = 0x80
 
@@ -79,23 +81,20 @@
         self, entry: answer_store.Entry, wanted: Wanted
     ) -> litestar.Response:
         if wanted.fingerprint not in (None, entry.fingerprint):
-            refusal = problems.build_refusal(
-                outcome.RefusalReason.KEY_IN_USE,
+            problem = problems.build_bad_call(
+                outcome.RefusalReason.KEY_IN_USE.value,
+                CONFLICT,
                 "the request_id was used for another request",
-                wanted.name,
             )
-            return responses.build_problem(refusal)
+            return responses.build_problem(problem)
         if not _is_boundary(entry.feed.data, wanted.offset):
             finding = findings_lib.Finding(
                 "/offset", "beyond the answer so far, or within a character"
             )
-            refusal = problems.build_refusal(
-                outcome.RefusalReason.BAD_REQUEST,
-                str(finding),
-                wanted.name,
-                findings=(finding,),
+            problem = problems.build_bad_call(
+                "bad_offset", BAD_REQUEST, str(finding), (finding,)
             )
-            return responses.build_problem(refusal)
+            return responses.build_problem(problem)
         return await responses.build_stream(entry.feed, wanted.offset)
 
     async def _find_at_peers(self, wanted: Wanted) -> httpx.Response | None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/problems.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/problems.py
@@ -36,14 +36,15 @@
     """Why a caller gets no answer, and whether its request ran.
 
     Attributes:
-        outcome: what became of the request.
+        outcome: what became of the request; None for calls that are not
+            about running one, of which nothing is claimed.
         reason: machine-readable cause, such as a refusal reason's value.
         detail: the cause in words.
         status: HTTP status code.
         retry_after_s: when to come back, or None where that won't help.
     """
 
-    outcome: outcome.Outcome
+    outcome: outcome.Outcome | None
     reason: str
     detail: str
     status: int
@@ -65,7 +66,7 @@
             "title": self.reason.replace("_", " "),
             "status": self.status,
             "detail": self.detail,
-            "outcome": self.outcome.value,
+            "outcome": self.outcome.value if self.outcome else None,
             "reason": self.reason,
             "request_id": self.request_id,
             "retry_after_s": _round(self.retry_after_s),
@@ -93,6 +94,22 @@
     )
 
 
+def build_bad_call(
+    reason: str,
+    status: int,
+    detail: str,
+    findings: tuple[findings_lib.Finding, ...] = (),
+) -> Problem:
+    """Returns the problem of a bad call that is not about running a request."""
+    return Problem(
+        outcome=None,
+        reason=reason,
+        detail=detail,
+        status=status,
+        findings=findings,
+    )
+
+
 def build_failure(
     ended: outcome.Outcome, reason: str, detail: str, request_id: str
 ) -> Problem:
--- a/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import dataclasses
 
 import litestar
 from litestar import exceptions
@@ -17,6 +18,7 @@
 from lentilbeam_router import responses
 from lentilbeam_router import settings as settings_lib
 
+REQUESTS_PATH = "/v1/requests"
 CLOSE_HEADER = (b"connection", b"close")
 FLUSH_LIMIT_S = 30
 """Time for callers to read answers that had ended when the server stopped."""
@@ -74,7 +76,6 @@
 def _answer_http_exception(
     request: litestar.Request, error: exceptions.HTTPException
 ) -> litestar.Response:
-    del request
     reason = outcome.RefusalReason.BAD_REQUEST
     if error.status_code == 413:
         reason = outcome.RefusalReason.TOO_LARGE
@@ -83,13 +84,12 @@
         for fault in error.extra or []
         if isinstance(fault, dict)
     ]
-    problem = problems.Problem(
-        outcome=outcome.Outcome.REFUSED_NOT_RUN,
-        reason=reason.value,
-        detail=error.detail,
-        status=error.status_code,
-        findings=tuple(found),
+    problem = problems.build_bad_call(
+        reason.value, error.status_code, error.detail, tuple(found)
     )
+    if request.method == "POST" and request.url.path == REQUESTS_PATH:
+        not_run = outcome.Outcome.REFUSED_NOT_RUN
+        problem = dataclasses.replace(problem, outcome=not_run)
     return responses.build_problem(problem)
 
 
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -41,6 +41,10 @@
         await say("GET", path, title="attaching again, from an offset on")
         path = f"{REQUESTS}/{KEYS[2]}?workspace=fairway&offset=9999"
         await say("GET", path, title="attaching beyond the answer")
+        path = f"{REQUESTS}/{KEYS[2]}?offset=-1"
+        await say("GET", path, title="attaching with bad parameters")
+        path = f"{REQUESTS}/{KEYS[9]}?workspace=fairway"
+        await say("GET", path, title="attaching to nothing")
         await say("POST", REQUESTS, book(3), "a booking")
         await say("POST", REQUESTS, book(3), "the same booking again")
         await say("POST", REQUESTS, book(3, bay=4), "its key for another")
