Tell callers when to ask again about requests that failed or may run

Cause: an idempotent request that failed, and one whose key another router holds, were answered without a Retry-After; a fetch from a paused holder went on past the caller's deadline. Conclusion: both carry a Retry-After; the fetch ends at the deadline.

--- a/packages/lentilbeam-router/src/lentilbeam_router/lost_claims.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/lost_claims.py
@@ -4,6 +4,8 @@
 answer, it is passed on; else the outcome is what the log says of it.
 """
 
+import asyncio
+
 import httpx
 import httpx_sse
 import msgspec
@@ -18,6 +20,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 15.0
+RETRY_AFTER_S = 2.0
+"""When to ask again what became of a request that may still run."""
 
 
 class _Event(msgspec.Struct):
@@ -41,7 +45,7 @@
     ) -> answer_feed.End:
         """Returns the end of a request whose key another claim holds."""
         if not lost.is_here:
-            whole = await self._fetch(run, lost)
+            whole = await self._fetch_in_time(run, lost)
             if whole is not None:
                 return whole
         decided = endings.decide_lost_claim(lost.ended)
@@ -52,8 +56,20 @@
             f"instance {lost.winner.instance} holds the request; its outcome"
             f" there is {known}",
             run.request.name,
+            None if lost.ended else RETRY_AFTER_S,
         )
 
+    async def _fetch_in_time(
+        self, run: runs.Run, lost: claim_events.ClaimLost
+    ) -> answer_feed.Whole | None:
+        """Fetches until the request's deadline, and no longer."""
+        left_s = run.deadline - self.fleet.node.clock.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await self._fetch(run, lost)
+        except TimeoutError:
+            return None
+
     async def _fetch(
         self, run: runs.Run, lost: claim_events.ClaimLost
     ) -> answer_feed.Whole | None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/problems.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/problems.py
@@ -111,15 +111,23 @@
 
 
 def build_failure(
-    ended: outcome.Outcome, reason: str, detail: str, request_id: str
+    ended: outcome.Outcome,
+    reason: str,
+    detail: str,
+    request_id: str,
+    retry_after_s: float | None = None,
 ) -> Problem:
-    """Returns the problem of a request that ran, or may have run."""
+    """Returns the problem of a request that ran, or may have run.
+
+    `retry_after_s` is when asking again with the same id may bring more.
+    """
     return Problem(
         outcome=ended,
         reason=reason,
         detail=detail,
         status=OUTCOME_STATUS[ended],
         request_id=request_id,
+        retry_after_s=retry_after_s,
     )
 
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/relay.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/relay.py
@@ -19,6 +19,9 @@
 MAX_RESUMES = 2
 """How often a broken stream is resumed on its target."""
 
+RETRY_AFTER_S = 1.0
+"""When to send an idempotent request again that failed here."""
+
 _TARGET_ENDS = {
     target_client.FaultKind.UNREACHABLE: outcome.TargetEnd.NOT_STARTED,
     target_client.FaultKind.ERROR_ANSWER: outcome.TargetEnd.ERROR_ANSWER,
@@ -131,6 +134,7 @@
             fault.kind.value,
             fault.detail,
             run.request.name,
+            RETRY_AFTER_S if run.request.is_idempotent else None,
         )
 
 
