--- a/packages/lentilbeam-core/src/lentilbeam_core/ejection.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/ejection.py
@@ -20,7 +20,7 @@
 
     max_strikes: int = 3
     base_s: float = 1.0
-    max_s: float = 30.0
+    max_s: float = 4.0
     floor: float = 0.5
 
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -44,7 +44,7 @@
     name: ids.InstanceId
     data_centre: ids.DataCentreId
     membership: membership_lib.Settings = membership_lib.Settings()
-    heartbeat_s: float = 0.2
+    heartbeat_s: float = 0.21
     follower_heartbeat_s: float = 0.3
     slow_heartbeat_s: float = 4.0
     silent_heartbeat_s: float = 0.5
