Keep the view of the fleet until something can change it

Cause: each event looked at every peer several times to find who is live. Conclusion: a view holds until a list, a beat that changes a state, or the next possible silence.

--- /dev/null
+++ b/bench/membership_slopes.py
@@ -0,0 +1,68 @@
+"""How one router's upkeep grows with the number of routers."""
+
+import time
+import tracemalloc
+
+from lentilbeam_core import catalogue
+from lentilbeam_core import events
+from lentilbeam_core import ids
+from lentilbeam_core import messages
+from lentilbeam_core import node
+from lentilbeam_router import peer_codec
+
+PEER_COUNTS = (7, 70, 700, 2500)
+SECONDS = 8.0
+"""Two of the slow heartbeat intervals."""
+
+UDP_HEADER_BYTES = 28
+HOME = ids.DataCentreId("east")
+POOL = catalogue.Pool(
+    ids.PoolId("assistants"), "owner", catalogue.ServiceKind.MODEL, ()
+)
+CATALOGUE = catalogue.Catalogue({}, {}, {POOL.name: POOL})
+
+
+def _make_names(count: int) -> list[ids.InstanceId]:
+    return [ids.InstanceId(f"router-{number}") for number in range(count)]
+
+
+def _make_node(names: list[ids.InstanceId]) -> node.Node:
+    """Returns a router that has heard all others; it schedules nothing."""
+    made = node.Node(node.Settings(names[0], HOME), ids.Incarnation(1))
+    live = events.ListedState.LIVE
+    listed = tuple(events.ListedInstance(n, HOME, live) for n in names)
+    made.handle(events.InstanceListRead(listed), 0.0)
+    beat = messages.Heartbeat(ids.Incarnation(1), False, True, 1, 4000)
+    for name in names[1:]:
+        made.membership.hear(name, beat, 0.0)
+    made.handle(events.CatalogueChanged(CATALOGUE, ids.Offset(1)), 0.0)
+    return made
+
+
+def measure(count: int) -> dict[str, object]:
+    """Returns a router's time for an event and its heartbeats by size."""
+    names = _make_names(count)
+    tracemalloc.start()
+    made = _make_node(names)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    now, handled, sent_bytes = 0.0, 0, 0
+    started = time.process_time()
+    beat = messages.Heartbeat(ids.Incarnation(1), False, True, 1, 4000)
+    while now < SECONDS and handled < 2000:
+        now = max(made.next_wakeup(now) or SECONDS, now + 0.05)
+        for name in names[1:]:
+            made.membership.hear(name, beat, now)
+        for effect in made.handle(events.Ticked(), now):
+            if isinstance(effect, events.SendMessage):
+                data = peer_codec.encode(names[0], effect.message)
+                sent_bytes += len(data) + UDP_HEADER_BYTES
+        handled += 1
+    spent_s = time.process_time() - started
+    return {
+        "name": "membership",
+        "routers": count,
+        "event_us": round(spent_s / handled * 1e6, 1),
+        "bytes_per_s": round(sent_bytes / now),
+        "bytes_per_peer": round(held / count),
+    }
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,8 +1,9 @@
 """Measures how the cost of decisions and of messages grows.
 
 Prints one JSON line per measurement: the scheduler's time per decision and
-memory per workspace against the number of backlogged workspaces, and the
-codec's time and bytes against the number of list items.
+memory per workspace against the number of backlogged workspaces, a router's
+time and heartbeats against the number of routers, and the codec's time and
+bytes against the number of list items.
 """
 
 import json
@@ -10,6 +11,7 @@
 import time
 import tracemalloc
 
+from bench import membership_slopes
 from lentilbeam_core import catalogue
 from lentilbeam_core import ids
 from lentilbeam_core import messages
@@ -173,7 +175,7 @@
     uses = [messages.SlotUse(t, n, 17, 17, 1, 900.0) for n, t in pairs]
     grants = tuple(messages.Grant(n, t, 18, 123456.0) for n, t in pairs)
     update = messages.GrantUpdate(
-        POOL, 305419777, 300, 0, 1, 299, False, 123456.0, grants, ()
+        POOL, 305419777, 300, 0, 1, 299, False, True, 123456.0, grants, ()
     )
     return {
         "codec_report": make_report(300, 299, demands, uses),
@@ -185,6 +187,8 @@
     """Prints all measurements."""
     for count in WORKSPACE_COUNTS:
         print(json.dumps(measure_scheduler(count)), flush=True)
+    for peers in membership_slopes.PEER_COUNTS:
+        print(json.dumps(membership_slopes.measure(peers)), flush=True)
     for items in ITEM_COUNTS:
         for name, message in make_messages(items).items():
             print(json.dumps(measure_codec(name, items, message)))
--- a/packages/lentilbeam-core/src/lentilbeam_core/membership.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/membership.py
@@ -48,6 +48,23 @@
     catalogue_offset: ids.Offset = ids.Offset(0)
 
 
+@dataclasses.dataclass(slots=True)
+class View:
+    """The states of all instances, for as long as they hold.
+
+    Attributes:
+        states: by instance, sorted by name.
+        until: monotonic time at which a state may change by silence alone.
+        collected: instances by the states that were asked for.
+    """
+
+    states: dict[ids.InstanceId, PeerState]
+    until: float
+    collected: dict[tuple[PeerState, ...], list[ids.InstanceId]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
 class Membership:
     """One router's view of all routers, itself included."""
 
@@ -56,11 +73,25 @@
         self.settings = settings
         self.listed: dict[ids.InstanceId, events.ListedInstance] = {}
         self.peers: dict[ids.InstanceId, Peer] = {}
-        self.is_leaving = False
+        self.view: View | None = None
+        self._is_leaving = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this router was told to stop."""
+        return self._is_leaving
+
+    @is_leaving.setter
+    def is_leaving(self, value: bool) -> None:
+        self._is_leaving = value
+        self.view = None
 
     def read_list(self, instances: tuple[events.ListedInstance, ...]) -> None:
         """Takes in the platform's instance list."""
-        self.listed = {instance.name: instance for instance in instances}
+        listed = {instance.name: instance for instance in instances}
+        if listed != self.listed:
+            self.listed = listed
+            self.view = None
 
     def hear(
         self, sender: ids.InstanceId, beat: messages.Heartbeat, now: float
@@ -73,9 +104,13 @@
         if beat.incarnation < peer.incarnation:
             return False
         was_restarted = beat.incarnation > peer.incarnation
+        interval_s = beat.interval_ms / 1000
+        if (beat.leaving, interval_s) != (peer.said_leaving, peer.interval_s):
+            self.view = None
+        self._note_sign(sender)
         peer.incarnation = beat.incarnation
         peer.last_heard = now
-        peer.interval_s = beat.interval_ms / 1000
+        peer.interval_s = interval_s
         peer.said_leaving = beat.leaving
         peer.is_ready = beat.is_ready
         peer.catalogue_offset = beat.catalogue_offset
@@ -86,12 +121,14 @@
         peer = self.peers.get(sender)
         if peer is not None:
             peer.last_heard = max(peer.last_heard, now)
+            self._note_sign(sender)
 
     def suspect(self, name: ids.InstanceId) -> None:
         """Takes the peer for unreachable until it is heard again."""
         peer = self.peers.get(name)
         if peer is not None:
             peer.last_heard = float("-inf")
+            self.view = None
 
     def bound_s(self, peer: Peer) -> float:
         """Returns the silence after which `peer` is unreachable."""
@@ -99,10 +136,8 @@
         return max(self.settings.silence_s, missed_s)
 
     def next_silence(self, now: float) -> float:
-        """Returns when the next peer falls silent; infinite if none can."""
-        ends = (p.last_heard + self.bound_s(p) for p in self.peers.values())
-        margin_s = 1e-6
-        return min((e + margin_s for e in ends if e >= now), default=math.inf)
+        """Returns when a peer may next fall silent; infinite if none can."""
+        return self._refresh(now).until
 
     def is_heard(self, name: ids.InstanceId, now: float) -> bool:
         """Tells whether the instance gives signs of life."""
@@ -113,6 +148,39 @@
 
     def state(self, name: ids.InstanceId, now: float) -> PeerState:
         """Returns what is believed of the instance `name`."""
+        return self._refresh(now).states.get(name, PeerState.GONE)
+
+    def names(self) -> list[ids.InstanceId]:
+        """Returns all instances that are listed or were heard, sorted."""
+        return sorted({self.me, *self.listed, *self.peers})
+
+    def collect(self, now: float, *states: PeerState) -> list[ids.InstanceId]:
+        """Returns the instances in any of `states`, sorted by name."""
+        view = self._refresh(now)
+        if states not in view.collected:
+            view.collected[states] = [
+                name for name, state in view.states.items() if state in states
+            ]
+        return view.collected[states]
+
+    def _note_sign(self, sender: ids.InstanceId) -> None:
+        """Drops the view if a sign of life changes the sender's state."""
+        heard = (PeerState.LIVE, PeerState.LEAVING)
+        if self.view and self.view.states.get(sender) not in heard:
+            self.view = None
+
+    def _refresh(self, now: float) -> View:
+        if self.view is None or now >= self.view.until:
+            states = {n: self._find_state(n, now) for n in self.names()}
+            self.view = View(states, self._find_next_silence(now))
+        return self.view
+
+    def _find_next_silence(self, now: float) -> float:
+        ends = (p.last_heard + self.bound_s(p) for p in self.peers.values())
+        margin_s = 1e-6
+        return min((e + margin_s for e in ends if e >= now), default=math.inf)
+
+    def _find_state(self, name: ids.InstanceId, now: float) -> PeerState:
         listed = self.listed.get(name)
         if name == self.me:
             return PeerState.LEAVING if self.is_leaving else PeerState.LIVE
@@ -125,11 +193,3 @@
         if is_heard:
             return PeerState.LIVE
         return PeerState.UNREACHABLE if listed else PeerState.GONE
-
-    def names(self) -> list[ids.InstanceId]:
-        """Returns all instances that are listed or were heard, sorted."""
-        return sorted({self.me, *self.listed, *self.peers})
-
-    def collect(self, now: float, *states: PeerState) -> list[ids.InstanceId]:
-        """Returns the instances in any of `states`, sorted by name."""
-        return [n for n in self.names() if self.state(n, now) in states]
