--- a/bench/once.py
+++ b/bench/once.py
@@ -1,12 +1,15 @@
-"""Measures what at-most-once claims promise and cost, in virtual time.
+"""Measures what at-most-once claims promise and cost.
 
-Prints one JSON line for each figure, with its target.
+In virtual time, and then on a fleet of real processes. Prints one JSON line
+for each figure, with its target.
 """
 
+import asyncio
 import collections
 import dataclasses
 import hashlib
 import json
+import logging
 import random
 from typing import Any
 
@@ -16,12 +19,14 @@
 from bench import claims_load
 from bench import claims_model
 from bench import claims_steps
+from bench import once_processes
 from lentilbeam_core import answers
 from lentilbeam_core import claim_events
 from lentilbeam_core import ids
 
 STEPS = flags.DEFINE_integer("steps", 100_000, "Generated steps of each model.")
 SEED = flags.DEFINE_integer("seed", 1, "Seed of all generators.")
+FLEET = flags.DEFINE_bool("fleet", True, "Also measures real processes.")
 HISTORY_STEPS = 1000
 ANSWER_STEPS = 20
 MAX_APPENDS_PER_S = 20.0
@@ -156,6 +161,9 @@
     ]
     for name, load in LOADS.items():
         results.append(measure_cost(name, load, SEED.value))
+    if FLEET.value:
+        logging.getLogger("httpx").setLevel(logging.WARNING)
+        results.append(asyncio.run(once_processes.measure_all(report)))
     if not all(results):
         raise SystemExit(1)
 
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -78,6 +78,7 @@
         lambda: Stream(collections.deque(), asyncio.Event())
     )
     faults = LogFaults()
+    appends: collections.Counter[str] = collections.Counter()
 
     async def check_faults() -> None:
         if faults.is_down:
@@ -92,6 +93,7 @@
     async def append(
         request: litestar.Request, stream: str, data: Append
     ) -> dict[str, int]:
+        appends[stream] += 1
         await check_faults()
         first = open_stream(stream).append(data.records, clock.monotonic())
         if faults.lose_answers > 0:
@@ -118,7 +120,12 @@
                 async with asyncio.timeout(min(left_s, POLL_STEP_S)):
                     await source.changed.wait()
 
-    return server.create_app([append, read], faults)
+    @litestar.get("/counts")
+    async def read_counts() -> dict[str, int]:
+        """Returns the calls to append by stream, also those that failed."""
+        return dict(appends)
+
+    return server.create_app([append, read, read_counts], faults)
 
 
 if __name__ == "__main__":
