Drop damaged peer datagrams without a fault

The link caught an error that the codec does not have, so that each damaged datagram ended in an AttributeError in the event loop and was not counted. The new test failed in its three cases before and passes now.

--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_link.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_link.py
@@ -35,7 +35,7 @@
         del addr
         try:
             sender, message = peer_codec.decode(data)
-        except peer_codec.DecodeError:
+        except peer_codec.PeerCodecError:
             self.metrics.count("peer.undecodable")
             return
         self.metrics.count("peer.received_bytes", len(data))
