Take a target's drain answer in at once; ask again whoever left

A 503 with draining in its body counted as any error answer: the target was ejected for a while instead of left alone, and no router learnt that it leaves. It is now told to the node at once, the slot is given back as not used, and an idempotent request runs elsewhere. A request that must not be repeated still ends as failed_by_target: a byte was handed over.

A router that saw a target leave while it scheduled the pool went on telling so after it had lost that role, since only schedulers read load reports: the target never came back. Routers now go on reading the reports of targets that they take for leaving.

--- a/packages/lentilbeam-router/src/lentilbeam_router/load_poller.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/load_poller.py
@@ -1,9 +1,14 @@
-"""Reads the load reports of the targets whose pool is scheduled here."""
+"""Reads the load reports of the targets that matter here.
+
+These are all targets of a pool that is scheduled here, and those that this
+router takes for leaving: nobody else would tell it that they stay.
+"""
 
 import asyncio
 
 from lentilbeam_core import catalogue as catalogue_lib
 from lentilbeam_core import events
+from lentilbeam_core import ids
 from lentilbeam_router import fleet
 from lentilbeam_router import node_task
 from lentilbeam_router import target_client
@@ -32,14 +37,20 @@
             await asyncio.gather(*polls)
 
     def _collect_due(self) -> list[catalogue_lib.Target]:
-        schedulers = self.node.node.schedulers
         return [
             target
             for name, pool in self.fleet.catalogue.pools.items()
-            if name in schedulers and schedulers[name].is_active
             for target in pool.targets
+            if self._is_due(name, target.name)
         ]
 
+    def _is_due(self, pool: ids.PoolId, target: ids.TargetId) -> bool:
+        node = self.node.node
+        if pool not in node.agents:
+            return False
+        is_scheduled = node.schedulers[pool].is_active
+        return is_scheduled or target in node.agents[pool].draining
+
     async def _poll(self, target: catalogue_lib.Target) -> None:
         load = await self.targets.read_load(target)
         if load is None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/relay.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/relay.py
@@ -4,6 +4,7 @@
 that can neither repeat an action nor damage what was passed on.
 """
 
+from lentilbeam_core import catalogue as catalogue_lib
 from lentilbeam_core import events
 from lentilbeam_core import outcome
 from lentilbeam_router import answer_feed
@@ -22,9 +23,17 @@
 _TARGET_ENDS = {
     target_client.FaultKind.UNREACHABLE: outcome.TargetEnd.NOT_STARTED,
     target_client.FaultKind.ERROR_ANSWER: outcome.TargetEnd.ERROR_ANSWER,
+    target_client.FaultKind.DRAINING: outcome.TargetEnd.ERROR_ANSWER,
     target_client.FaultKind.BROKEN: outcome.TargetEnd.BROKEN,
 }
 
+_ANSWERED = frozenset(
+    {
+        target_client.FaultKind.ERROR_ANSWER,
+        target_client.FaultKind.DRAINING,
+    }
+)
+
 
 class Relay:
     """Runs granted requests at targets and feeds their answers on."""
@@ -57,7 +66,7 @@
                     run.resumes += 1
                     self.metrics.count("relay.resumed")
                     continue
-                return self._handle_fault(run, fault)
+                return self._handle_fault(run, granted, fault)
             run.last_end = outcome.TargetEnd.WHOLE_ANSWER
             self.leave_target(run, events.RunEnd.COMPLETED)
             return answer_feed.Whole(
@@ -96,6 +105,14 @@
                 target_client.FaultKind.BROKEN, run.assembler.describe_fault()
             )
 
+    def _report_draining(self, target: catalogue_lib.Target) -> None:
+        """Tells the node at once that the target takes no new work."""
+        self.node.post(
+            events.TargetReported(
+                target.name, running=target.slots, waiting=0, draining=True
+            )
+        )
+
     def _note_cost(self, run: runs.Run, cost: float) -> None:
         if cost > run.cost:
             run.cost = cost
@@ -113,14 +130,21 @@
         self.timeline.record("request.fault", run.name, detail)
 
     def _handle_fault(
-        self, run: runs.Run, fault: target_client.TargetError
+        self,
+        run: runs.Run,
+        granted: node_task.Granted,
+        fault: target_client.TargetError,
     ) -> answer_feed.End | None:
         may_try_again = _may_try_again(run)
         if may_try_again and fault.kind is target_client.FaultKind.UNREACHABLE:
             # The node puts the request at the front of its queue again.
             self.leave_target(run, events.RunEnd.UNREACHABLE)
             return None
-        self.leave_target(run, events.RunEnd.FAILED)
+        if fault.kind is target_client.FaultKind.DRAINING:
+            self._report_draining(granted.target)
+            self.leave_target(run, events.RunEnd.CANCELLED)
+        else:
+            self.leave_target(run, events.RunEnd.FAILED)
         if may_try_again and run.reruns < MAX_RERUNS:
             run.reruns += 1
             self.metrics.count("request.rerun")
@@ -140,7 +164,7 @@
         and run.assembler.length > 0
         and run.assembler.can_resume
         and run.resumes < MAX_RESUMES
-        and fault.kind is not target_client.FaultKind.ERROR_ANSWER
+        and fault.kind not in _ANSWERED
     )
 
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/target_client.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/target_client.py
@@ -31,6 +31,7 @@
 
     UNREACHABLE = "unreachable"  # No connection was made.
     ERROR_ANSWER = "error_answer"  # The target answered with an error.
+    DRAINING = "draining"  # The target is leaving and did not run anything.
     BROKEN = "broken"  # The connection broke, fell silent or made no sense.
 
 
@@ -81,6 +82,10 @@
     draining: bool
 
 
+class _DrainAnswer(msgspec.Struct):
+    draining: bool
+
+
 class _Event(msgspec.Struct):
     type: str
     request_id: str
@@ -235,9 +240,21 @@
         return
     await answer.aread()
     detail = f"status {answer.status_code}: {answer.text[:200]}"
+    if _is_drain_answer(answer):
+        raise TargetError(FaultKind.DRAINING, detail)
     raise TargetError(FaultKind.ERROR_ANSWER, detail)
 
 
+def _is_drain_answer(answer: httpx.Response) -> bool:
+    if answer.status_code != httpx.codes.SERVICE_UNAVAILABLE:
+        return False
+    try:
+        decoded = msgspec.json.decode(answer.content, type=_DrainAnswer)
+    except (msgspec.DecodeError, RecursionError):
+        return False
+    return decoded.draining
+
+
 def _build_piece(event: _Event) -> answers.Piece:
     if event.type == "end":
         return answers.EndMark(
