--- a/tests/processes/linked_fleet.py
+++ b/tests/processes/linked_fleet.py
@@ -98,6 +98,21 @@
         answers = await asyncio.gather(*(self.read(n, path) for n in names))
         return dict(zip(names, answers, strict=True))
 
+    async def set_faults(self, url: str, **faults: Any) -> None:
+        """Sets a stand-in's faults; all others are switched off."""
+        answer = await self.http.put(f"{url}/faults", json=faults)
+        answer.raise_for_status()
+
+    async def wait_for_status(
+        self, is_right: Callable[[dict[str, Any]], bool], what: str
+    ) -> None:
+        """Waits until what all routers show, by router, is right."""
+
+        async def check() -> bool:
+            return is_right(await self.read_all("/v1/status"))
+
+        await wait_until(check, what)
+
     async def run_command(self, *arguments: str) -> processes.Process:
         """Runs the command line to its end."""
         name = f"command-{len(self.processes.all)}"
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -124,14 +124,11 @@
     async def run(self) -> Story:
         """Runs the whole scenario."""
         sampling = asyncio.create_task(self._sample())
-        await self._wait_for_statuses(is_joined, "the fleet stands")
+        await self.fleet.wait_for_status(is_joined, "the fleet stands")
         running = self._start(max_tokens=LONG_TOKENS)
         self._cut()
         running += self._start()
         await self._finish(running)
-        await self._wait_for_statuses(
-            lambda statuses: is_split(read_views(statuses)), "a split"
-        )
         await self._serve_and_change()
         await self._heal()
         sampling.cancel()
@@ -143,14 +140,17 @@
         story = self.story
         running = self._start()
         story.change = await self.fleet.apply(build_change(QUEUE_LENGTHS[0]))
-        await self._wait_for_statuses(
+        await self.fleet.wait_for_status(
             lambda statuses: all(
                 read_offsets(statuses)[name] >= story.change
                 for name in MAJORITY
             ),
             "the change at the majority",
         )
-        await self._finish(running)
+        await self.fleet.wait_for_status(
+            lambda statuses: is_split(read_views(statuses)), "a split"
+        )
+        await self._finish(running + self._start())
         statuses = await self.fleet.read_all("/v1/status")
         story.views = read_views(statuses)
         story.offsets_cut = read_offsets(statuses)
@@ -158,7 +158,7 @@
     async def _heal(self) -> None:
         fleet, story = self.fleet, self.story
         fleet.rules.heal()
-        await self._wait_for_statuses(
+        await self.fleet.wait_for_status(
             lambda statuses: (
                 min(read_offsets(statuses).values()) >= story.change
             ),
@@ -172,7 +172,7 @@
         for relay in fleet.log_relays.values():
             relay.heal()
         await fleet.apply(build_change(QUEUE_LENGTHS[1]), "--wait")
-        await self._wait_for_statuses(is_joined, "one fleet")
+        await self.fleet.wait_for_status(is_joined, "one fleet")
         await self._finish(self._start())
         await self._book()
         story.statuses = await fleet.read_all("/v1/status")
@@ -220,12 +220,6 @@
                 self.story.samples[name].append(offset)
             await asyncio.sleep(linked_fleet.POLL_S)
 
-    async def _wait_for_statuses(self, is_right, what: str) -> None:
-        async def check() -> bool:
-            return is_right(await self.fleet.read_all("/v1/status"))
-
-        await linked_fleet.wait_until(check, what)
-
 
 async def act(folder: pathlib.Path) -> Story:
     """Runs a fleet through the scenario and ends it."""
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -37,6 +37,12 @@
     request_id: str
 
 
+class Counts(msgspec.Struct):
+    """What came in: `arrived` requests to generate, also refused ones."""
+
+    arrived: int = 0
+
+
 class Run:
     """One request's run; its progress is a function of the time.
 
@@ -147,6 +153,7 @@
     tasks: set[asyncio.Task] = set()
     slots = server.Slots(slot_count)
     faults = server.TargetFaults()
+    counts = Counts()
 
     def start(order: Generate) -> Run:
         run = runs[order.request_id] = Run(order, tokens_per_s)
@@ -159,6 +166,7 @@
 
     @litestar.post("/v1/generate", status_code=200)
     async def generate(data: Generate) -> response.Stream:
+        counts.arrived += 1
         run = runs.get(data.request_id)
         if run is None or run.stopped.is_set():
             await server.check_admission(faults)
@@ -182,7 +190,12 @@
     async def read_load() -> server.Load:
         return slots.load(faults)
 
-    return server.create_app([generate, cancel, read_load], faults)
+    @litestar.get("/counts")
+    async def read_counts() -> Counts:
+        return counts
+
+    handlers = [generate, cancel, read_load, read_counts]
+    return server.create_app(handlers, faults)
 
 
 if __name__ == "__main__":
