--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -186,21 +186,22 @@
 
     async def _start_routers(self) -> None:
         for number in range(self.settings.routers):
-            name = f"router-{number + 1}"
-            settings = self._build_router_settings(name, number)
-            path = self.folder / f"{name}.json"
-            path.write_text(json.dumps(settings, indent=2))
-            url = self.rows[name].url
-            self.processes.start(
-                name,
-                url,
-                *self.settings.router_command,
-                f"--settings={path}",
-            )
-        for name in self.rows:
-            await self.list_instance(name, "live")
+            await self.start_router(f"router-{number + 1}")
         await self._wait_for_all(list(self.rows), "/health")
 
+    async def start_router(self, name: str) -> None:
+        """Starts a router and puts it on the list, without waiting."""
+        settings = self._build_router_settings(name, len(self.rows))
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        self.processes.start(
+            name,
+            self.rows[name].url,
+            *self.settings.router_command,
+            f"--settings={path}",
+        )
+        await self.list_instance(name, "live")
+
     def _build_router_settings(self, name: str, number: int) -> dict[str, Any]:
         centres = self.settings.data_centres
         centre = centres[number % len(centres)]
