--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 bench-catalogue: setup
 	$(BIN)/python -m bench.catalogue
 	$(BIN)/python -m bench.catalogue_spread
+	$(BIN)/python -m bench.spread
 
 bench-slopes: setup
 	$(BIN)/python -m bench.slopes
--- a/tests/processes/links.py
+++ b/tests/processes/links.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import random
 import urllib.parse
 
 HOST = "127.0.0.1"
@@ -15,9 +16,13 @@
     Attributes:
         parts: names that reach only each other; all others form one part.
         ports: name of the process that sends from a port.
+        loss: part of the datagrams that get lost anyway.
+        rng: which ones.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, loss: float = 0.0) -> None:
+        self.loss = loss
+        self.rng = random.Random(1)
         self.parts: list[frozenset[str]] = []
         self.ports: dict[int, str] = {}
 
@@ -30,7 +35,9 @@
         self.parts = []
 
     def is_open(self, sender: str, receiver: str) -> bool:
-        """Whether what the sender sends gets to the receiver."""
+        """Whether a datagram of the sender gets to the receiver."""
+        if self.rng.random() < self.loss:
+            return False
         return all(
             (sender in part) == (receiver in part) for part in self.parts
         )
@@ -42,7 +49,7 @@
     Attributes:
         port: where its peers send to; known once the relay is open.
         receiver_port: where the router listens.
-        dropped: datagrams that the rules kept back.
+        dropped: datagrams that did not get through.
     """
 
     def __init__(self, receiver: str, rules: Rules):
