Don't let a restarted router wait for its own answer

A booking whose claim an earlier process of the same instance had won made the router fetch the answer from itself, that is from the very request which waited for it: until the deadline or 15 s, with a slot of the target held for it all the time, and every other retry behind it.

--- a/packages/lentilbeam-router/src/lentilbeam_router/lost_claims.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/lost_claims.py
@@ -74,8 +74,11 @@
         self, run: runs.Run, lost: claim_events.ClaimLost
     ) -> answer_feed.Whole | None:
         """Returns the winner's whole answer, or None if it can't be had."""
-        row = self.fleet.rows.get(lost.winner.instance)
-        if row is None:
+        winner = lost.winner.instance
+        row = self.fleet.rows.get(winner)
+        if row is None or winner == self.fleet.settings.instance:
+            # An earlier process of this instance won: the only answer kept
+            # here is the one that waits for this method.
             return None
         url = f"{row.url}/v1/requests/{run.request.name}"
         params = {
