Wait for routers that still start before asking what they run

The restart scenario failed once: since the routers no longer wait for themselves, the callers can be done with the first router while the others still start, and the test's look at these was refused (ConnectError). It now waits for all routers to be ready first.

--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -164,6 +164,8 @@
     async def wait_until_idle(self) -> None:
         """Waits until nothing runs at any router or at the bookings."""
         await self._wait_for_load("bookings-1", operator.not_)
+        for name in ROUTERS:
+            await self.fleet.processes.wait_ready(name, "/ready")
         for row in self.fleet.rows.values():
             await self._wait_for_router(row.url)
         await self._wait_for_load("bookings-1", operator.not_)
