Split the router's side of a pool by job

What moved where (no change of behaviour): - agent_state.py: settings, runs, cells and the state that the parts share - reports.py: sessions with the scheduler and what is published to it - held_slots.py: reuse of slots while the scheduler is silent - dispatch.py: start, retry and refusal of requests - agent.py: queues, grants and runs; the interface that Node uses - channel.py: splitting items into parts and selecting them by kind, so that the scheduler can share them answered_at, which nothing read, and the agent's own copy of the incarnation are gone.

--- a/packages/lentilbeam-core/src/lentilbeam_core/channel.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/channel.py
@@ -138,3 +138,13 @@
         if len(self.parts_seen) == parts:
             self.complete = sequence
         return True
+
+
+def split_parts(items: list[object], most: int) -> list[list[object]]:
+    """Returns `items` in lists of up to `most`; one empty list if none."""
+    return [items[i : i + most] for i in range(0, len(items), most)] or [[]]
+
+
+def select(items: list[object], kind: type) -> tuple:
+    """Returns those of `items` that are of `kind`, in their order."""
+    return tuple(item for item in items if isinstance(item, kind))
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/dispatch.py
@@ -0,0 +1,59 @@
+"""Dispatch of one router's requests: start, retry and refusal."""
+
+from lentilbeam_core import agent_state
+from lentilbeam_core import events
+from lentilbeam_core import ids
+from lentilbeam_core import outcome
+from lentilbeam_core import queueing
+
+UNREACHABLE_RETRY_AFTER_S = 1.0
+
+
+def start(
+    state: agent_state.State,
+    queue: queueing.WorkspaceQueue,
+    target: ids.TargetId,
+    now: float,
+) -> events.Effect:
+    """Dispatches an early request of `queue`; prefers a cached prefix."""
+    window = list(queue.pending)[: queueing.LOOKAHEAD]
+    cached = {
+        pending.request.prefix
+        for pending in window
+        if state.prefixes.recall(pending.request.prefix, now) == target
+    }
+    pending = queue.take(queue.find_preferred(cached), now)
+    request = pending.request
+    del state.waiting[request.name]
+    state.running[request.name] = agent_state.Run(pending, target, now)
+    state.by_workspace.setdefault(request.workspace, set()).add(request.name)
+    state.cell(target, request.workspace).running += 1
+    state.prefixes.remember(request.prefix, target, now)
+    budget = state.retry_budget + state.settings.retry_ratio
+    state.retry_budget = min(budget, state.settings.retry_burst)
+    state.count("dispatched")
+    return events.DispatchRequest(request.name, state.targets[target])
+
+
+def retry(
+    state: agent_state.State, run: agent_state.Run, now: float
+) -> list[events.Effect]:
+    """Queues an undelivered request again, or refuses it."""
+    pending = run.pending
+    pending.tries += 1
+    request = pending.request
+    can_retry = pending.tries < state.settings.max_tries
+    if not can_retry or state.retry_budget < 1:
+        reason = outcome.RefusalReason.NO_TARGET
+        return [refuse(request.name, reason, UNREACHABLE_RETRY_AFTER_S)]
+    state.retry_budget -= 1
+    state.waiting[request.name] = pending
+    state.queue(request.workspace).push_front(pending, now)
+    return []
+
+
+def refuse(
+    name: ids.RequestId, reason: outcome.RefusalReason, after_s: float
+) -> events.RefuseRequest:
+    """Returns the refusal of a request."""
+    return events.RefuseRequest(name, reason, after_s)
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/held_slots.py
@@ -0,0 +1,97 @@
+"""Slots whose request has ended, while the scheduler is silent.
+
+They are used again for the router's own least-served workspace.
+"""
+
+import dataclasses
+import math
+
+from lentilbeam_core import agent_state
+from lentilbeam_core import dispatch
+from lentilbeam_core import events
+from lentilbeam_core import ids
+from lentilbeam_core import reports
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldSlot:
+    """A slot whose request ended; free once `sequence` is acknowledged."""
+
+    target: ids.TargetId
+    sequence: int
+
+
+class HeldSlots:
+    """Slots of one router that the scheduler may not know to be free."""
+
+    def __init__(self, state: agent_state.State, reporter: reports.Reporter):
+        self.state = state
+        self.reporter = reporter
+        self.held: list[HeldSlot] = []
+
+    def hold(self, target: ids.TargetId) -> None:
+        """Adds a slot whose end the next report tells."""
+        sequence = self.reporter.sender.sequence + 1
+        self.held.append(HeldSlot(target, sequence))
+
+    def restart(self) -> None:
+        """Holds all slots until a new session's first report is answered."""
+        self.held = [HeldSlot(held.target, 1) for held in self.held]
+
+    def release(self) -> None:
+        """Gives up the slots that the scheduler knows to be free."""
+        sequence = self.reporter.sender.acknowledged
+        self.held = [held for held in self.held if held.sequence > sequence]
+
+    def due(self, now: float) -> float:
+        """Returns when `reuse` is to be called next."""
+        if not self.held or not self.state.waiting:
+            return math.inf
+        alone_at = self._alone_at()
+        return alone_at if alone_at > now else math.inf
+
+    def reuse(self, now: float) -> list[events.Effect]:
+        """Uses slots again for which a silent scheduler has no answer."""
+        if now < self._alone_at():
+            return []
+        effects = []
+        kept = []
+        for held in self.held:
+            workspace = self._least_served()
+            if workspace is None or not self.state.is_usable(held.target):
+                kept.append(held)
+                continue
+            queue = self.state.queues[workspace]
+            effects.append(dispatch.start(self.state, queue, held.target, now))
+            self.reporter.publish_cell(held.target, workspace, now, now)
+            self.reporter.publish_demand(workspace, now, now)
+            self.state.count("autonomous")
+        self.held = kept
+        return effects
+
+    def _least_served(self) -> ids.WorkspaceId | None:
+        backlogged = [
+            workspace
+            for workspace, queue in self.state.queues.items()
+            if queue.pending and not self._is_limited(workspace)
+        ]
+        return min(backlogged, key=self._local_virtual_time, default=None)
+
+    def _is_limited(self, workspace: ids.WorkspaceId) -> bool:
+        """Tells whether only a scheduler can hold the workspace's limits."""
+        entry = self.state.catalogue.workspaces.get(workspace)
+        if entry is None:
+            return True
+        limits = entry.limits
+        return limits.concurrency is not None or limits.rate_per_s is not None
+
+    def _local_virtual_time(self, workspace: ids.WorkspaceId) -> float:
+        queue = self.state.queues[workspace]
+        recent = queue.served - queue.acknowledged_served
+        expected = agent_state.expected_cost(self.state.runs(workspace))
+        weight = self.state.catalogue.weight(workspace)
+        return queue.virtual_time + (recent + expected) / weight
+
+    def _alone_at(self) -> float:
+        unanswered_since = self.reporter.unanswered_since
+        return unanswered_since + self.state.settings.autonomy_s
--- a/packages/lentilbeam-core/src/lentilbeam_core/snapshots.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/snapshots.py
@@ -83,20 +83,20 @@
     now: float,
 ) -> PoolSnapshot:
     """Returns the view of one pool at `now`, monotonic seconds."""
-    names = sorted({*agent.queues, *scheduler.ledger.accounts})
+    names = sorted({*agent.state.queues, *scheduler.ledger.accounts})
     rows = tuple(_workspace_row(agent, scheduler, name) for name in names)
     targets = tuple(
-        _target_row(agent, scheduler, name, now) for name in agent.targets
+        _target_row(agent, scheduler, name, now) for name in agent.state.targets
     )
     return PoolSnapshot(
         scheduler=followed,
         is_scheduler=scheduler.is_active,
         term=scheduler.term,
-        queued=len(agent.waiting),
-        running=len(agent.running),
+        queued=len(agent.state.waiting),
+        running=len(agent.state.running),
         workspaces=rows,
         targets=targets,
-        counters=agent.counters | scheduler.counters,
+        counters=agent.state.counters | scheduler.counters,
     )
 
 
@@ -105,7 +105,7 @@
     scheduler: scheduler_lib.Scheduler,
     name: ids.WorkspaceId,
 ) -> WorkspaceRow:
-    queue = agent.queues.get(name)
+    queue = agent.state.queues.get(name)
     is_active = scheduler.is_active
     account = scheduler.ledger.accounts.get(name) if is_active else None
     times = [queue.virtual_time if queue else 0.0]
@@ -113,7 +113,7 @@
     return WorkspaceRow(
         workspace=name,
         queued=len(queue.pending) if queue else 0,
-        running=len(agent.by_workspace.get(name, ())),
+        running=len(agent.state.by_workspace.get(name, ())),
         served=queue.served if queue else 0.0,
         virtual_time=max(times),
         in_flight=account.in_flight if account else 0,
@@ -126,13 +126,13 @@
     name: ids.TargetId,
     now: float,
 ) -> TargetRow:
-    running = sum(run.target == name for run in agent.running.values())
+    running = sum(run.target == name for run in agent.state.running.values())
     book = scheduler.book
     is_active = scheduler.is_active
-    is_draining = name in agent.draining or bool(book.draining.get(name))
+    is_draining = name in agent.state.draining or bool(book.draining.get(name))
     return TargetRow(
         target=name,
-        slots=agent.targets[name].slots,
+        slots=agent.state.targets[name].slots,
         running=running,
         occupied=book.occupied.get(name, 0) if is_active else 0,
         is_ejected=is_active and book.ejector.is_ejected(name, now),
