Split a pool's scheduler by job

What moved where (no change of behaviour): - scheduler_state.py: settings, members, sessions and their totals - intake.py: sessions begin, reports are taken in - updates.py: queues elsewhere, updates in parts, requests for full reports - scheduler.py: the role and the grants; the interface that Node uses Both sides split items with channel.split_parts and channel.select. Members are read at scheduler.state.members.

--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/intake.py
@@ -0,0 +1,134 @@
+"""Taking a router's reports in to the totals of a pool's scheduler."""
+
+from lentilbeam_core import channel
+from lentilbeam_core import ids
+from lentilbeam_core import messages
+from lentilbeam_core import scheduler_state
+from lentilbeam_core import sessions
+from lentilbeam_core import updates
+
+
+def begin(
+    me: ids.InstanceId,
+    state: scheduler_state.State,
+    sender: ids.InstanceId,
+    report: messages.DemandReport,
+    now: float,
+) -> sessions.Session:
+    """Begins a router's session; one of `me` is not paced."""
+    state.drop(sender, now)
+    pace = channel.Pace() if sender == me else state.settings.pace
+    session = sessions.Session(sender, report.incarnation, report.session, pace)
+    session.is_counted = sender in state.members.heard
+    state.sessions[sender] = session
+    state.update_fraction()
+    baseline = state.baselines.get(sender)
+    if baseline is None or baseline.incarnation != report.incarnation:
+        state.baselines[sender] = sessions.Baseline(report.incarnation)
+    return session
+
+
+def is_newer(report: messages.DemandReport, session: sessions.Session) -> bool:
+    """Tells whether `report` begins a later session than `session`."""
+    return (report.incarnation, report.session) > (
+        session.incarnation,
+        session.number,
+    )
+
+
+def take_in(
+    state: scheduler_state.State,
+    session: sessions.Session,
+    report: messages.DemandReport,
+    now: float,
+) -> None:
+    """Takes in what a router's report lists."""
+    state.ledger.floor = max(state.ledger.floor, report.floor)
+    for demand in report.workspaces:
+        if demand.workspace in state.catalogue.workspaces:
+            _take_demand(state, session, demand, now)
+    ended: dict[ids.TargetId, int] = {}
+    for use in report.slots:
+        if use.workspace in state.catalogue.workspaces:
+            count = _take_use(state, session, use, now)
+            ended[use.target] = ended.get(use.target, 0) + count
+    state.book.measure(sum(ended.values()), now)
+    failed = {
+        use.target: _take_target(state, session, use) for use in report.targets
+    }
+    for target in {*ended, *failed}:
+        failures = failed.get(target, 0)
+        _judge(state, target, ended.get(target, 0), failures, now)
+
+
+def _take_demand(
+    state: scheduler_state.State,
+    session: sessions.Session,
+    demand: messages.WorkspaceDemand,
+    now: float,
+) -> None:
+    workspace = demand.workspace
+    account = state.account(workspace)
+    served = state.baselines[session.name].served
+    if workspace not in served:
+        time = max(account.virtual_time, demand.virtual_time)
+        account.virtual_time = time
+        served[workspace] = demand.served - demand.unsettled
+    state.ledger.charge(account, demand.served - served[workspace])
+    served[workspace] = max(served[workspace], demand.served)
+    before = session.demands.get(workspace)
+    session.demands[workspace] = demand
+    session.heard_at[workspace] = now
+    session.oldest_at[workspace] = now - demand.oldest_age_ms / 1000
+    state.demanding.setdefault(workspace, set()).add(session.name)
+    if session.is_counted:
+        account.queued += demand.queued - (before.queued if before else 0)
+    state.update_room(session, workspace, now)
+    updates.tell_queues(state, account, now)
+
+
+def _take_use(
+    state: scheduler_state.State,
+    session: sessions.Session,
+    use: messages.SlotUse,
+    now: float,
+) -> int:
+    key = (use.target, use.workspace)
+    before = session.uses.get(key)
+    session.uses[key] = use
+    granted = max(session.granted.get(key, 0), use.granted)
+    session.granted[key] = granted
+    state.update_cell(session, key, now)
+    if before is None:
+        return max(use.spent - use.running, 0)
+    started = use.spent - before.spent
+    return max(started - (use.running - before.running), 0)
+
+
+def _take_target(
+    state: scheduler_state.State,
+    session: sessions.Session,
+    use: messages.TargetUse,
+) -> int:
+    """Returns how many failures are news."""
+    before = session.targets.get(use.target)
+    session.targets[use.target] = use
+    state.book.flag_draining(use.target, session.name, use.is_draining)
+    if before is None and session.receiver.complete <= 1:
+        return 0
+    return max(use.failed - (before.failed if before else 0), 0)
+
+
+def _judge(
+    state: scheduler_state.State,
+    target: ids.TargetId,
+    ended: int,
+    failures: int,
+    now: float,
+) -> None:
+    """Ejects a target that only fails; takes it back when it serves."""
+    ejector = state.book.ejector
+    if ended > failures:
+        ejector.succeed(target)
+    elif failures and ejector.fail(target, failures, state.book.targets, now):
+        state.count("ejections")
--- a/packages/lentilbeam-core/src/lentilbeam_core/node.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/node.py
@@ -267,7 +267,7 @@
             chosen = rendezvous.choose(pool, able) or self.settings.name
             scheduler = self.schedulers[pool]
             is_mine = chosen == self.settings.name
-            if members != scheduler.members:
+            if members != scheduler.state.members:
                 scheduler.set_members(members, now)
             if is_mine and not scheduler.is_active:
                 self._activate(pool, now, effects)
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/updates.py
@@ -0,0 +1,105 @@
+"""Updates of a pool's scheduler to routers: grants and queues elsewhere."""
+
+import dataclasses
+
+from lentilbeam_core import channel
+from lentilbeam_core import ids
+from lentilbeam_core import messages
+from lentilbeam_core import scheduler_state
+from lentilbeam_core import sessions
+from lentilbeam_core import virtual_time
+
+MAX_ITEMS = 32
+"""List items in one datagram."""
+QUEUE_STEPS = 8
+"""Queues elsewhere are told when they change by this part of the limit."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Addressed:
+    """An update and the router that it is for."""
+
+    receiver: ids.InstanceId
+    update: messages.GrantUpdate
+
+
+def tell_queues(
+    state: scheduler_state.State, account: virtual_time.Account, now: float
+) -> None:
+    """Tells routers of a queue that comes near its fleet-wide limit."""
+    limit = max(account.limits.queue_length, 1)
+    is_near = account.queued * 2 >= limit
+    for name in state.demanding[account.name]:
+        session = state.sessions[name]
+        key = ("queue", account.name)
+        elsewhere = account.queued - session.demands[account.name].queued
+        told = session.sender.values.get(key)
+        if told is None and not is_near:
+            continue
+        change = abs(elsewhere - (told.queued if told else 0))
+        if change * QUEUE_STEPS < limit:
+            continue
+        queued = messages.QueuedElsewhere(account.name, max(elsewhere, 0))
+        session.sender.put(key, queued, now)
+        session.sender.hurry()
+
+
+def ask_for_full(
+    state: scheduler_state.State, receiver: ids.InstanceId, number: int
+) -> Addressed:
+    """Returns the request for a full report of session `number`."""
+    update = messages.GrantUpdate(
+        pool=state.pool,
+        session=number,
+        sequence=0,
+        part=0,
+        parts=1,
+        acknowledged=0,
+        needs_full=True,
+        is_busy=False,
+        floor=0.0,
+        grants=(),
+        queues=(),
+    )
+    return Addressed(receiver, update)
+
+
+def collect(
+    state: scheduler_state.State,
+    session: sessions.Session,
+    now: float,
+) -> list[Addressed]:
+    """Returns the session's update that is due, in parts."""
+    if session.sender.due() > now:
+        return []
+    items = session.sender.collect(now)
+    chunks = channel.split_parts(items, MAX_ITEMS)
+    return [
+        Addressed(
+            session.name,
+            _make_part(state, session, part, index, len(chunks)),
+        )
+        for index, part in enumerate(chunks)
+    ]
+
+
+def _make_part(
+    state: scheduler_state.State,
+    session: sessions.Session,
+    items: list[object],
+    part: int,
+    parts: int,
+) -> messages.GrantUpdate:
+    return messages.GrantUpdate(
+        pool=state.pool,
+        session=session.number,
+        sequence=session.sender.sequence,
+        part=part,
+        parts=parts,
+        acknowledged=session.receiver.complete,
+        needs_full=False,
+        is_busy=state.is_busy,
+        floor=state.ledger.least(),
+        grants=channel.select(items, messages.Grant),
+        queues=channel.select(items, messages.QueuedElsewhere),
+    )
