Split a node by job

What moved where (no change of behaviour): - node_state.py: settings and the view of the fleet that the parts share - roles.py: who schedules each pool, and taking up the role - heartbeats.py: who is due a beat, and the intervals announced - node.py: events in, effects out; the interface that drivers use handled_at and follow_until, which nothing read, are gone.

--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/roles.py
@@ -0,0 +1,99 @@
+"""Which router schedules each pool, as one router sees it."""
+
+from lentilbeam_core import events
+from lentilbeam_core import heartbeats
+from lentilbeam_core import ids
+from lentilbeam_core import membership as membership_lib
+from lentilbeam_core import node_state
+from lentilbeam_core import rendezvous
+from lentilbeam_core import scheduler as scheduler_lib
+
+
+def choose_schedulers(
+    state: node_state.State,
+    beats: heartbeats.Heartbeats,
+    now: float,
+    effects: list[events.Effect],
+) -> None:
+    """Follows the scheduler that this node's own view names."""
+    _suspect_silent(state, now)
+    members = _members(state, now)
+    able = [n for n in sorted(members.live) if _can_schedule(state, n)]
+    if not able:
+        able = [n for n in sorted(members.heard) if _can_schedule(state, n)]
+    for pool, agent in state.agents.items():
+        chosen = rendezvous.choose(pool, able) or state.settings.name
+        scheduler = state.schedulers[pool]
+        is_mine = chosen == state.settings.name
+        if members != scheduler.state.members:
+            scheduler.set_members(members, now)
+        if is_mine and not scheduler.is_active:
+            activate(state, beats, pool, now, effects)
+        elif scheduler.is_active and not is_mine:
+            scheduler.deactivate()
+            agent.adopt(scheduler.virtual_times(), scheduler.floor())
+        if state.followed.get(pool) != chosen:
+            state.followed[pool] = chosen
+            agent.follow(chosen, is_mine, now)
+            effects.append(events.RecordEvent("follow", pool, chosen))
+
+
+def _suspect_silent(state: node_state.State, now: float) -> None:
+    """Gives up schedulers that were not heard since they were chosen."""
+    bound_s = state.settings.membership.silence_s
+    for pool, chosen in state.followed.items():
+        asked_at = state.agents[pool].followed_at
+        peer = state.membership.peers.get(chosen)
+        if peer is None or now - asked_at <= bound_s:
+            continue
+        if peer.last_heard <= asked_at:
+            state.membership.suspect(chosen)
+
+
+def _members(state: node_state.State, now: float) -> scheduler_lib.Members:
+    states = membership_lib.PeerState
+    named = {
+        name: state.membership.state(name, now)
+        for name in state.membership.names()
+    }
+    heard = {
+        name: _data_centre(state, name)
+        for name, seen in named.items()
+        if seen in (states.LIVE, states.LEAVING)
+        and state.membership.is_heard(name, now)
+    }
+    live = frozenset(n for n, s in named.items() if s is states.LIVE)
+    silent = sum(s is states.UNREACHABLE for s in named.values())
+    known = frozenset(n for n, s in named.items() if s is not states.GONE)
+    return scheduler_lib.Members(heard, live, known, len(live) + silent)
+
+
+def _data_centre(
+    state: node_state.State, name: ids.InstanceId
+) -> ids.DataCentreId | None:
+    if name == state.settings.name:
+        return state.settings.data_centre
+    listed = state.membership.listed.get(name)
+    return listed.data_centre if listed else None
+
+
+def _can_schedule(state: node_state.State, name: ids.InstanceId) -> bool:
+    if name == state.settings.name:
+        return state.is_ready
+    return state.membership.peers[name].is_ready
+
+
+def activate(
+    state: node_state.State,
+    beats: heartbeats.Heartbeats,
+    pool: ids.PoolId,
+    now: float,
+    effects: list[events.Effect],
+) -> None:
+    """Takes up a pool's role, and tells all peers at once."""
+    scheduler = state.schedulers[pool]
+    scheduler.activate(now)
+    beats.hurry()
+    effects.append(
+        events.RecordEvent("schedule", pool, f"term {scheduler.term}")
+    )
