--- a/packages/lentilbeam-router/src/lentilbeam_router/load_poller.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/load_poller.py
@@ -49,7 +49,7 @@
         if pool not in node.agents:
             return False
         is_scheduled = node.schedulers[pool].is_active
-        return is_scheduled or target in node.agents[pool].draining
+        return is_scheduled or target in node.agents[pool].state.draining
 
     async def _poll(self, target: catalogue_lib.Target) -> None:
         load = await self.targets.read_load(target)
