Pace messages by how long requests run

Cause: at saturation messages went every 0.15 s on average, and at most as many requests as slots were sent ahead. Calls of 40 ms end long before the next grants come, so slots idled while bookings waited. Found as bookings that reached only 124 a second on 64 slots of 10 ms. Ruled out: claims (17.8 appends a second, within their pace). Test test_short_calls_leave_no_slot_idle, red before. Conclusion: GrantUpdate.pace_ms takes the place of is_busy.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -175,7 +175,7 @@
     uses = [messages.SlotUse(t, n, 17, 17, 1, 900.0) for n, t in pairs]
     grants = tuple(messages.Grant(n, t, 18, 123456.0) for n, t in pairs)
     update = messages.GrantUpdate(
-        POOL, 305419777, 300, 0, 1, 299, False, True, 123456.0, grants, ()
+        POOL, 305419777, 300, 0, 1, 299, False, 150, 123456.0, grants, ()
     )
     return {
         "codec_report": make_report(300, 299, demands, uses),
--- a/packages/lentilbeam-core/src/lentilbeam_core/agent.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/agent.py
@@ -192,7 +192,7 @@
         ):
             return []
         self.reporter.floor = max(self.reporter.floor, update.floor)
-        self.reporter.sender.is_paced = update.is_busy
+        self.reporter.sender.set_interval(update.pace_ms / messages.MS_PER_S)
         for queued in update.queues:
             self.elsewhere[queued.workspace] = queued.queued
         effects = []
--- a/packages/lentilbeam-core/src/lentilbeam_core/channel.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/channel.py
@@ -15,7 +15,7 @@
 
     Attributes:
         batch_s: least time between two messages.
-        interval_s: the same on average, while paced.
+        interval_s: the longest such time on average, while paced.
         burst: messages that may run ahead of the average.
         resend_s: urgent state is sent again after this time without answer,
             while paced.
@@ -33,8 +33,8 @@
     """The sender's side: knows what the receiver may not have yet.
 
     Attributes:
-        is_paced: whether messages wait for the average pace. They need not
-            where capacity is free, since then each wait is idle capacity.
+        interval_s: least time between two messages on average; 0 for
+            messages that are not paced.
     """
 
     def __init__(self, pace: Pace):
@@ -47,7 +47,11 @@
         self.sent_at = -math.inf
         self.urgent = 0
         self.average_at = -math.inf
-        self.is_paced = False
+        self.interval_s = 0.0
+
+    def set_interval(self, interval_s: float) -> None:
+        """Sets the average pace, within the bound of the settings."""
+        self.interval_s = min(interval_s, self.pace.interval_s)
 
     def put(
         self,
@@ -86,8 +90,7 @@
         """Returns the values for the next message and counts it as sent."""
         self.sequence += 1
         self.sent_at = now
-        if self.is_paced:
-            self.average_at = max(self.average_at, now) + self.pace.interval_s
+        self.average_at = max(self.average_at, now) + self.interval_s
         self.wanted_at = math.inf
         return [self.values[key] for key in self.changed]
 
@@ -108,15 +111,15 @@
         if not self.is_urgent():
             return wanted_at
         pace = self.pace
-        resend_s = pace.resend_s if self.is_paced else pace.eager_resend_s
+        resend_s = pace.resend_s if self.interval_s else pace.eager_resend_s
         return min(wanted_at, max(self.sent_at + resend_s, allowed_at))
 
     def _allowed_at(self) -> float:
-        pace = self.pace
-        batched_at = self.sent_at + pace.batch_s
-        if not self.is_paced:
+        batched_at = self.sent_at + self.pace.batch_s
+        if not self.interval_s:
             return batched_at
-        return max(batched_at, self.average_at - pace.interval_s * pace.burst)
+        ahead_s = self.interval_s * self.pace.burst
+        return max(batched_at, self.average_at - ahead_s)
 
 
 class StateReceiver:
--- a/packages/lentilbeam-core/src/lentilbeam_core/heartbeats.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/heartbeats.py
@@ -50,7 +50,7 @@
                 leaving=self.state.membership.is_leaving,
                 is_ready=self.state.is_ready,
                 catalogue_offset=self.state.offset,
-                interval_ms=int(interval_s * 1000),
+                interval_ms=int(interval_s * messages.MS_PER_S),
             )
             effects.append(events.SendMessage(peer, beat))
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/membership.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/membership.py
@@ -104,7 +104,7 @@
         if beat.incarnation < peer.incarnation:
             return False
         was_restarted = beat.incarnation > peer.incarnation
-        interval_s = beat.interval_ms / 1000
+        interval_s = beat.interval_ms / messages.MS_PER_S
         if (beat.leaving, interval_s) != (peer.said_leaving, peer.interval_s):
             self.view = None
         self._note_sign(sender)
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -9,6 +9,8 @@
 
 from lentilbeam_core import ids
 
+MS_PER_S = 1000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -174,7 +176,8 @@
         parts: number of parts.
         acknowledged: highest `DemandReport.sequence` wholly taken in.
         needs_full: asks the router to begin a new session.
-        is_busy: whether no slot is free, so that reports need not hurry.
+        pace_ms: least time between two reports on average; 0 while a slot
+            is free, since then each wait is idle capacity.
         floor: least virtual time of workspaces that wait; monotone.
         grants: changed grants.
         queues: changed totals of workspaces near their queue limit.
@@ -187,7 +190,7 @@
     parts: int
     acknowledged: int
     needs_full: bool
-    is_busy: bool
+    pace_ms: int
     floor: float
     grants: tuple[Grant, ...]
     queues: tuple[QueuedElsewhere, ...]
--- a/packages/lentilbeam-core/src/lentilbeam_core/reports.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/reports.py
@@ -137,7 +137,9 @@
         demand = messages.WorkspaceDemand(
             workspace=workspace,
             queued=len(queue.pending),
-            oldest_age_ms=int((now - head.arrived) * 1000) if head else 0,
+            oldest_age_ms=int((now - head.arrived) * messages.MS_PER_S)
+            if head
+            else 0,
             served=queue.served,
             next_cost=head.estimate if head else 0.0,
             preferred=self._prefer(head, now),
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler.py
@@ -127,10 +127,10 @@
         if self.state.is_ready:
             self.state.refresh_rated(now)
             self._grant_all(now)
-            self.state.is_busy = self.book.is_busy(now)
+            self.state.pace_s = self.book.pace_s(now)
             for session in self.state.sessions.values():
                 if session.is_counted:
-                    session.sender.is_paced = self.state.is_busy
+                    session.sender.set_interval(self.state.pace_s)
                     self.outbox += updates.collect(self.state, session, now)
         sent = self.outbox
         self.outbox = []
--- a/packages/lentilbeam-core/src/lentilbeam_core/scheduler_state.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/scheduler_state.py
@@ -59,7 +59,8 @@
         baselines: settled service by router.
         demanding: routers that have reported a workspace.
         is_ready: whether grants may be made.
-        is_busy: whether all slots were in use after the last grants.
+        pace_s: average time between two messages of a session; 0 while a
+            slot was free after the last grants.
         next_token_at: when a rate limit next lets a request pass.
         rated: workspaces that wait for that.
         counters: decisions since the start.
@@ -76,7 +77,7 @@
         self.demanding: dict[ids.WorkspaceId, set[ids.InstanceId]] = {}
         self.members = Members({}, frozenset(), frozenset(), 0)
         self.is_ready = False
-        self.is_busy = False
+        self.pace_s = 0.0
         self.next_token_at = math.inf
         self.rated: set[ids.WorkspaceId] = set()
         self.counters: dict[str, int] = {}
--- a/packages/lentilbeam-core/src/lentilbeam_core/slots.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/slots.py
@@ -14,7 +14,10 @@
     """Settings of the use of slots.
 
     Attributes:
-        control_delay_s: from the end of a request to the next one's start.
+        control_delay_s: from the end of a request to the next one's start,
+            beside the pace of messages.
+        max_pace_s: longest average time between two messages.
+        pace_part: the same as a part of the mean run time.
         mean_run_s: mean run time while none was measured.
         memory_s: how long measured run times count.
         prefix_bonus: part of a target's slots that a cached prefix is worth.
@@ -22,7 +25,9 @@
         ejector: settings of ejection.
     """
 
-    control_delay_s: float = 0.25
+    control_delay_s: float = 0.1
+    max_pace_s: float = 0.15
+    pace_part: float = 0.15
     mean_run_s: float = 1.0
     memory_s: float = 20.0
     prefix_bonus: float = 0.25
@@ -128,7 +133,19 @@
             if self.has_room(name, now)
         ]
 
-    def is_busy(self, now: float) -> bool:
+    def pace_s(self, now: float) -> float:
+        """Returns the average time between messages; 0 while a slot is free.
+
+        Messages may be the rarer the longer requests run, since those sent
+        ahead bridge the time.
+        """
+        return self._longest_pace_s() if self._is_busy(now) else 0.0
+
+    def _longest_pace_s(self) -> float:
+        part_s = self.mean_run_s() * self.settings.pace_part
+        return min(part_s, self.settings.max_pace_s)
+
+    def _is_busy(self, now: float) -> bool:
         """Tells whether all slots that may be used are in use."""
         return all(
             self.occupied.get(name, 0) + self._ahead(target)
@@ -153,5 +170,6 @@
 
     def _ahead(self, target: catalogue_lib.Target) -> int:
         """Returns requests sent ahead to bridge the control delay."""
-        part = self.settings.control_delay_s / max(self.mean_run_s(), 1e-6)
+        delay_s = self.settings.control_delay_s + self._longest_pace_s()
+        part = delay_s / max(self.mean_run_s(), 1e-6)
         return min(math.ceil(target.slots * part), target.slots)
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -83,7 +83,7 @@
   part @4 :UInt16;
   parts @5 :UInt16 = 1;
   needsFull @6 :Bool;
-  isBusy @11 :Bool;
+  paceMs @11 :UInt32;
   floor @7 :UInt64;
   grants @8 :List(Grant);
   queues @9 :List(QueuedElsewhere);
--- a/tests/unit/test_scheduler_fairness.py
+++ b/tests/unit/test_scheduler_fairness.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from tests.unit import fleet
 
@@ -16,6 +17,11 @@
 WEIGHTS = {f"w{i}": 4.0 if i < 2 else 1.0 for i in range(8)}
 
 
+def draw_short(source):
+    """Draws the cost of a call of 20 to 60 ms."""
+    return source.uniform(20.0, 60.0)
+
+
 def shape_of(seed, **changes):
     sizes = {"routers": 4, "targets": 4, "slots": 3, "weights": WEIGHTS}
     return fleet.Shape(seed=seed, **(sizes | changes))
@@ -100,17 +106,38 @@
     assert len(names) == len(set(names))
 
 
-def test_two_schedulers_at_once_share_each_target():
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_two_schedulers_at_once_share_each_target(seed):
+    shape = shape_of(seed)
+    waiting = []
+
+    def sample(run):
+        waiting.append([len(jobs) for jobs in run.waiting.values()])
+
     def plan(run):
         (scheduler,) = run.schedulers()
         others = [name for name in run.names if name != scheduler]
         run.at(3.0, run.cut, [scheduler, others[0]], others[1:])
+        for step in range(70):
+            run.at(5.0 + step / 10, sample, run)
 
-    seen = fleet.saturate(shape_of(5), fleet.Load(depth=8), 12.0, plan)
+    seen = fleet.saturate(shape, fleet.Load(depth=8), 12.0, plan)
     assert len(seen.fleet.schedulers()) == 2
     assert seen.utilisation(start=5.0) >= 0.95
-    waiting = [len(jobs) for jobs in seen.fleet.waiting.values()]
-    assert max(waiting) <= 3
+    # Each side holds two of the three slots and one ahead, and the third
+    # slot while it looks idle to it; one side may do so on average.
+    assert max(map(max, waiting)) <= shape.slots + 2
+    counts = [count for counts in waiting for count in counts]
+    assert sum(counts) / len(counts) <= shape.slots + 1
+
+
+@FEW
+@hypothesis.given(seed=strategies.integers(0, 10**6))
+def test_short_calls_leave_no_slot_idle(seed):
+    load = fleet.Load(depth=8, hint_error=1.0, draw=draw_short)
+    seen = fleet.saturate(shape_of(seed), load, until=7.0)
+    assert seen.utilisation(start=4.0) >= 0.98
+    assert seen.refused == []
 
 
 def test_idleness_earns_no_credit():
