Give the slot back when a request fails in the router

Cause: a fault of the router's own code ended a request's task without a word to the node, so its slot stayed taken for good. Before: after three such faults on an engine of two slots the next request was refused; after: it completes and no slot is held (test_router_faults.py). Conclusion: settling withdraws the request and leaves the target.

--- a/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
@@ -174,6 +174,8 @@
             self.claims.settle(run.won, run.exchange)
         end = run.feed.end
         if end is None:
+            self.node.post(events.RequestWithdrawn(run.name))
+            self.relay.leave_target(run, events.RunEnd.CANCELLED)
             end = problems.build_failure(
                 outcome.Outcome.OUTCOME_UNKNOWN,
                 "router_fault",
