Run the scenarios on linked fleets by one function

Cause: two process tests started, ended and judged their fleets by the same ten lines. Conclusion: behaviour and checks as before.

--- a/tests/processes/linked_fleet.py
+++ b/tests/processes/linked_fleet.py
@@ -10,6 +10,8 @@
 import pathlib
 import random
 from typing import Any
+from typing import Protocol
+from typing import TypeVar
 
 from demo import addresses
 from demo import caller as caller_lib
@@ -207,3 +209,28 @@
         for result in results
         if result.answer.outcome is not completed or result.damages
     ]
+
+
+class Story(Protocol):
+    """What happened in a scenario, and how the fleet's processes ended."""
+
+    ended_badly: list[str]
+    tracebacks: list[str]
+
+
+S = TypeVar("S", bound=Story)
+
+
+async def run_story(
+    fleet: LinkedFleet, run: Callable[[LinkedFleet], Awaitable[S]]
+) -> S:
+    """Starts a fleet, runs a scenario on it and ends it."""
+    try:
+        await fleet.start(WORKSPACES)
+        story = await run(fleet)
+        await fleet.close()
+        story.ended_badly = fleet.processes.list_ended_badly()
+        story.tracebacks = fleet.processes.list_tracebacks()
+        return story
+    finally:
+        fleet.processes.kill_rest()
--- a/tests/processes/test_cold_start.py
+++ b/tests/processes/test_cold_start.py
@@ -127,26 +127,15 @@
         return (await self.fleet.http.get(f"{url}/ready")).status_code
 
 
-async def act(folder: pathlib.Path) -> Story:
-    """Runs a fleet through the scenario and ends it."""
-    fleet = linked_fleet.LinkedFleet(SETTINGS, folder)
-    try:
-        await fleet.start(linked_fleet.WORKSPACES)
-        story = await Play(fleet).run()
-        await fleet.close()
-        story.ended_badly = fleet.processes.list_ended_badly()
-        story.tracebacks = fleet.processes.list_tracebacks()
-        return story
-    finally:
-        fleet.processes.kill_rest()
-
-
 @pytest_bdd.when(
     "router-3 starts while the log is down, and router-4 without anybody",
     target_fixture="story",
 )
 def start_without_log(tmp_path: pathlib.Path) -> Story:
-    return asyncio.run(act(tmp_path))
+    fleet = linked_fleet.LinkedFleet(SETTINGS, tmp_path)
+    return asyncio.run(
+        linked_fleet.run_story(fleet, lambda fleet: Play(fleet).run())
+    )
 
 
 @pytest_bdd.then(
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -221,26 +221,15 @@
             await asyncio.sleep(linked_fleet.POLL_S)
 
 
-async def act(folder: pathlib.Path) -> Story:
-    """Runs a fleet through the scenario and ends it."""
-    fleet = linked_fleet.LinkedFleet(SETTINGS, folder, OFF_LOG)
-    try:
-        await fleet.start(linked_fleet.WORKSPACES)
-        story = await Play(fleet).run()
-        await fleet.close()
-        story.ended_badly = fleet.processes.list_ended_badly()
-        story.tracebacks = fleet.processes.list_tracebacks()
-        return story
-    finally:
-        fleet.processes.kill_rest()
-
-
 @pytest_bdd.when(
     "the two routers are cut off while requests run, and joined again",
     target_fixture="story",
 )
 def cut_and_heal(tmp_path: pathlib.Path) -> Story:
-    return asyncio.run(act(tmp_path))
+    fleet = linked_fleet.LinkedFleet(SETTINGS, tmp_path, OFF_LOG)
+    return asyncio.run(
+        linked_fleet.run_story(fleet, lambda fleet: Play(fleet).run())
+    )
 
 
 @pytest_bdd.then("every request at both sides was completed at its first try")
