Claim a request once it is granted, not while it waits

Cause: claims made while requests wait are left behind by a router that dies; their bookings can only be told outcome_unknown. That they would keep slots from idling no longer counts: grants sent ahead now cover the claim.

--- a/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
@@ -1,9 +1,10 @@
 """A request's way through the router, from the queue to settlement.
 
-enqueue -> grant -> claim -> dispatch -> relay -> settle. The claim is made
-while the request waits for its grant, so that no slot idles meanwhile. Each
-run is a task of its own that feeds an `AnswerFeed`; callers only read the
-feed, so that a caller that was cut off can attach again.
+enqueue -> grant -> claim -> dispatch -> relay -> settle. A request is claimed
+only once it is granted, so that a router that dies leaves few claims behind;
+grants sent ahead keep the slots busy meanwhile. Each run is a task of its own
+that feeds an `AnswerFeed`; callers only read the feed, so that a caller that
+was cut off can attach again.
 """
 
 import asyncio
@@ -82,30 +83,19 @@
         started = self.clock.monotonic()
         self.timeline.record("request.admitted", run.name)
         mailbox = self.node.open_mailbox(run.name)
-        claiming = asyncio.create_task(self._claim(run))
         try:
-            end = await self._serve(run, mailbox, claiming)
-            run.feed.finish(end)
+            run.feed.finish(await self._serve(run, mailbox))
         finally:
-            claiming.cancel()
             self._close_mailbox(run, mailbox)
             self._settle(run, started)
 
-    async def _serve(
-        self,
-        run: runs.Run,
-        mailbox: Mailbox,
-        claiming: asyncio.Task[answer_feed.End | None],
-    ) -> answer_feed.End:
+    async def _serve(self, run: runs.Run, mailbox: Mailbox) -> answer_feed.End:
         self.node.post(events.RequestArrived(run.build_queued()))
         while True:
-            decision = await _wait_for_decision(mailbox, claiming)
-            if decision is None:
-                self.node.post(events.RequestWithdrawn(run.name))
-                return claiming.result()
+            decision = await mailbox.get()
             if isinstance(decision, node_task.Refused):
                 return await self._refuse(run, decision)
-            end = await claiming or self._start_run(run)
+            end = await self._claim(run) or self._start_run(run)
             if end is not None:
                 self.relay.leave_target(run, events.RunEnd.CANCELLED)
                 return end
@@ -115,7 +105,7 @@
 
     async def _claim(self, run: runs.Run) -> answer_feed.End | None:
         """Returns None once the request may be run, or else its end."""
-        if run.request.is_idempotent:
+        if run.request.is_idempotent or run.won is not None:
             return None
         result = await self.claims.obtain(run.request.key, run.deadline)
         match result:
@@ -190,21 +180,3 @@
         self.metrics.count(f"outcome.{ended.value}")
         self.metrics.time("request", self.clock.monotonic() - started)
         self.timeline.record("request.ended", run.name, ended.value)
-
-
-async def _wait_for_decision(
-    mailbox: Mailbox, claiming: asyncio.Task[answer_feed.End | None]
-) -> node_task.Decision | None:
-    """Returns the node's decision, or None if the claim ended the request."""
-    deciding = asyncio.ensure_future(mailbox.get())
-    try:
-        if not claiming.done():
-            await asyncio.wait(
-                [deciding, claiming], return_when=asyncio.FIRST_COMPLETED
-            )
-        is_ended = claiming.done() and claiming.result() is not None
-        if is_ended and not deciding.done():
-            return None
-        return await deciding
-    finally:
-        deciding.cancel()
