Forward opaque requests on the users' platform

The product gains a forwarding path beside its own interface: routes, keys, placement by unread prompt tokens and kept prompt parts, a queue by recent usage of workspaces, a retry budget kept without messages, and load reports between routers. platform/ translates the platform's names only.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
-export PYTHONPATH := $(CURDIR)/packages/lentilbeam-core/src:$(CURDIR)/packages/lentilbeam-router/src:$(CURDIR)/packages/lentilbeam-cli/src:$(CURDIR)
+export PYTHONPATH := $(CURDIR)/packages/lentilbeam-core/src:$(CURDIR)/packages/lentilbeam-router/src:$(CURDIR)/packages/lentilbeam-cli/src:$(CURDIR)/platform:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
 .PHONY: setup test lint format demo fleet golden bench bench-path bench-fairness bench-slopes bench-catalogue bench-once
@@ -26,7 +26,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/python tools/check_imports.py packages tests bench demo tools
+	$(BIN)/python tools/check_imports.py packages platform tests bench demo tools
 
 format: setup
 	$(BIN)/ruff format .
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests that are forwarded as they are, without sockets."""
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -0,0 +1,199 @@
+"""The queue of one pool: who goes next, and who is refused.
+
+Engines know no priorities, so requests wait here until a target has room.
+The workspace that received least lately goes first. A request that can't be
+answered within its goal any more is refused at once, with a time to return.
+"""
+
+import collections
+import dataclasses
+import enum
+import random
+
+from lentilbeam_core import ids
+from lentilbeam_core.forwarding import placement as placement_lib
+from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import shares
+from lentilbeam_core.forwarding import target_list
+
+
+class RefusalReason(enum.Enum):
+    """Why a request is not run."""
+
+    NO_ROOM = "no_room"
+    NO_TARGET = "no_target"
+    TOO_LATE = "too_late"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of admission.
+
+    Attributes:
+        wait_fraction: a request waits here for at most this part of its
+            goal; the rest is for its target.
+        no_target_wait_s: longest wait while the pool has no target at all.
+        return_s: range of the times after which a refused caller is asked
+            to come back.
+        return_fraction: bound of that time, relative to what is left of the
+            caller's deadline; callers ignore longer ones.
+    """
+
+    wait_fraction: float = 0.6
+    no_target_wait_s: float = 1.0
+    return_s: tuple[float, float] = (0.6, 2.0)
+    return_fraction: float = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """A request may be sent."""
+
+    request: requests.Request
+    placement: placement_lib.Placement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """A request is not run."""
+
+    request: requests.Request
+    reason: RefusalReason
+    retry_after_s: float
+
+
+Decision = Placed | Refused
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request in the queue.
+
+    Attributes:
+        request: what waits.
+        gives_up_at: when it is refused, monotonic seconds.
+        excluded: targets that it is not to be sent to again.
+    """
+
+    request: requests.Request
+    gives_up_at: float
+    excluded: frozenset[ids.TargetId]
+
+
+class Admission:
+    """Requests that wait for a target of one pool."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        placer: placement_lib.Placer,
+        usage: shares.Usage,
+        draw: random.Random,
+    ):
+        self.settings = settings
+        self.placer = placer
+        self.usage = usage
+        self.draw = draw
+        self.queues: dict[ids.WorkspaceId, collections.deque[Waiting]] = {}
+
+    def enqueue(
+        self,
+        request: requests.Request,
+        now: float,
+        excluded: frozenset[ids.TargetId] = frozenset(),
+    ) -> None:
+        """Adds a request; `excluded` are targets that it was sent to."""
+        wait_s = request.route.goal_s * self.settings.wait_fraction
+        gives_up_at = min(
+            max(request.arrived_at, now) + wait_s, request.ends_at
+        )
+        waiting = Waiting(request, gives_up_at, excluded)
+        queue = self.queues.setdefault(request.workspace, collections.deque())
+        queue.append(waiting)
+
+    def withdraw(self, name: str) -> None:
+        """Removes a request whose caller has left."""
+        for workspace, queue in list(self.queues.items()):
+            for waiting in queue:
+                if waiting.request.name == name:
+                    queue.remove(waiting)
+                    break
+            if not queue:
+                del self.queues[workspace]
+
+    def count_waiting(self) -> int:
+        """Returns the number of requests in the queue."""
+        return sum(map(len, self.queues.values()))
+
+    def next_deadline(self) -> float | None:
+        """Returns when the next request is to be refused, if any waits."""
+        times = [w.gives_up_at for q in self.queues.values() for w in q]
+        return min(times, default=None)
+
+    def decide(
+        self, targets: list[target_list.Entry], now: float
+    ) -> list[Decision]:
+        """Takes out of the queue all that can be placed or must go."""
+        decisions = self._expire(targets, now)
+        order = sorted(
+            self.queues, key=lambda name: (self.usage.total(name, now), name)
+        )
+        while order:
+            workspace = order.pop(0)
+            placed = self._place_one(workspace, targets, now)
+            if placed is None:
+                continue
+            decisions.append(placed)
+            if workspace in self.queues:
+                order.append(workspace)
+                order.sort(key=lambda n: (self.usage.total(n, now), n))
+        return decisions
+
+    def _place_one(
+        self,
+        workspace: ids.WorkspaceId,
+        targets: list[target_list.Entry],
+        now: float,
+    ) -> Placed | None:
+        queue = self.queues[workspace]
+        for waiting in queue:
+            usable = [t for t in targets if t.name not in waiting.excluded]
+            found = self.placer.choose(waiting.request, usable, now)
+            if found is not None:
+                break
+        else:
+            return None
+        queue.remove(waiting)
+        if not queue:
+            del self.queues[workspace]
+        request = waiting.request
+        self.placer.loads.start(request.name, found.target.name, found.unread)
+        self.placer.note_sent(found.target.name, request.prompt)
+        cost = requests.estimate_cost(request)
+        self.usage.charge(workspace, cost, now)
+        return Placed(request, found)
+
+    def _expire(
+        self, targets: list[target_list.Entry], now: float
+    ) -> list[Decision]:
+        refused = []
+        for workspace, queue in list(self.queues.items()):
+            over = [w for w in queue if w.gives_up_at <= now]
+            for waiting in over:
+                queue.remove(waiting)
+                reason = RefusalReason.NO_ROOM
+                if not targets:
+                    reason = RefusalReason.NO_TARGET
+                refused.append(self.refuse(waiting.request, reason, now))
+            if not queue:
+                del self.queues[workspace]
+        return refused
+
+    def refuse(
+        self, request: requests.Request, reason: RefusalReason, now: float
+    ) -> Refused:
+        """Returns a refusal with a time to come back."""
+        left_s = max(request.ends_at - now, 0.0)
+        wanted_s = self.draw.uniform(*self.settings.return_s)
+        bound_s = left_s * self.settings.return_fraction
+        return Refused(request, reason, min(wanted_s, bound_s))
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -196,4 +196,68 @@
     queues: tuple[QueuedElsewhere, ...]
 
 
-PeerMessage = Heartbeat | DemandReport | GrantUpdate
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """What a router has at one target.
+
+    Attributes:
+        target: where.
+        unread: prompt tokens sent there and not yet read.
+        running: requests sent there that have not ended.
+    """
+
+    target: ids.TargetId
+    unread: float
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceUse:
+    """Cost of a workspace's requests at one router, older ones decayed."""
+
+    pool: ids.PoolId
+    workspace: ids.WorkspaceId
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedPart:
+    """A shared part of a prompt that was sent to a target.
+
+    Attributes:
+        target: where.
+        prefix: identifies the part together with all parts before it.
+        tokens: length of the part.
+    """
+
+    target: ids.TargetId
+    prefix: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a router that forwards requests tells its peers of its work.
+
+    Attributes:
+        incarnation: the sender's start.
+        sequence: grows by one with each report of the incarnation.
+        version: version of the configuration in force at the sender.
+        leaving: whether the sender was told to stop.
+        is_ready: whether callers may be sent to it.
+        loads: its work at the targets.
+        uses: what it served lately, by workspace.
+        placed: shared parts that it sent to targets since its last report.
+    """
+
+    incarnation: ids.Incarnation
+    sequence: int
+    version: int
+    leaving: bool
+    is_ready: bool
+    loads: tuple[TargetLoad, ...]
+    uses: tuple[WorkspaceUse, ...]
+    placed: tuple[PlacedPart, ...]
+
+
+PeerMessage = Heartbeat | DemandReport | GrantUpdate | LoadReport
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards requests as they are, between callers and targets."""
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -0,0 +1,253 @@
+"""One connection to a target: an asyncio protocol around llhttp's parser.
+
+httpx spends 417 to 610 us on each relayed chunk (see docs/CAPACITY.md), more
+than a router has for a stream's event; httptools parses the same answer in a
+few microseconds and shows which bytes belong to no request.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+
+import httptools
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_router.forwarding import wire
+
+CONNECT_TIMEOUT_S = 0.8
+"""A target in another data centre answers within some milliseconds."""
+UNACKED_TIMEOUT_MS = 1500
+"""Bound on unacknowledged bytes: shows connections that went silent."""
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+HIGH_WATER_BYTES = 65_536
+"""Unread answer bytes beyond which the socket is not read."""
+DEFAULT_KEEP_ALIVE_S = 4.0
+"""Idle time for which a connection is kept if its target names none."""
+KEEP_ALIVE_MARGIN_S = 1.0
+
+
+class ConnectFailedError(Exception):
+    """No connection: nothing was sent."""
+
+
+class BrokenError(Exception):
+    """The connection ended or made no sense before the answer was whole."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Status line and headers of an answer."""
+
+    status: int
+    headers: wire.RawHeaders
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """The answer is whole."""
+
+
+Item = Head | bytes | End
+
+
+class TargetConnection(asyncio.Protocol):
+    """A connection that carries one request at a time."""
+
+    def __init__(self, clock: clock_lib.Clock):
+        self.clock = clock
+        self.transport: asyncio.Transport | None = None
+        self.inbox: collections.deque[Item] = collections.deque()
+        self.inbox_bytes = 0
+        self.wakeup: asyncio.Future | None = None
+        self.parser: httptools.HttpResponseParser | None = None
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.has_head = False
+        self.has_length = False
+        self.is_complete = False
+        self.is_broken = False
+        self.keeps_alive = False
+        self.idle_until = 0.0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Sets the socket up so that silence is noticed."""
+        self.transport = transport
+        watch_silence(transport.get_extra_info("socket"))
+
+    def start(self, payload: bytes) -> None:
+        """Sends a whole request."""
+        self.parser = httptools.HttpResponseParser(self)
+        self.inbox.clear()
+        self.inbox_bytes = 0
+        self.has_head = False
+        self.has_length = False
+        self.is_complete = False
+        self.keeps_alive = False
+        self.headers = []
+        self.transport.write(payload)
+
+    async def receive(self) -> Item:
+        """Returns the next piece of the answer.
+
+        Raises:
+            BrokenError: no more is to come, and the answer isn't whole.
+        """
+        while not self.inbox:
+            if self.is_broken:
+                raise BrokenError("the connection ended early")
+            self.wakeup = asyncio.get_running_loop().create_future()
+            try:
+                await self.wakeup
+            finally:
+                self.wakeup = None
+        item = self.inbox.popleft()
+        if isinstance(item, bytes):
+            self.inbox_bytes -= len(item)
+            if self.inbox_bytes < HIGH_WATER_BYTES and not self.is_broken:
+                self.transport.resume_reading()
+        return item
+
+    def is_reusable(self, now: float) -> bool:
+        """Whether another request may be sent on this connection."""
+        return (
+            self.is_complete
+            and self.keeps_alive
+            and not self.is_broken
+            and now < self.idle_until
+            and self.transport.get_write_buffer_size() == 0
+            and not self.transport.is_closing()
+        )
+
+    def close(self) -> None:
+        """Drops the connection at once; the target sees a reset or an end."""
+        self.is_broken = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes; those that belong to no request end the connection."""
+        if self.parser is None or self.is_complete:
+            self.close()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._break()
+
+    def eof_received(self) -> bool:
+        """Ends an answer that has no length."""
+        if self.has_head and not self.has_length and not self.is_complete:
+            self.keeps_alive = False
+            self.is_complete = True
+            self._deliver(End())
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the reader that no more is to come."""
+        del exc
+        self._break()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collects a header (called by the parser)."""
+        self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Delivers the head, but for interim ones (called by the parser)."""
+        status = self.parser.get_status_code()
+        if status < 200:
+            return
+        self.has_head = True
+        names = {name.lower() for name, _ in self.headers}
+        self.has_length = bool(
+            names & {b"content-length", b"transfer-encoding"}
+        )
+        self._deliver(Head(status, tuple(self.headers)))
+
+    def on_body(self, body: bytes) -> None:
+        """Delivers bytes of the body (called by the parser)."""
+        if self.is_complete:
+            self.keeps_alive = False
+            return
+        self.inbox_bytes += len(body)
+        if self.inbox_bytes >= HIGH_WATER_BYTES:
+            self.transport.pause_reading()
+        self._deliver(body)
+
+    def on_message_begin(self) -> None:
+        """Notes bytes beyond a whole answer (called by the parser)."""
+        if self.is_complete:
+            self.is_broken = True
+
+    def on_message_complete(self) -> None:
+        """Delivers the end of the answer (called by the parser)."""
+        if not self.has_head:
+            self.headers = []
+            return
+        if self.is_complete:
+            return
+        self.is_complete = True
+        self.keeps_alive = self.parser.should_keep_alive()
+        idle_s = _read_keep_alive(self.headers)
+        self.idle_until = self.clock.monotonic() + idle_s
+        self._deliver(End())
+
+    def _deliver(self, item: Item) -> None:
+        self.inbox.append(item)
+        self._wake()
+
+    def _break(self) -> None:
+        self.is_broken = True
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.abort()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self.wakeup is not None and not self.wakeup.done():
+            self.wakeup.set_result(None)
+
+
+def watch_silence(sock: socket.socket) -> None:
+    """Makes the system notice a peer that no longer answers."""
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS),
+    )
+    for level, option, value in options:
+        sock.setsockopt(level, option, value)
+
+
+async def connect(
+    host: str, port: int, clock: clock_lib.Clock
+) -> TargetConnection:
+    """Opens a connection.
+
+    Raises:
+        ConnectFailedError: refused, unreachable or too slow.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                lambda: TargetConnection(clock), host, port
+            )
+    except (OSError, TimeoutError) as error:
+        raise ConnectFailedError(repr(error)) from error
+    return connection
+
+
+def _read_keep_alive(headers: list[tuple[bytes, bytes]]) -> float:
+    for name, value in headers:
+        if name.lower() != b"keep-alive":
+            continue
+        for item in value.lower().split(b","):
+            key, _, number = item.strip().partition(b"=")
+            if key == b"timeout" and number.strip().isdigit():
+                idle_s = float(number) - KEEP_ALIVE_MARGIN_S
+                return min(idle_s, DEFAULT_KEEP_ALIVE_S)
+    return DEFAULT_KEEP_ALIVE_S
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection_pool.py
@@ -0,0 +1,85 @@
+"""Idle connections to targets, kept for the next request."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core.forwarding import target_list
+from lentilbeam_router import metrics as metrics_lib
+from lentilbeam_router.forwarding import connection as connection_lib
+
+Connect = Callable[
+    [str, int, clock_lib.Clock], Awaitable[connection_lib.TargetConnection]
+]
+
+
+class ConnectionPool:
+    """Idle connections by target; the most recently used goes first."""
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+        connect: Connect = connection_lib.connect,
+    ):
+        self.clock = clock
+        self.metrics = metrics
+        self.connect = connect
+        self.idle: dict[str, list[connection_lib.TargetConnection]] = {}
+
+    async def acquire(
+        self, target: target_list.Entry, is_fresh: bool
+    ) -> connection_lib.TargetConnection:
+        """Returns a connection to the target.
+
+        Args:
+            target: where to.
+            is_fresh: whether an idle connection won't do: it may have gone
+                silent without either end knowing.
+
+        Raises:
+            ConnectFailedError: there is none.
+        """
+        now = self.clock.monotonic()
+        kept = self.idle.get(target.name, [])
+        while kept and not is_fresh:
+            connection = kept.pop()
+            if connection.is_reusable(now):
+                return connection
+            connection.close()
+        self.metrics.count("target.connections")
+        return await self.connect(target.host, target.port, self.clock)
+
+    def release(
+        self,
+        target: target_list.Entry,
+        connection: connection_lib.TargetConnection,
+    ) -> None:
+        """Takes a connection back whose answer is whole, or closes it."""
+        if connection.is_reusable(self.clock.monotonic()):
+            self.idle.setdefault(target.name, []).append(connection)
+        else:
+            connection.close()
+
+    def forget(self, target: str) -> None:
+        """Closes the idle connections to a target."""
+        for connection in self.idle.pop(target, []):
+            connection.close()
+
+    def sweep(self) -> None:
+        """Closes the connections that have been idle for too long."""
+        now = self.clock.monotonic()
+        for target, kept in list(self.idle.items()):
+            good = [c for c in kept if c.is_reusable(now)]
+            for connection in kept:
+                if connection not in good:
+                    connection.close()
+            if good:
+                self.idle[target] = good
+            else:
+                del self.idle[target]
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for target in list(self.idle):
+            self.forget(target)
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/decision_log.py
@@ -0,0 +1,59 @@
+"""A line for each decision, on standard output, bounded and not blocking.
+
+Lines beyond the rate are counted and reported with the next line that fits.
+"""
+
+import os
+from typing import Any
+
+import msgspec
+
+from lentilbeam_core import clock as clock_lib
+
+MAX_LINES_PER_S = 400.0
+BURST_LINES = 400.0
+
+
+class DecisionLog:
+    """Writes JSON lines to a file descriptor.
+
+    Attributes:
+        dropped: lines left out since the last one written.
+    """
+
+    def __init__(self, clock: clock_lib.Clock, instance: str, output: int):
+        self.clock = clock
+        self.instance = instance
+        self.output = output
+        self.allowance = BURST_LINES
+        self.filled_at = clock.monotonic()
+        self.dropped = 0
+        os.set_blocking(output, False)
+
+    def request(self, name: str, decision: str, **inputs: Any) -> None:
+        """Writes a decision on a request."""
+        self._write({"request": name, "event": decision, **inputs})
+
+    def belief(self, change: str, **inputs: Any) -> None:
+        """Writes a change of what this process believes."""
+        self._write({"event": change, **inputs})
+
+    def _write(self, line: dict[str, Any]) -> None:
+        now = self.clock.monotonic()
+        earned = (now - self.filled_at) * MAX_LINES_PER_S
+        self.allowance = min(self.allowance + earned, BURST_LINES)
+        self.filled_at = now
+        if self.allowance < 1.0:
+            self.dropped += 1
+            return
+        self.allowance -= 1.0
+        stamp = self.clock.now().isoformat(timespec="milliseconds")
+        line = {"at": stamp, "instance": self.instance, **line}
+        if self.dropped:
+            line["dropped"] = self.dropped
+        try:
+            os.write(self.output, msgspec.json.encode(line) + b"\n")
+            self.dropped = 0
+        except OSError:
+            # A full or closed pipe: the line is counted with the dropped.
+            self.dropped += 1
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -0,0 +1,161 @@
+"""Carries out the decisions of a pool's admission: wakes who may go."""
+
+import asyncio
+import random
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import ejection
+from lentilbeam_core import ids
+from lentilbeam_core import messages
+from lentilbeam_core.forwarding import admission
+from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import loads as loads_lib
+from lentilbeam_core.forwarding import placement
+from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import retry_budget
+from lentilbeam_core.forwarding import shares
+from lentilbeam_core.forwarding import target_list
+
+MAX_PLACED_PARTS = 24
+"""Shared parts in one report to peers; a datagram holds them."""
+
+
+class Dispatcher:
+    """The requests of one pool that wait or run at this router."""
+
+    def __init__(
+        self,
+        pool: configuration.Pool,
+        targets: target_list.TargetList,
+        budget: retry_budget.Settings,
+        data_centre: ids.DataCentreId,
+        window_s: float,
+        clock: clock_lib.Clock,
+        draw: random.Random,
+    ):
+        self.pool = pool
+        self.targets = targets
+        self.clock = clock
+        self.budget = retry_budget.RetryBudget(budget)
+        self.loads = loads_lib.Loads()
+        self.usage = shares.Usage(window_s)
+        self.placer = placement.Placer(
+            placement.Settings(), pool, self.loads, data_centre, draw
+        )
+        self.admission = admission.Admission(
+            admission.Settings(), self.placer, self.usage, draw
+        )
+        self.ejector = ejection.Ejector(ejection.Settings())
+        self.waiters: dict[str, asyncio.Future[admission.Decision]] = {}
+        self.placed: list[messages.PlacedPart] = []
+        self.timer: asyncio.TimerHandle | None = None
+        self.is_changed = False
+
+    async def place(
+        self,
+        request: requests.Request,
+        excluded: frozenset[ids.TargetId] = frozenset(),
+    ) -> admission.Decision:
+        """Waits until the request may be sent or is refused."""
+        future = asyncio.get_running_loop().create_future()
+        self.waiters[request.name] = future
+        self.admission.enqueue(request, self.clock.monotonic(), excluded)
+        self.decide()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._give_back(request, future)
+            raise
+        finally:
+            self.waiters.pop(request.name, None)
+
+    def note_first_event(self, name: str) -> None:
+        """Notes that an answer has begun: its prompt was read."""
+        self.loads.read(name)
+        self.is_changed = True
+        self.decide()
+
+    def note_end(self, name: str) -> None:
+        """Notes that a request is no longer at its target."""
+        self.loads.end(name)
+        self.is_changed = True
+        self.decide()
+
+    def note_failure(self, target: ids.TargetId) -> bool:
+        """Counts a failure against a target; tells if it is now avoided."""
+        listed = {t.name: t for t in self.targets.find_usable(self.pool.name)}
+        return self.ejector.fail(target, 1, listed, self.clock.monotonic())
+
+    def note_success(self, target: ids.TargetId) -> None:
+        """Counts a whole answer for a target."""
+        self.ejector.succeed(target)
+
+    def decide(self) -> None:
+        """Places what can be placed, and refuses what must go."""
+        if not self.admission.queues:
+            return
+        now = self.clock.monotonic()
+        for decision in self.admission.decide(self._find_usable(now), now):
+            if isinstance(decision, admission.Placed):
+                self._note_placed(decision)
+            future = self.waiters.get(decision.request.name)
+            if future is not None and not future.done():
+                future.set_result(decision)
+        self._schedule(now)
+
+    def take_placed(self) -> tuple[messages.PlacedPart, ...]:
+        """Returns the shared parts placed since the last report."""
+        placed = tuple(self.placed[:MAX_PLACED_PARTS])
+        self.placed.clear()
+        return placed
+
+    def hear_placed(self, placed: tuple[messages.PlacedPart, ...]) -> None:
+        """Takes in which shared parts a peer has sent where."""
+        runs: dict[ids.TargetId, list[requests.Part]] = {}
+        for part in placed:
+            runs.setdefault(part.target, []).append(
+                requests.Part(part.prefix, part.tokens)
+            )
+        for target, parts in runs.items():
+            entry = self.targets.entries.get(target)
+            if entry is not None and entry.pool == self.pool.name:
+                self.placer.caches.use(target, parts)
+
+    def _find_usable(self, now: float) -> list[target_list.Entry]:
+        usable = []
+        for entry in self.targets.find_usable(self.pool.name):
+            if self.ejector.is_ejected(entry.name, now):
+                continue
+            own = self.loads.own.get(entry.name)
+            is_busy = own is not None and own.running > 0
+            if is_busy and self.ejector.is_on_trial(entry.name):
+                continue
+            usable.append(entry)
+        return usable
+
+    def _note_placed(self, decision: admission.Placed) -> None:
+        self.is_changed = True
+        prompt = decision.request.prompt
+        if prompt is None:
+            return
+        target = decision.placement.target.name
+        for part in prompt.parts[:-1]:
+            self.placed.append(
+                messages.PlacedPart(target, part.name, part.tokens)
+            )
+
+    def _give_back(
+        self, request: requests.Request, future: asyncio.Future
+    ) -> None:
+        self.admission.withdraw(request.name)
+        if future.done() and not future.cancelled():
+            self.note_end(request.name)
+
+    def _schedule(self, now: float) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        deadline = self.admission.next_deadline()
+        if deadline is not None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(max(deadline - now, 0.0), self.decide)
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -0,0 +1,367 @@
+"""The process that forwards requests: builds its parts, runs, and stops."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+import contextlib
+import dataclasses
+import logging
+import random
+import signal
+import socket
+from typing import Any
+
+import uvicorn
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import ids
+from lentilbeam_core import messages
+from lentilbeam_core.forwarding import configuration as configuration_lib
+from lentilbeam_core.forwarding import retry_budget
+from lentilbeam_core.forwarding import target_list
+from lentilbeam_router import exit_status
+from lentilbeam_router import metrics as metrics_lib
+from lentilbeam_router import peer_link
+from lentilbeam_router import settings as settings_lib
+from lentilbeam_router import signal_free_server
+from lentilbeam_router.forwarding import connection_pool
+from lentilbeam_router.forwarding import decision_log
+from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
+from lentilbeam_router.forwarding import feeds
+from lentilbeam_router.forwarding import forwarder as forwarder_lib
+from lentilbeam_router.forwarding import front as front_lib
+from lentilbeam_router.forwarding import peers as peers_lib
+from lentilbeam_router.forwarding import wire as wire_lib
+
+KEEP_ALIVE_S = 30
+"""Longer than callers may keep an idle connection."""
+HOUSEKEEPING_S = 0.25
+LEAVE_MARGIN_S = 0.8
+"""A stopping process is gone this long before it would be killed."""
+ADDRESS_LIFE_FACTOR = 3.0
+"""Some callers keep an answer with addresses three times as long."""
+BACKLOG = 512
+"""Connections that wait to be accepted."""
+
+AsgiApp = Callable[..., Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of a forwarding router.
+
+    Attributes:
+        instance: this process's name.
+        data_centre: where it is.
+        front: where callers connect.
+        peer: where datagrams of other routers arrive.
+        budget: the fleet's budget of repeated sends, for each pool.
+        usage_window_s: time over which shares of workspaces are kept.
+        address_ttl_s: how long callers keep the addresses they were told.
+        grace_s: time between the request to stop and the kill.
+    """
+
+    instance: ids.InstanceId
+    data_centre: ids.DataCentreId
+    front: settings_lib.Address
+    peer: settings_lib.Address
+    budget: retry_budget.Settings
+    usage_window_s: float
+    address_ttl_s: float
+    grace_s: float
+
+
+class Gateway:
+    """One forwarding router; takes in what the platform's store says."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        wire: wire_lib.Wire,
+        clock: clock_lib.Clock,
+        output: int,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = ids.Incarnation(
+            int(clock.now().timestamp() * 1_000_000)
+        )
+        self.draw = random.Random(f"{settings.instance}{self.incarnation}")
+        self.metrics = metrics_lib.Metrics()
+        self.log = decision_log.DecisionLog(clock, settings.instance, output)
+        self.configuration = configuration_lib.Follower()
+        self.targets = target_list.TargetList()
+        self.has_targets = False
+        self.is_leaving = False
+        self.stop = asyncio.Event()
+        self.dispatchers: dict[ids.PoolId, dispatcher_lib.Dispatcher] = {}
+        self.link = peer_link.PeerLink(
+            settings.instance, self._receive, self.metrics
+        )
+        self.peers = peers_lib.Peers(
+            settings.instance, self.incarnation, clock, self.link, self.log
+        )
+        self.pool = connection_pool.ConnectionPool(clock, self.metrics)
+        self.forwarder = forwarder_lib.Forwarder(
+            wire, self.pool, clock, self.metrics, self.log
+        )
+        self.front = front_lib.Front(wire, self, clock, self.metrics, self.log)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self.configuration.current is not None
+            and self.has_targets
+            and not self.is_leaving
+        )
+
+    def list_addresses(self) -> list[settings_lib.Address]:
+        """Returns where callers may connect."""
+        found = [entry.front for entry in self.peers.find_serving()]
+        if self.is_ready:
+            found.append(self.settings.front)
+        return found
+
+    def find_dispatcher(self, pool: ids.PoolId) -> dispatcher_lib.Dispatcher:
+        """Returns the dispatcher of a pool that the configuration names."""
+        if pool not in self.dispatchers:
+            self.dispatchers[pool] = dispatcher_lib.Dispatcher(
+                self.configuration.current.pools[pool],
+                self.targets,
+                self.settings.budget,
+                self.settings.data_centre,
+                self.settings.usage_window_s,
+                self.clock,
+                self.draw,
+            )
+        return self.dispatchers[pool]
+
+    def offer_configuration(
+        self, found: configuration_lib.Configuration
+    ) -> None:
+        """Takes in a configuration, whatever its version."""
+        if self.configuration.offer(found):
+            self.log.belief(
+                "configuration_in_force",
+                version=found.version,
+                routes=len(found.routes),
+                keys=len(found.workspaces),
+            )
+
+    def put_target(self, entry: target_list.Entry) -> None:
+        """Takes in a target's entry."""
+        before = self.targets.put(entry)
+        if before == entry:
+            return
+        self.log.belief(
+            "target_listed",
+            target=entry.name,
+            pool=entry.pool,
+            state=entry.state.value,
+        )
+        if before and before.started_at_ms != entry.started_at_ms:
+            self._forget_target(entry.name)
+        self._decide_all()
+
+    def remove_target(self, name: ids.TargetId) -> None:
+        """Takes in that a target's entry was removed."""
+        is_gone = self.targets.remove(name, self.clock.monotonic())
+        self.log.belief("target_unlisted", target=name, at_once=is_gone)
+        if is_gone:
+            self._forget_target(name)
+
+    def replace_targets(self, entries: list[target_list.Entry]) -> None:
+        """Takes in all targets that are listed now."""
+        self.has_targets = True
+        names = {entry.name for entry in entries}
+        for name in list(self.targets.entries):
+            if name not in names:
+                self.remove_target(name)
+        for entry in entries:
+            self.put_target(entry)
+
+    def put_router(self, entry: feeds.RouterEntry) -> None:
+        """Takes in a router's entry."""
+        self.peers.put(entry)
+
+    def store_lost(self, what: str, detail: str) -> None:
+        """Notes that a part of the store does not answer."""
+        self.log.belief("store_lost", what=what, detail=detail)
+
+    def store_returned(self, what: str) -> None:
+        """Notes that it answers again."""
+        self.targets.store_returned(self.clock.monotonic())
+        self.log.belief("store_returned", what=what)
+
+    def change_settings(self, settings: Settings) -> None:
+        """Takes in changed settings; addresses stay until the next start."""
+        self.settings = dataclasses.replace(
+            settings, front=self.settings.front, peer=self.settings.peer
+        )
+        for dispatcher in self.dispatchers.values():
+            dispatcher.budget.settings = settings.budget
+            dispatcher.usage.window_s = settings.usage_window_s
+        self.log.belief("settings_changed")
+
+    async def run(
+        self,
+        jobs: list[Coroutine[Any, Any, None]],
+        apps: dict[settings_lib.Address, AsgiApp],
+    ) -> exit_status.ExitStatus:
+        """Serves until told to stop.
+
+        Args:
+            jobs: endless jobs that feed this process.
+            apps: further applications by the address they listen on.
+        """
+        self.log.belief("started", incarnation=self.incarnation)
+        try:
+            await peer_link.open_link(self.link, self.settings.peer)
+            sockets = [_listen(a) for a in (self.settings.front, *apps)]
+        except OSError as error:
+            self.log.belief("cannot_listen", detail=str(error))
+            return exit_status.ExitStatus.CANNOT_LISTEN
+        server = _build_server(self._build_app(apps))
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        tasks = [
+            asyncio.create_task(job)
+            for job in (*jobs, self._keep_house(), self._report())
+        ]
+        serving = asyncio.create_task(server.serve(sockets=sockets))
+        stopping = asyncio.create_task(self.stop.wait())
+        await asyncio.wait(
+            [stopping, serving, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        status = exit_status.ExitStatus.OK
+        if stopping.done():
+            await self._drain()
+        else:
+            status = exit_status.ExitStatus.FAILED
+            self._log_failure([serving, *tasks])
+        server.should_exit = True
+        self.log.belief("stopped", active=self.front.active)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(serving, LEAVE_MARGIN_S / 2)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.link.close()
+        return status
+
+    def _build_app(self, apps: dict[settings_lib.Address, AsgiApp]) -> AsgiApp:
+        by_port = {address.port: app for address, app in apps.items()}
+
+        async def route(scope, receive, send) -> None:
+            server = scope.get("server")
+            app = by_port.get(server[1]) if server else None
+            await (app or self.front)(scope, receive, send)
+
+        return route
+
+    async def _drain(self) -> None:
+        """Serves on until callers know other routers and all is answered."""
+        started_at = self.clock.monotonic()
+        self.is_leaving = True
+        self.log.belief("leaving", active=self.front.active)
+        for _ in range(2):
+            self._send_report()
+        known_s = self.settings.address_ttl_s * ADDRESS_LIFE_FACTOR
+        limit_s = self.settings.grace_s - LEAVE_MARGIN_S
+        while True:
+            await asyncio.sleep(0.05)
+            passed_s = self.clock.monotonic() - started_at
+            is_idle = self.front.active == 0 and passed_s >= known_s
+            if is_idle or passed_s >= limit_s:
+                return
+
+    def _log_failure(self, tasks: list[asyncio.Task]) -> None:
+        for task in tasks:
+            if task.done() and not task.cancelled():
+                self.log.belief("task_failed", detail=repr(task.exception()))
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.pool.sweep()
+            now = self.clock.monotonic()
+            for name in self.targets.expire(now):
+                self.log.belief("target_gone", target=name)
+                self._forget_target(name)
+            self._decide_all()
+
+    async def _report(self) -> None:
+        await peers_lib.run_reports(self._send_if_due)
+
+    def _send_if_due(self) -> None:
+        is_changed = any(d.is_changed for d in self.dispatchers.values())
+        if self.peers.is_due(is_changed):
+            self._send_report()
+
+    def _send_report(self) -> None:
+        current = self.configuration.current
+        self.peers.report(
+            list(self.dispatchers.values()),
+            current.version if current else 0,
+            self.is_ready,
+            self.is_leaving,
+        )
+
+    def _receive(
+        self, sender: ids.InstanceId, message: messages.PeerMessage
+    ) -> None:
+        if not isinstance(message, messages.LoadReport):
+            self.metrics.count("peer.unexpected")
+            return
+        if not self.peers.hear(sender, message):
+            return
+        now = self.clock.monotonic()
+        for dispatcher in self.dispatchers.values():
+            uses = [u for u in message.uses if u.pool == dispatcher.pool.name]
+            dispatcher.usage.hear(sender, tuple(uses), now)
+            dispatcher.loads.hear(sender, message.loads, now)
+            dispatcher.hear_placed(message.placed)
+        self._decide_all()
+
+    def _forget_target(self, name: ids.TargetId) -> None:
+        self.pool.forget(name)
+        for dispatcher in self.dispatchers.values():
+            dispatcher.placer.caches.forget(name)
+            dispatcher.loads.forget(name)
+
+    def _decide_all(self) -> None:
+        for dispatcher in self.dispatchers.values():
+            dispatcher.decide()
+
+
+def _listen(address: settings_lib.Address) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((address.host, address.port))
+    sock.listen(BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+def _build_server(app: AsgiApp) -> signal_free_server.WebServer:
+    # The server's own log repeats what the decision log says.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    config = uvicorn.Config(
+        app,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=0,
+        backlog=BACKLOG,
+        log_config=None,
+    )
+    return signal_free_server.WebServer(config)
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -8,6 +8,7 @@
     heartbeat @1 :Heartbeat;
     report @2 :DemandReport;
     update @3 :GrantUpdate;
+    load @4 :LoadReport;
   }
 }
 
@@ -89,3 +90,33 @@
   queues @9 :List(QueuedElsewhere);
   names @10 :List(Text);
 }
+
+struct TargetLoad {
+  target @0 :UInt16;
+  running @1 :UInt16;
+  unread @2 :UInt32;
+}
+
+struct WorkspaceUse {
+  workspace @0 :UInt16;
+  cost @1 :UInt32;
+  pool @2 :UInt16;
+}
+
+struct PlacedPart {
+  target @0 :UInt16;
+  prefix @1 :UInt16;
+  tokens @2 :UInt32;
+}
+
+struct LoadReport {
+  incarnation @0 :UInt64;
+  version @1 :UInt64;
+  sequence @2 :UInt32;
+  leaving @3 :Bool;
+  isReady @4 :Bool;
+  loads @5 :List(TargetLoad);
+  uses @6 :List(WorkspaceUse);
+  placed @7 :List(PlacedPart);
+  names @8 :List(Text);
+}
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -56,6 +56,7 @@
     messages.Heartbeat: "heartbeat",
     messages.DemandReport: "report",
     messages.GrantUpdate: "update",
+    messages.LoadReport: "load",
 }
 _TYPES = {name: kind for kind, name in _KINDS.items()}
 _ITEMS = {
@@ -64,6 +65,9 @@
     "targets": messages.TargetUse,
     "grants": messages.Grant,
     "queues": messages.QueuedElsewhere,
+    "loads": messages.TargetLoad,
+    "uses": messages.WorkspaceUse,
+    "placed": messages.PlacedPart,
 }
 
 
@@ -83,7 +87,7 @@
     return re.sub(r"_(\w)", lambda match: match.group(1).upper(), name)
 
 
-_NAMES = {"workspace", "target", "preferred"}
+_NAMES = {"workspace", "target", "preferred", "prefix", "pool"}
 _WIDTHS = {"uint16": 16, "uint32": 32, "uint64": 64}
 _STRUCTS = {
     messages.Heartbeat: _schema.Heartbeat,
@@ -94,6 +98,10 @@
     messages.TargetUse: _schema.TargetUse,
     messages.Grant: _schema.Grant,
     messages.QueuedElsewhere: _schema.QueuedElsewhere,
+    messages.LoadReport: _schema.LoadReport,
+    messages.TargetLoad: _schema.TargetLoad,
+    messages.WorkspaceUse: _schema.WorkspaceUse,
+    messages.PlacedPart: _schema.PlacedPart,
 }
 
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_link.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_link.py
@@ -58,6 +58,22 @@
         self.metrics.count(f"peer.sent.{kind}")
         self.transport.sendto(data, (address.host, address.port))
 
+    def broadcast(
+        self,
+        addresses: list[settings_lib.Address],
+        message: messages.PeerMessage,
+    ) -> None:
+        """Sends one message to many; it is encoded once."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        data = peer_codec.encode(self.me, message)
+        kind = type(message).__name__
+        size = len(data) * len(addresses)
+        self.metrics.count(f"peer.sent_bytes.{kind}", size)
+        self.metrics.count(f"peer.sent.{kind}", len(addresses))
+        for address in addresses:
+            self.transport.sendto(data, (address.host, address.port))
+
     def close(self) -> None:
         """Closes the socket."""
         if self.transport is not None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
@@ -1,8 +1,6 @@
 """The HTTP server: litestar application on uvicorn, in our own loop."""
 
 from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
 import dataclasses
 
 import litestar
@@ -17,6 +15,7 @@
 from lentilbeam_router import problems
 from lentilbeam_router import responses
 from lentilbeam_router import settings as settings_lib
+from lentilbeam_router import signal_free_server
 
 REQUESTS_PATH = "/v1/requests"
 CLOSE_HEADER = (b"connection", b"close")
@@ -24,15 +23,6 @@
 """Time for callers to read answers that had ended when the server stopped."""
 
 
-class WebServer(uvicorn.Server):
-    """A uvicorn server that leaves signals to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Captures none: the daemon handles signals."""
-        yield
-
-
 def build_app(
     handlers: list[Callable],
     limits: settings_lib.Limits,
@@ -55,7 +45,7 @@
 
 def build_server(
     app: litestar.Litestar, address: settings_lib.Address
-) -> WebServer:
+) -> signal_free_server.WebServer:
     """Returns the server of the application, not yet started."""
     config = uvicorn.Config(
         app,
@@ -70,7 +60,7 @@
         timeout_graceful_shutdown=FLUSH_LIMIT_S,
         log_config=None,
     )
-    return WebServer(config)
+    return signal_free_server.WebServer(config)
 
 
 def _answer_http_exception(
