--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -167,10 +167,12 @@
         if not queue:
             del self.queues[workspace]
         request = waiting.request
-        self.placer.loads.start(request.name, found.target.name, found.unread)
-        self.placer.note_sent(found.target.name, request.prompt)
-        cost = requests.estimate_cost(request)
-        self.usage.charge(workspace, cost, now)
+        target = found.target.name
+        held = requests.estimate_memory(request)
+        self.placer.loads.start(request.name, target, found.unread, held)
+        if request.prompt is not None:
+            self.placer.note_sent(target, request.prompt.parts, now)
+        self.usage.charge(workspace, requests.estimate_cost(request), now)
         return Placed(request, found)
 
     def _expire(
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -21,18 +21,26 @@
     Attributes:
         unread: prompt tokens sent there and not yet read.
         running: requests sent there that have not ended.
+        held: tokens that these take in the target's memory, at most.
     """
 
     unread: float = 0.0
     running: int = 0
+    held: float = 0.0
 
+    def add(self, other: "Load", sign: int = 1) -> None:
+        """Adds another load, or takes it off if `sign` is -1."""
+        self.unread += sign * other.unread
+        self.running += sign * other.running
+        self.held += sign * other.held
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@dataclasses.dataclass(slots=True)
 class Sent:
     """A request that this router has at a target."""
 
     target: ids.TargetId
-    unread: float
+    load: Load
 
 
 class Loads:
@@ -45,27 +53,26 @@
             ids.InstanceId, tuple[float, dict[ids.TargetId, Load]]
         ] = {}
 
-    def start(self, name: str, target: ids.TargetId, unread: float) -> None:
+    def start(
+        self, name: str, target: ids.TargetId, unread: float, held: float
+    ) -> None:
         """Notes that a request is sent to `target`."""
-        load = self.own[target]
-        load.unread += unread
-        load.running += 1
-        self.sent[name] = Sent(target, unread)
+        load = Load(unread, 1, held)
+        self.own[target].add(load)
+        self.sent[name] = Sent(target, load)
 
     def read(self, name: str) -> None:
         """Notes that a request's prompt was read: its answer has begun."""
         sent = self.sent.get(name)
-        if sent is None or sent.unread == 0:
-            return
-        self.own[sent.target].unread -= sent.unread
-        self.sent[name] = Sent(sent.target, 0.0)
+        if sent is not None:
+            self.own[sent.target].unread -= sent.load.unread
+            sent.load.unread = 0.0
 
     def end(self, name: str) -> None:
         """Notes that a request is no longer at its target."""
-        self.read(name)
         sent = self.sent.pop(name, None)
         if sent is not None:
-            self.own[sent.target].running -= 1
+            self.own[sent.target].add(sent.load, -1)
 
     def hear(
         self,
@@ -74,18 +81,19 @@
         now: float,
     ) -> None:
         """Takes in what a peer has at the targets."""
-        loads = {t.target: Load(t.unread, t.running) for t in reported}
+        loads = {t.target: Load(t.unread, t.running, t.held) for t in reported}
         self.peers[peer] = (now, loads)
 
     def total(self, target: ids.TargetId, now: float) -> Load:
         """Returns the work that all routers heard of have at `target`."""
+        total = Load()
         own = self.own.get(target)
-        total = Load(own.unread, own.running) if own else Load()
+        if own is not None:
+            total.add(own)
         for heard_at, loads in self.peers.values():
             load = loads.get(target)
             if load is not None and now - heard_at < PEER_REPORT_AGE_S:
-                total.unread += load.unread
-                total.running += load.running
+                total.add(load)
         return total
 
     def forget(self, target: ids.TargetId) -> None:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -6,48 +6,58 @@
 them from a target that does, which is far cheaper than reading them again.
 """
 
-from collections.abc import Callable
 import dataclasses
+import hashlib
 import random
 
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import prompt_cache
+from lentilbeam_core.forwarding import reading_rates
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
-    """Settings of placement.
+    """Settings of placement. Disadvantages of a target are in seconds.
 
     Attributes:
-        read_tokens_per_s: prompt tokens that an engine reads in a second;
-            from the users' sheets.
         first_event_s: time to the first event of a prompt that is read at
             once; from the users' sheets.
-        fetch_s: disadvantage of a target that has to fetch shared parts.
-        reread_factor: weight of shared parts that would be read again,
-            relative to their reading time.
+        goal_fraction: part of the goal within which the first event has to
+            be expected; the rest is for errors of the estimate.
+        fetch_s: disadvantage of fetching shared parts at all.
+        fetch_token_s: and for each token: copies crowd out other parts.
+        fetch_least_tokens: fewer tokens are read again instead.
+        reread_token_s: disadvantage of each shared token read again.
+        away_token_s: disadvantage of each shared token away from the home
+            that all routers agree on, while no target holds it.
         distance_s: disadvantage of a target in another data centre.
+        crowd_s: disadvantage of a full batch: it slows all streams in it.
         noise_s: spread of random disadvantages, so that routers with the
             same view don't all choose the same target.
-        fetch_least_tokens: shorter shared parts are read again instead.
         least_backlog_s: a target with less unread work than this has room
             for any request.
         plain_overcommit: requests at a plain target, relative to its slots.
+        plain_distance: disadvantage of a plain target in another data
+            centre, in requests.
     """
 
-    read_tokens_per_s: float = 100_000.0
     first_event_s: float = 0.06
-    fetch_s: float = 0.03
-    reread_factor: float = 3.0
+    goal_fraction: float = 0.9
+    fetch_s: float = 0.005
+    fetch_token_s: float = 5e-6
+    fetch_least_tokens: int = 64
+    reread_token_s: float = 4e-5
+    away_token_s: float = 1e-5
     distance_s: float = 0.004
+    crowd_s: float = 0.1
     noise_s: float = 0.01
-    fetch_least_tokens: int = 1024
     least_backlog_s: float = 0.05
     plain_overcommit: float = 1.5
+    plain_distance: float = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,11 +67,14 @@
     Attributes:
         target: the chosen target.
         unread: prompt tokens that it is expected to read.
+        ahead: prompt tokens to be read there before its first event, its
+            own included.
         fetch_from: a target to fetch shared parts from, if any.
     """
 
     target: target_list.Entry
     unread: float
+    ahead: float
     fetch_from: target_list.Entry | None
 
 
@@ -71,6 +84,25 @@
     placement: Placement
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kept:
+    """Where a prompt's leading parts are kept.
+
+    Attributes:
+        tokens: kept by each target, in the order of the targets.
+        most: the most of these.
+        holder: the target that keeps most, if any keeps something.
+        shared: length of all parts but the last, which is the request's own.
+        home: where shared parts go while no target holds them.
+    """
+
+    tokens: list[int]
+    most: int
+    holder: target_list.Entry | None
+    shared: int
+    home: ids.TargetId
+
+
 class Placer:
     """Places the requests of one pool."""
 
@@ -89,6 +121,7 @@
         self.draw = draw
         cache_tokens = pool.engine.cache_tokens if pool.engine else 0
         self.caches = prompt_cache.PromptCaches(cache_tokens)
+        self.rates = reading_rates.ReadingRates(reading_rates.Settings())
 
     def choose(
         self,
@@ -97,85 +130,112 @@
         now: float,
     ) -> Placement | None:
         """Returns the best target with room, or None."""
+        if not targets:
+            return None
         if request.prompt is None or self.pool.engine is None:
             return self._choose_plain(targets, now)
-        kept = [
-            self.caches.count_kept(entry.name, request.prompt.parts)
-            for entry in targets
-        ]
-        weigh = self._weigh(request, list(zip(targets, kept, strict=True)), now)
-        choices = map(weigh, targets, kept)
-        best = min(
-            (choice for choice in choices if choice is not None),
-            key=lambda choice: choice.cost_s,
-            default=None,
-        )
+        kept = self._find_kept(request.prompt, targets)
+        best = None
+        for index, entry in enumerate(targets):
+            choice = self._weigh(request, entry, kept, index, now)
+            if choice and (best is None or choice.cost_s < best.cost_s):
+                best = choice
         return best.placement if best is not None else None
 
     def note_sent(
-        self, target: ids.TargetId, prompt: requests.Prompt | None
+        self,
+        target: ids.TargetId,
+        parts: tuple[requests.Part, ...],
+        now: float,
     ) -> None:
         """Notes that a prompt is read at `target`, by whichever router."""
-        if prompt is not None:
-            self.caches.use(target, prompt.parts)
+        held = self.loads.total(target, now).held
+        self.caches.use(target, parts, held)
+
+    def note_read(self, placement: Placement, seconds: float) -> None:
+        """Notes the time from sending a request to its first event."""
+        reading_s = seconds - self.settings.first_event_s
+        self.rates.learn(placement.target.name, placement.ahead, reading_s)
+
+    def forget(self, target: ids.TargetId) -> None:
+        """Drops all beliefs about a target that started anew or is gone."""
+        self.caches.forget(target)
+        self.rates.forget(target)
+        self.loads.forget(target)
 
     def _choose_plain(
         self, targets: list[target_list.Entry], now: float
     ) -> Placement | None:
-        def weigh(entry: target_list.Entry) -> float:
+        best = None
+        best_share = self.settings.plain_overcommit
+        for entry in targets:
             running = self.loads.total(entry.name, now).running
+            if running >= entry.slots * self.settings.plain_overcommit:
+                continue
             is_far = entry.data_centre != self.data_centre
-            share = (running + 0.3 * is_far) / max(entry.slots, 1)
-            return share + self.draw.random() * 0.05
-
-        limit = self.settings.plain_overcommit
-        best = min(targets, key=weigh, default=None)
-        if best is None:
-            return None
-        running = self.loads.total(best.name, now).running
-        if running >= best.slots * limit:
-            return None
-        return Placement(best, 0.0, None)
+            away = self.settings.plain_distance * is_far
+            share = (running + away + self.draw.random() * 0.1) / entry.slots
+            if best is None or share < best_share:
+                best, best_share = entry, share
+        return Placement(best, 0.0, 0.0, None) if best is not None else None
+
+    def _find_kept(
+        self, prompt: requests.Prompt, targets: list[target_list.Entry]
+    ) -> _Kept:
+        tokens = [
+            self.caches.count_kept(entry.name, prompt.parts)
+            for entry in targets
+        ]
+        most = max(tokens)
+        holder = targets[tokens.index(most)] if most > 0 else None
+        shared_parts = prompt.parts[:-1]
+        key = shared_parts[-1].name if shared_parts else ""
+        home = max(targets, key=lambda entry: _rank(key, entry.name))
+        shared = sum(part.tokens for part in shared_parts)
+        return _Kept(tokens, most, holder, shared, home.name)
 
     def _weigh(
         self,
         request: requests.Request,
-        holders: list[tuple[target_list.Entry, int]],
+        entry: target_list.Entry,
+        found: _Kept,
+        index: int,
         now: float,
-    ) -> Callable[[target_list.Entry, int], _Choice | None]:
+    ) -> _Choice | None:
         settings = self.settings
-        prompt = request.prompt
-        holder, most_kept = max(
-            holders, key=lambda pair: pair[1], default=(None, 0)
+        load = self.loads.total(entry.name, now)
+        if load.running >= entry.slots:
+            return None
+        rate = self.rates.read(entry.name)
+        backlog_s = load.unread / rate
+        kept = found.tokens[index]
+        lost = found.most - kept
+        away = max(found.shared - found.most, 0) * (entry.name != found.home)
+        extra_s = away * settings.away_token_s
+        is_fetched = lost >= settings.fetch_least_tokens
+        if is_fetched:
+            kept = found.most
+            extra_s += settings.fetch_s + lost * settings.fetch_token_s
+        else:
+            extra_s += lost * settings.reread_token_s
+        unread = max(request.prompt.tokens - kept, 1)
+        first_s = backlog_s + unread / rate + settings.first_event_s
+        goal_s = (request.goal_at - now) * settings.goal_fraction
+        if first_s > goal_s and backlog_s > settings.least_backlog_s:
+            return None
+        if entry.data_centre != self.data_centre:
+            extra_s += settings.distance_s
+        extra_s += settings.crowd_s * load.running / entry.slots
+        extra_s += settings.noise_s * self.draw.random()
+        placement = Placement(
+            target=entry,
+            unread=unread,
+            ahead=load.unread + unread,
+            fetch_from=found.holder if is_fetched else None,
         )
+        return _Choice(first_s + extra_s, placement)
+
 
-        def weigh(entry: target_list.Entry, kept: int) -> _Choice | None:
-            load = self.loads.total(entry.name, now)
-            if load.running >= entry.slots:
-                return None
-            lost = most_kept - kept
-            extra_s = settings.noise_s * self.draw.random()
-            if entry.data_centre != self.data_centre:
-                extra_s += settings.distance_s
-            is_fetched = lost >= settings.fetch_least_tokens
-            if is_fetched:
-                kept = most_kept
-                extra_s += settings.fetch_s
-            else:
-                extra_s += (
-                    settings.reread_factor * lost / settings.read_tokens_per_s
-                )
-            unread = max(prompt.tokens - kept, 1)
-            backlog_s = load.unread / settings.read_tokens_per_s
-            read_s = unread / settings.read_tokens_per_s
-            first_at = now + backlog_s + read_s + settings.first_event_s
-            has_room = backlog_s < settings.least_backlog_s
-            if first_at > request.goal_at and not has_room:
-                return None
-            # A crowded batch slows all streams in it.
-            crowd_s = 0.1 * load.running / entry.slots
-            placement = Placement(entry, unread, holder if is_fetched else None)
-            cost_s = backlog_s + read_s + extra_s + crowd_s
-            return _Choice(cost_s, placement)
-
-        return weigh
+def _rank(key: str, target: ids.TargetId) -> bytes:
+    """Returns the rank of a target for a part of a prompt; highest wins."""
+    return hashlib.blake2b(f"{key}|{target}".encode(), digest_size=8).digest()
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/prompt_cache.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/prompt_cache.py
@@ -1,46 +1,43 @@
 """What the engines' KV caches are believed to hold.
 
 A part of a prompt is kept only together with all parts before it. Beliefs
-come from what this router and its peers have sent where; the least recently
-used parts are forgotten once a cache would be full.
+come from what this router and its peers have sent where. Running requests
+take memory first; the least recently used parts yield.
 """
 
 import collections
 from collections.abc import Iterable
-import dataclasses
 
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import requests
 
-USABLE_FRACTION = 0.6
-"""Part of a cache that finished prompts can count on: runs share it."""
+SAFETY_FRACTION = 0.9
+"""Part of the memory left by running requests that parts are believed in."""
 
 
-@dataclasses.dataclass(slots=True)
 class TargetCache:
-    """Parts that one target is believed to hold.
-
-    Attributes:
-        capacity: tokens that it can keep.
-        parts: tokens by part, the least recently used first.
-        tokens: sum over the parts.
-    """
-
-    capacity: float
-    parts: collections.OrderedDict[str, int] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-    tokens: int = 0
-
-    def use(self, parts: Iterable[requests.Part]) -> None:
-        """Notes that a prompt with these leading parts is read there."""
-        for part in parts:
-            if part.name in self.parts:
-                self.parts.move_to_end(part.name)
-                continue
-            self.parts[part.name] = part.tokens
-            self.tokens += part.tokens
-        while self.tokens > self.capacity and len(self.parts) > 1:
+    """Parts that one target is believed to hold, least recently used first."""
+
+    def __init__(self):
+        self.parts: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self.tokens = 0
+
+    def use(self, parts: Iterable[requests.Part], capacity: float) -> None:
+        """Notes that a prompt with these leading parts is read there.
+
+        Args:
+            parts: leading parts of the prompt.
+            capacity: tokens that the target can keep now.
+        """
+        # The first parts are shared most: they are touched last.
+        for part in reversed(tuple(parts)):
+            if part.name not in self.parts:
+                self.parts[part.name] = part.tokens
+                self.tokens += part.tokens
+            self.parts.move_to_end(part.name)
+        while self.tokens > capacity and len(self.parts) > 1:
             _, tokens = self.parts.popitem(last=False)
             self.tokens -= tokens
 
@@ -58,14 +55,26 @@
     """Beliefs about all targets of a pool."""
 
     def __init__(self, cache_tokens: int):
-        self.capacity = cache_tokens * USABLE_FRACTION
+        self.cache_tokens = cache_tokens
         self.targets: dict[ids.TargetId, TargetCache] = {}
 
-    def use(self, target: ids.TargetId, parts: Iterable[requests.Part]) -> None:
-        """Notes that a prompt with these parts was sent to `target`."""
+    def use(
+        self,
+        target: ids.TargetId,
+        parts: Iterable[requests.Part],
+        held: float,
+    ) -> None:
+        """Notes that a prompt was sent to `target`.
+
+        Args:
+            target: where to.
+            parts: leading parts of the prompt.
+            held: tokens that running requests take there.
+        """
         if target not in self.targets:
-            self.targets[target] = TargetCache(self.capacity)
-        self.targets[target].use(parts)
+            self.targets[target] = TargetCache()
+        capacity = max(self.cache_tokens - held, 0.0) * SAFETY_FRACTION
+        self.targets[target].use(parts, capacity)
 
     def count_kept(
         self, target: ids.TargetId, parts: Iterable[requests.Part]
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -73,3 +73,10 @@
         return 1.0
     output = request.prompt.max_output_tokens
     return request.prompt.tokens + OUTPUT_WEIGHT * output
+
+
+def estimate_memory(request: Request) -> float:
+    """Returns the tokens that a running request takes in a KV cache."""
+    if request.prompt is None:
+        return 0.0
+    return request.prompt.tokens + request.prompt.max_output_tokens
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -204,11 +204,13 @@
         target: where.
         unread: prompt tokens sent there and not yet read.
         running: requests sent there that have not ended.
+        held: tokens of these in the target's memory, at most.
     """
 
     target: ids.TargetId
     unread: float
     running: int
+    held: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,7 +224,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacedPart:
-    """A shared part of a prompt that was sent to a target.
+    """A part of a prompt that was sent to a target.
 
     Attributes:
         target: where.
@@ -247,7 +249,7 @@
         is_ready: whether callers may be sent to it.
         loads: its work at the targets.
         uses: what it served lately, by workspace.
-        placed: shared parts that it sent to targets since its last report.
+        placed: parts of prompts that it sent to targets since its last report.
     """
 
     incarnation: ids.Incarnation
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -16,8 +16,8 @@
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
 
-MAX_PLACED_PARTS = 24
-"""Shared parts in one report to peers; a datagram holds them."""
+MAX_PLACED_PARTS = 48
+"""Parts of prompts in one report to peers; a datagram holds them."""
 
 
 class Dispatcher:
@@ -69,9 +69,18 @@
         finally:
             self.waiters.pop(request.name, None)
 
-    def note_first_event(self, name: str) -> None:
-        """Notes that an answer has begun: its prompt was read."""
+    def note_first_event(
+        self, name: str, at: placement.Placement, elapsed_s: float
+    ) -> None:
+        """Notes that an answer has begun: its prompt was read.
+
+        Args:
+            name: the request.
+            at: where it runs.
+            elapsed_s: time since it was sent.
+        """
         self.loads.read(name)
+        self.placer.note_read(at, elapsed_s)
         self.is_changed = True
         self.decide()
 
@@ -104,13 +113,14 @@
         self._schedule(now)
 
     def take_placed(self) -> tuple[messages.PlacedPart, ...]:
-        """Returns the shared parts placed since the last report."""
+        """Returns the parts of prompts placed since the last report."""
         placed = tuple(self.placed[:MAX_PLACED_PARTS])
         self.placed.clear()
         return placed
 
     def hear_placed(self, placed: tuple[messages.PlacedPart, ...]) -> None:
-        """Takes in which shared parts a peer has sent where."""
+        """Takes in which parts of prompts a peer has sent where."""
+        now = self.clock.monotonic()
         runs: dict[ids.TargetId, list[requests.Part]] = {}
         for part in placed:
             runs.setdefault(part.target, []).append(
@@ -119,7 +129,7 @@
         for target, parts in runs.items():
             entry = self.targets.entries.get(target)
             if entry is not None and entry.pool == self.pool.name:
-                self.placer.caches.use(target, parts)
+                self.placer.note_sent(target, tuple(parts), now)
 
     def _find_usable(self, now: float) -> list[target_list.Entry]:
         usable = []
@@ -139,7 +149,7 @@
         if prompt is None:
             return
         target = decision.placement.target.name
-        for part in prompt.parts[:-1]:
+        for part in prompt.parts:
             self.placed.append(
                 messages.PlacedPart(target, part.name, part.tokens)
             )
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -185,10 +186,12 @@
             "sent",
             target=target.name,
             unread=round(placement.unread),
+            ahead=round(placement.ahead),
+            fetch=placement.fetch_from.name if placement.fetch_from else None,
             attempt=self.progress.sent,
         )
         try:
-            sent = await self._receive(connection)
+            sent = await self._receive(connection, placement)
         except connection_lib.BrokenError as error:
             sent = Sent(SendResult.BROKEN, str(error))
         except event_stream.OutOfOrderError as error:
@@ -218,8 +221,11 @@
         )
 
     async def _receive(
-        self, connection: connection_lib.TargetConnection
+        self,
+        connection: connection_lib.TargetConnection,
+        placement: placement_lib.Placement,
     ) -> Sent:
+        sent_at = self.clock.monotonic()
         head = await connection.receive()
         answer = self.forwarder.wire.read_answer(head.status, head.headers)
         fault = self._find_fault(answer)
@@ -227,7 +233,11 @@
             return fault
         is_stream = self.route.kind is configuration.RouteKind.STREAMING
         if is_stream and answer.status < 300:
-            return await self._pass_stream(connection, answer)
+            return await self._pass_stream(
+                connection,
+                answer,
+                lambda: self._note_first_event(placement, sent_at),
+            )
         return await self._pass_plain(connection, answer)
 
     def _find_fault(self, answer: wire_lib.Answer) -> Sent | None:
@@ -247,6 +257,7 @@
         self,
         connection: connection_lib.TargetConnection,
         answer: wire_lib.Answer,
+        note_first_event: Callable[[], None],
     ) -> Sent:
         events = self.progress.events
         events.restart()
@@ -260,8 +271,7 @@
                 continue
             if is_first:
                 is_first = False
-                self.dispatcher.note_first_event(self.request.name)
-                self._note_first_event()
+                note_first_event()
             if not self.channel.is_started:
                 await self.channel.start(answer.status, answer.headers)
             await self.channel.write(data)
@@ -354,8 +364,14 @@
             )
             await self.channel.answer(503, retry_after_s=refused.retry_after_s)
 
-    def _note_first_event(self) -> None:
-        elapsed_s = self.clock.monotonic() - self.request.arrived_at
+    def _note_first_event(
+        self, placement: placement_lib.Placement, sent_at: float
+    ) -> None:
+        now = self.clock.monotonic()
+        self.dispatcher.note_first_event(
+            self.request.name, placement, now - sent_at
+        )
+        elapsed_s = now - self.request.arrived_at
         self.forwarder.metrics.time("first_event", elapsed_s)
 
     def _note_failure(self, target: target_list.Entry) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
-import contextlib
 import dataclasses
 import logging
 import random
@@ -39,7 +38,7 @@
 HOUSEKEEPING_S = 0.25
 LEAVE_MARGIN_S = 0.8
 """A stopping process is gone this long before it would be killed."""
-ADDRESS_LIFE_FACTOR = 3.0
+ADDRESS_LIFE_FACTOR = 2.8
 """Some callers keep an answer with addresses three times as long."""
 BACKLOG = 512
 """Connections that wait to be accepted."""
@@ -242,10 +241,7 @@
         else:
             status = exit_status.ExitStatus.FAILED
             self._log_failure([serving, *tasks])
-        server.should_exit = True
-        self.log.belief("stopped", active=self.front.active)
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(serving, LEAVE_MARGIN_S / 2)
+        await self._finish(server, serving)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -263,20 +259,26 @@
         return route
 
     async def _drain(self) -> None:
-        """Serves on until callers know other routers and all is answered."""
-        started_at = self.clock.monotonic()
+        """Takes requests until callers have learned of other routers."""
         self.is_leaving = True
         self.log.belief("leaving", active=self.front.active)
-        for _ in range(2):
-            self._send_report()
+        # Datagrams get lost: the second report is for those that missed one.
+        self._send_report()
+        await asyncio.sleep(peers_lib.REPORT_INTERVAL_S)
+        self._send_report()
+        await asyncio.sleep(self.settings.address_ttl_s * ADDRESS_LIFE_FACTOR)
+
+    async def _finish(
+        self, server: signal_free_server.WebServer, serving: asyncio.Task
+    ) -> None:
+        """Closes idle connections, and the others once they are answered."""
         known_s = self.settings.address_ttl_s * ADDRESS_LIFE_FACTOR
-        limit_s = self.settings.grace_s - LEAVE_MARGIN_S
-        while True:
-            await asyncio.sleep(0.05)
-            passed_s = self.clock.monotonic() - started_at
-            is_idle = self.front.active == 0 and passed_s >= known_s
-            if is_idle or passed_s >= limit_s:
-                return
+        limit_s = self.settings.grace_s - known_s - LEAVE_MARGIN_S
+        self.log.belief("closing", active=self.front.active)
+        server.config.timeout_graceful_shutdown = max(limit_s, 0.0)
+        server.should_exit = True
+        await serving
+        self.log.belief("stopped", active=self.front.active)
 
     def _log_failure(self, tasks: list[asyncio.Task]) -> None:
         for task in tasks:
@@ -329,8 +331,7 @@
     def _forget_target(self, name: ids.TargetId) -> None:
         self.pool.forget(name)
         for dispatcher in self.dispatchers.values():
-            dispatcher.placer.caches.forget(name)
-            dispatcher.loads.forget(name)
+            dispatcher.placer.forget(name)
 
     def _decide_all(self) -> None:
         for dispatcher in self.dispatchers.values():
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -131,7 +131,9 @@
             for target, load in dispatcher.loads.own.items():
                 if load.running:
                     loads.append(
-                        messages.TargetLoad(target, load.unread, load.running)
+                        messages.TargetLoad(
+                            target, load.unread, load.running, load.held
+                        )
                     )
         report = messages.LoadReport(
             incarnation=self.incarnation,
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -95,6 +95,7 @@
   target @0 :UInt16;
   running @1 :UInt16;
   unread @2 :UInt32;
+  held @3 :UInt32;
 }
 
 struct WorkspaceUse {
