--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -169,7 +169,7 @@
         request = waiting.request
         target = found.target.name
         held = requests.estimate_memory(request)
-        self.placer.loads.start(request.name, target, found.unread, held)
+        self.placer.loads.start(request.name, target, found.unread, held, now)
         if request.prompt is not None:
             self.placer.note_sent(target, request.prompt.parts, now)
         self.usage.charge(workspace, requests.estimate_cost(request), now)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -6,12 +6,16 @@
 
 import collections
 import dataclasses
+import math
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_core.forwarding import decayed
 
 PEER_REPORT_AGE_S = 1.5
 """Reports of a peer that is silent for longer count no more."""
+RECENT_S = 0.5
+"""Time after which prompt tokens sent to a target count 1/e."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,17 +26,20 @@
         unread: prompt tokens sent there and not yet read.
         running: requests sent there that have not ended.
         held: tokens that these take in the target's memory, at most.
+        recent: prompt tokens sent there lately; older ones count less.
     """
 
     unread: float = 0.0
     running: int = 0
     held: float = 0.0
+    recent: float = 0.0
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or takes it off if `sign` is -1."""
         self.unread += sign * other.unread
         self.running += sign * other.running
         self.held += sign * other.held
+        self.recent += sign * other.recent
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,14 +56,22 @@
     def __init__(self):
         self.own: dict[ids.TargetId, Load] = collections.defaultdict(Load)
         self.sent: dict[str, Sent] = {}
+        self.recent: dict[ids.TargetId, decayed.Decayed] = {}
         self.peers: dict[
             ids.InstanceId, tuple[float, dict[ids.TargetId, Load]]
         ] = {}
 
     def start(
-        self, name: str, target: ids.TargetId, unread: float, held: float
+        self,
+        name: str,
+        target: ids.TargetId,
+        unread: float,
+        held: float,
+        now: float,
     ) -> None:
         """Notes that a request is sent to `target`."""
+        recent = self.recent.setdefault(target, decayed.Decayed())
+        recent.add(unread, now, RECENT_S)
         load = Load(unread, 1, held)
         self.own[target].add(load)
         self.sent[name] = Sent(target, load)
@@ -81,7 +96,10 @@
         now: float,
     ) -> None:
         """Takes in what a peer has at the targets."""
-        loads = {t.target: Load(t.unread, t.running, t.held) for t in reported}
+        loads = {
+            t.target: Load(t.unread, t.running, t.held, t.recent)
+            for t in reported
+        }
         self.peers[peer] = (now, loads)
 
     def total(self, target: ids.TargetId, now: float) -> Load:
@@ -90,14 +108,31 @@
         own = self.own.get(target)
         if own is not None:
             total.add(own)
+            total.recent = self.recent[target].read(now, RECENT_S)
         for heard_at, loads in self.peers.values():
             load = loads.get(target)
-            if load is not None and now - heard_at < PEER_REPORT_AGE_S:
+            age_s = now - heard_at
+            if load is not None and age_s < PEER_REPORT_AGE_S:
                 total.add(load)
+                total.recent -= load.recent * (1 - math.exp(-age_s / RECENT_S))
         return total
 
+    def export(self, now: float) -> list[messages.TargetLoad]:
+        """Returns this router's own work for its peers."""
+        exported = []
+        for target, load in self.own.items():
+            recent = self.recent[target].read(now, RECENT_S)
+            if load.running or recent >= 1.0:
+                exported.append(
+                    messages.TargetLoad(
+                        target, load.unread, load.running, load.held, recent
+                    )
+                )
+        return exported
+
     def forget(self, target: ids.TargetId) -> None:
         """Drops the entry of a target that is gone and has no work here."""
         own = self.own.get(target)
         if own is not None and own.running == 0:
             del self.own[target]
+            del self.recent[target]
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -28,6 +28,8 @@
             once; from the users' sheets.
         goal_fraction: part of the goal within which the first event has to
             be expected; the rest is for errors of the estimate.
+        reading_fraction: part of an engine's time that goes into reading
+            prompts; streams need the rest to go on without long pauses.
         fetch_s: disadvantage of fetching shared parts at all.
         fetch_token_s: and for each token: copies crowd out other parts.
         fetch_least_tokens: fewer tokens are read again instead.
@@ -47,6 +49,7 @@
 
     first_event_s: float = 0.06
     goal_fraction: float = 0.9
+    reading_fraction: float = 0.7
     fetch_s: float = 0.005
     fetch_token_s: float = 5e-6
     fetch_least_tokens: int = 64
@@ -219,6 +222,10 @@
         else:
             extra_s += lost * settings.reread_token_s
         unread = max(request.prompt.tokens - kept, 1)
+        recent = load.recent + unread
+        bound = settings.reading_fraction * rate * loads_lib.RECENT_S
+        if recent > bound and backlog_s > settings.least_backlog_s:
+            return None
         first_s = backlog_s + unread / rate + settings.first_event_s
         goal_s = (request.goal_at - now) * settings.goal_fraction
         if first_s > goal_s and backlog_s > settings.least_backlog_s:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -4,39 +4,22 @@
 whoever got least in it goes first, which approaches max-min shares.
 """
 
-import dataclasses
 import math
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_core.forwarding import decayed
 
 PEER_USAGE_AGE_S = 3.0
 """Usage reported by a peer that is silent for longer counts no more."""
 
 
-@dataclasses.dataclass(slots=True)
-class Decayed:
-    """A sum whose items lose weight exponentially with age."""
-
-    value: float = 0.0
-    at: float = 0.0
-
-    def read(self, now: float, window_s: float) -> float:
-        """Returns the sum as of `now`."""
-        return self.value * math.exp(-max(now - self.at, 0.0) / window_s)
-
-    def add(self, amount: float, now: float, window_s: float) -> None:
-        """Adds an item."""
-        self.value = self.read(now, window_s) + amount
-        self.at = now
-
-
 class Usage:
     """Recent cost by workspace: this router's own and its peers'."""
 
     def __init__(self, window_s: float):
         self.window_s = window_s
-        self.own: dict[ids.WorkspaceId, Decayed] = {}
+        self.own: dict[ids.WorkspaceId, decayed.Decayed] = {}
         self.peers: dict[
             ids.InstanceId, tuple[float, dict[ids.WorkspaceId, float]]
         ] = {}
@@ -45,8 +28,8 @@
         self, workspace: ids.WorkspaceId, cost: float, now: float
     ) -> None:
         """Charges a request that is sent; a negative cost gives back."""
-        decayed = self.own.setdefault(workspace, Decayed())
-        decayed.add(cost, now, self.window_s)
+        own = self.own.setdefault(workspace, decayed.Decayed())
+        own.add(cost, now, self.window_s)
 
     def hear(
         self,
@@ -72,8 +55,8 @@
     ) -> tuple[messages.WorkspaceUse, ...]:
         """Returns this router's own usage for its peers."""
         uses = []
-        for workspace, decayed in self.own.items():
-            cost = decayed.read(now, self.window_s)
+        for workspace, own in self.own.items():
+            cost = own.read(now, self.window_s)
             if cost >= 1.0:
                 uses.append(messages.WorkspaceUse(pool, workspace, cost))
         return tuple(uses)
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -205,12 +205,14 @@
         unread: prompt tokens sent there and not yet read.
         running: requests sent there that have not ended.
         held: tokens of these in the target's memory, at most.
+        recent: prompt tokens sent there lately; older ones count less.
     """
 
     target: ids.TargetId
     unread: float
     running: int
     held: float
+    recent: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -57,12 +57,25 @@
         may_have_run: whether some target may have run it.
         events: state of the stream that is passed on.
         sent: number of hand-overs.
+        first_event_s: time from arrival to the first event.
+        last_event_at: when the last event came, monotonic seconds.
+        longest_gap_s: longest pause between two events.
     """
 
     events: event_stream.EventStream
     tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     sent: int = 0
+    first_event_s: float | None = None
+    last_event_at: float = 0.0
+    longest_gap_s: float = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Keeps the longest pause between events."""
+        if self.last_event_at:
+            gap_s = now - self.last_event_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.last_event_at = now
 
 
 class Forwarder:
@@ -269,6 +282,7 @@
             data = events.feed(item)
             if not data:
                 continue
+            self.progress.note_event(self.clock.monotonic())
             if is_first:
                 is_first = False
                 note_first_event()
@@ -280,7 +294,14 @@
         if not self.channel.is_started:
             await self.channel.start(answer.status, answer.headers)
         await self.channel.finish()
-        self._record("completed", status=answer.status, events=events.count)
+        self.forwarder.metrics.time("gap", self.progress.longest_gap_s)
+        self._record(
+            "completed",
+            status=answer.status,
+            events=events.count,
+            first_event_s=round(self.progress.first_event_s or 0.0, 3),
+            longest_gap_s=round(self.progress.longest_gap_s, 3),
+        )
         return Sent(SendResult.DONE, "")
 
     async def _pass_plain(
@@ -372,6 +393,8 @@
             self.request.name, placement, now - sent_at
         )
         elapsed_s = now - self.request.arrived_at
+        if self.progress.first_event_s is None:
+            self.progress.first_event_s = elapsed_s
         self.forwarder.metrics.time("first_event", elapsed_s)
 
     def _note_failure(self, target: target_list.Entry) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -128,13 +128,7 @@
             dispatcher.is_changed = False
             uses.extend(dispatcher.usage.export(dispatcher.pool.name, now))
             placed.extend(dispatcher.take_placed())
-            for target, load in dispatcher.loads.own.items():
-                if load.running:
-                    loads.append(
-                        messages.TargetLoad(
-                            target, load.unread, load.running, load.held
-                        )
-                    )
+            loads.extend(dispatcher.loads.export(now))
         report = messages.LoadReport(
             incarnation=self.incarnation,
             sequence=self.sequence,
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -96,6 +96,7 @@
   running @1 :UInt16;
   unread @2 :UInt32;
   held @3 :UInt32;
+  recent @4 :UInt32;
 }
 
 struct WorkspaceUse {
