--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import random
 
 from lentilbeam_core import ids
@@ -32,7 +33,8 @@
     Attributes:
         wait_fraction: a request waits here for at most this part of its
             goal; the rest is for its target.
-        no_target_wait_s: longest wait while the pool has no target at all.
+        beyond_share_wait_s: longest wait of a request whose workspace has
+            received its share.
         return_s: range of the times after which a refused caller is asked
             to come back.
         return_fraction: bound of that time, relative to what is left of the
@@ -40,7 +42,7 @@
     """
 
     wait_fraction: float = 0.6
-    no_target_wait_s: float = 1.0
+    beyond_share_wait_s: float = 0.05
     return_s: tuple[float, float] = (0.6, 2.0)
     return_fraction: float = 0.3
 
@@ -71,17 +73,24 @@
 
     Attributes:
         request: what waits.
+        since: when it came into the queue, monotonic seconds.
         gives_up_at: when it is refused, monotonic seconds.
         excluded: targets that it is not to be sent to again.
     """
 
     request: requests.Request
+    since: float
     gives_up_at: float
     excluded: frozenset[ids.TargetId]
 
 
 class Admission:
-    """Requests that wait for a target of one pool."""
+    """Requests that wait for a target of one pool.
+
+    Attributes:
+        capacity_per_s: what all targets of the pool together yield, in cost
+            units; 0 if unknown, and then all workspaces are within shares.
+    """
 
     def __init__(
         self,
@@ -94,6 +103,7 @@
         self.placer = placer
         self.usage = usage
         self.draw = draw
+        self.capacity_per_s = 0.0
         self.queues: dict[ids.WorkspaceId, collections.deque[Waiting]] = {}
 
     def enqueue(
@@ -103,11 +113,14 @@
         excluded: frozenset[ids.TargetId] = frozenset(),
     ) -> None:
         """Adds a request; `excluded` are targets that it was sent to."""
+        if not excluded:
+            cost = requests.estimate_cost(request)
+            self.usage.ask(request.workspace, cost, now)
         wait_s = request.route.goal_s * self.settings.wait_fraction
         gives_up_at = min(
             max(request.arrived_at, now) + wait_s, request.ends_at
         )
-        waiting = Waiting(request, gives_up_at, excluded)
+        waiting = Waiting(request, now, gives_up_at, excluded)
         queue = self.queues.setdefault(request.workspace, collections.deque())
         queue.append(waiting)
 
@@ -127,14 +140,18 @@
 
     def next_deadline(self) -> float | None:
         """Returns when the next request is to be refused, if any waits."""
-        times = [w.gives_up_at for q in self.queues.values() for w in q]
+        times = [
+            min(w.gives_up_at, w.since + self.settings.beyond_share_wait_s)
+            for queue in self.queues.values()
+            for w in queue
+        ]
         return min(times, default=None)
 
     def decide(
         self, targets: list[target_list.Entry], now: float
     ) -> list[Decision]:
         """Takes out of the queue all that can be placed or must go."""
-        decisions = self._expire(targets, now)
+        decisions: list[Decision] = []
         order = sorted(
             self.queues, key=lambda name: (self.usage.total(name, now), name)
         )
@@ -147,7 +164,7 @@
             if workspace in self.queues:
                 order.append(workspace)
                 order.sort(key=lambda n: (self.usage.total(n, now), n))
-        return decisions
+        return decisions + self._expire(targets, now)
 
     def _place_one(
         self,
@@ -156,9 +173,12 @@
         now: float,
     ) -> Placed | None:
         queue = self.queues[workspace]
+        bounds = placement_lib.BEYOND_SHARE
+        if self._is_within_share(workspace, now):
+            bounds = placement_lib.WITHIN_SHARE
         for waiting in queue:
             usable = [t for t in targets if t.name not in waiting.excluded]
-            found = self.placer.choose(waiting.request, usable, now)
+            found = self.placer.choose(waiting.request, usable, bounds, now)
             if found is not None:
                 break
         else:
@@ -180,7 +200,14 @@
     ) -> list[Decision]:
         refused = []
         for workspace, queue in list(self.queues.items()):
-            over = [w for w in queue if w.gives_up_at <= now]
+            latest_since = -math.inf
+            if not self._is_within_share(workspace, now):
+                latest_since = now - self.settings.beyond_share_wait_s
+            over = [
+                waiting
+                for waiting in queue
+                if waiting.gives_up_at <= now or waiting.since <= latest_since
+            ]
             for waiting in over:
                 queue.remove(waiting)
                 reason = RefusalReason.NO_ROOM
@@ -191,6 +218,9 @@
                 del self.queues[workspace]
         return refused
 
+    def _is_within_share(self, workspace: ids.WorkspaceId, now: float) -> bool:
+        return self.usage.is_within_share(workspace, self.capacity_per_s, now)
+
     def refuse(
         self, request: requests.Request, reason: RefusalReason, now: float
     ) -> Refused:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -20,16 +20,35 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Settings:
-    """Settings of placement. Disadvantages of a target are in seconds.
+class Bounds:
+    """How much work a target may have before a request is sent there.
 
     Attributes:
-        first_event_s: time to the first event of a prompt that is read at
-            once; from the users' sheets.
         goal_fraction: part of the goal within which the first event has to
             be expected; the rest is for errors of the estimate.
         reading_fraction: part of an engine's time that goes into reading
             prompts; streams need the rest to go on without long pauses.
+        slots_fraction: part of the slots that may be taken.
+    """
+
+    goal_fraction: float
+    reading_fraction: float
+    slots_fraction: float
+
+
+WITHIN_SHARE = Bounds(0.9, 0.85, 1.0)
+"""For workspaces that have received less than their share."""
+BEYOND_SHARE = Bounds(0.5, 0.5, 0.75)
+"""For the others: the difference is kept free for those within theirs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of placement. Disadvantages of a target are in seconds.
+
+    Attributes:
+        first_event_s: time to the first event of a prompt that is read at
+            once; from the users' sheets.
         fetch_s: disadvantage of fetching shared parts at all.
         fetch_token_s: and for each token: copies crowd out other parts.
         fetch_least_tokens: fewer tokens are read again instead.
@@ -48,8 +67,6 @@
     """
 
     first_event_s: float = 0.06
-    goal_fraction: float = 0.9
-    reading_fraction: float = 0.7
     fetch_s: float = 0.005
     fetch_token_s: float = 5e-6
     fetch_least_tokens: int = 64
@@ -130,6 +147,7 @@
         self,
         request: requests.Request,
         targets: list[target_list.Entry],
+        bounds: Bounds,
         now: float,
     ) -> Placement | None:
         """Returns the best target with room, or None."""
@@ -140,7 +158,7 @@
         kept = self._find_kept(request.prompt, targets)
         best = None
         for index, entry in enumerate(targets):
-            choice = self._weigh(request, entry, kept, index, now)
+            choice = self._weigh(request, entry, kept, index, bounds, now)
             if choice and (best is None or choice.cost_s < best.cost_s):
                 best = choice
         return best.placement if best is not None else None
@@ -203,11 +221,12 @@
         entry: target_list.Entry,
         found: _Kept,
         index: int,
+        bounds: Bounds,
         now: float,
     ) -> _Choice | None:
         settings = self.settings
         load = self.loads.total(entry.name, now)
-        if load.running >= entry.slots:
+        if load.running >= entry.slots * bounds.slots_fraction:
             return None
         rate = self.rates.read(entry.name)
         backlog_s = load.unread / rate
@@ -223,11 +242,11 @@
             extra_s += lost * settings.reread_token_s
         unread = max(request.prompt.tokens - kept, 1)
         recent = load.recent + unread
-        bound = settings.reading_fraction * rate * loads_lib.RECENT_S
+        bound = bounds.reading_fraction * rate * loads_lib.RECENT_S
         if recent > bound and backlog_s > settings.least_backlog_s:
             return None
         first_s = backlog_s + unread / rate + settings.first_event_s
-        goal_s = (request.goal_at - now) * settings.goal_fraction
+        goal_s = (request.goal_at - now) * bounds.goal_fraction
         if first_s > goal_s and backlog_s > settings.least_backlog_s:
             return None
         if entry.data_centre != self.data_centre:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -217,11 +217,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkspaceUse:
-    """Cost of a workspace's requests at one router, older ones decayed."""
+    """A workspace's requests at one router; older ones count less.
+
+    Attributes:
+        pool: where they run.
+        workspace: whose they are.
+        cost: of those that were sent to targets.
+        asked: cost of all that came, the refused ones included.
+    """
 
     pool: ids.PoolId
     workspace: ids.WorkspaceId
     cost: float
+    asked: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -19,13 +19,17 @@
 MAX_PLACED_PARTS = 48
 """Parts of prompts in one report to peers; a datagram holds them."""
 
+LEAST_WAIT_S = 0.02
+"""Least time between two looks at a queue in which nothing changes."""
+
 
 class Dispatcher:
     """The requests of one pool that wait or run at this router."""
 
     def __init__(
         self,
-        pool: configuration.Pool,
+        current: configuration.Configuration,
+        name: ids.PoolId,
         targets: target_list.TargetList,
         budget: retry_budget.Settings,
         data_centre: ids.DataCentreId,
@@ -33,6 +37,7 @@
         clock: clock_lib.Clock,
         draw: random.Random,
     ):
+        pool = current.pools[name]
         self.pool = pool
         self.targets = targets
         self.clock = clock
@@ -50,6 +55,15 @@
         self.placed: list[messages.PlacedPart] = []
         self.timer: asyncio.TimerHandle | None = None
         self.is_changed = False
+        self.change_configuration(current)
+
+    def change_configuration(
+        self, current: configuration.Configuration
+    ) -> None:
+        """Takes in a new version; a pool that it lacks stays as it was."""
+        self.pool = current.pools.get(self.pool.name, self.pool)
+        if self.pool.engine is not None:
+            self.admission.capacity_per_s = current.limits.tokens_per_s
 
     async def place(
         self,
@@ -168,4 +182,6 @@
         deadline = self.admission.next_deadline()
         if deadline is not None:
             loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(max(deadline - now, 0.0), self.decide)
+            self.timer = loop.call_later(
+                max(deadline - now, LEAST_WAIT_S), self.decide
+            )
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -127,7 +127,8 @@
         """Returns the dispatcher of a pool that the configuration names."""
         if pool not in self.dispatchers:
             self.dispatchers[pool] = dispatcher_lib.Dispatcher(
-                self.configuration.current.pools[pool],
+                self.configuration.current,
+                pool,
                 self.targets,
                 self.settings.budget,
                 self.settings.data_centre,
@@ -142,11 +143,14 @@
     ) -> None:
         """Takes in a configuration, whatever its version."""
         if self.configuration.offer(found):
+            for dispatcher in self.dispatchers.values():
+                dispatcher.change_configuration(found)
             self.log.belief(
                 "configuration_in_force",
                 version=found.version,
                 routes=len(found.routes),
                 keys=len(found.workspaces),
+                tokens_per_s=found.limits.tokens_per_s,
             )
 
     def put_target(self, entry: target_list.Entry) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -103,6 +103,7 @@
   workspace @0 :UInt16;
   cost @1 :UInt32;
   pool @2 :UInt16;
+  asked @3 :UInt32;
 }
 
 struct PlacedPart {
