--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -38,7 +38,7 @@
 
 WITHIN_SHARE = Bounds(0.9, 0.85, 1.0)
 """For workspaces that have received less than their share."""
-BEYOND_SHARE = Bounds(0.5, 0.5, 0.75)
+BEYOND_SHARE = Bounds(0.7, 0.6, 0.8)
 """For the others: the difference is kept free for those within theirs."""
 
 
