--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of opaque requests."""
--- /dev/null
+++ b/tests/forwarding/test_configuration.py
@@ -0,0 +1,63 @@
+"""Routes are found by longest prefix; versions never go back."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from lentilbeam_core.forwarding import configuration
+from tests.forwarding import makers
+
+
+def make_configuration(version=1, *routes):
+    return configuration.Configuration(
+        version, routes, {}, configuration.Limits(), {}
+    )
+
+
+def test_the_longest_prefix_wins():
+    short = dataclasses.replace(makers.CHAT, path_prefix="/a/")
+    long = dataclasses.replace(makers.CHAT, path_prefix="/a/b/")
+    found = make_configuration(1, short, long)
+    assert found.find_route("studio.example", "/a/b/c") is long
+    assert found.find_route("studio.example", "/a/bc") is short
+    assert found.find_route("studio.example", "/a") is None
+    assert found.find_route("other.example", "/a/b/c") is None
+
+
+def test_the_root_prefix_takes_all_paths():
+    root = dataclasses.replace(makers.CHAT, path_prefix="/")
+    found = make_configuration(1, root)
+    assert found.find_route("studio.example", "/x/y") is root
+
+
+@hypothesis.given(strategies.lists(strategies.integers(1, 50)))
+@hypothesis.settings(derandomize=True)
+def test_a_version_never_goes_back(versions):
+    follower = configuration.Follower()
+    newest = 0
+    for version in versions:
+        assert follower.offer(make_configuration(version)) == (version > newest)
+        newest = max(newest, version)
+        assert follower.current.version == newest
+
+
+def test_pools_are_drawn_by_weight():
+    split = dataclasses.replace(
+        makers.CHAT,
+        shares=(
+            configuration.Share("a", 90.0),
+            configuration.Share("b", 10.0),
+        ),
+    )
+    assert configuration.choose_pool(split, 0.0) == "a"
+    assert configuration.choose_pool(split, 0.89) == "a"
+    assert configuration.choose_pool(split, 0.91) == "b"
+    assert configuration.choose_pool(split, 0.999999) == "b"
+
+
+def test_only_resumable_streams_and_idempotent_requests_may_repeat():
+    assert makers.CHAT.may_repeat
+    assert not dataclasses.replace(makers.CHAT, is_resumable=False).may_repeat
+    assert makers.LOOK_UP.may_repeat
+    assert not makers.BOOK.may_repeat
--- /dev/null
+++ b/tests/forwarding/test_placement.py
@@ -0,0 +1,118 @@
+"""Where work goes: least unread ahead, kept parts, room for the others."""
+
+from lentilbeam_core import messages
+from lentilbeam_core.forwarding import placement
+from tests.forwarding import makers
+
+WITHIN = placement.WITHIN_SHARE
+BEYOND = placement.BEYOND_SHARE
+
+
+def load(placer, target, unread=0.0, running=0, held=0.0, recent=0.0):
+    report = messages.TargetLoad(target, unread, running, held, recent)
+    placer.loads.hear(f"peer of {target}", (report,), 0.0)
+
+
+def test_long_prompts_ahead_send_a_request_elsewhere():
+    placer = makers.make_placer()
+    targets = [makers.make_target("a"), makers.make_target("b")]
+    load(placer, "a", unread=30_000)
+    request = makers.make_request("r", ("p", 500))
+    assert placer.choose(request, targets, WITHIN, 0.0).target.name == "b"
+
+
+def test_a_hot_part_stays_where_it_is_kept_while_there_is_room():
+    placer = makers.make_placer()
+    targets = [makers.make_target("a"), makers.make_target("b")]
+    request = makers.make_request("r", ("hot", 5000), ("own", 500))
+    for holder in ("a", "b"):
+        placer.forget("a")
+        placer.forget("b")
+        placer.note_sent(holder, request.prompt.parts[:1], 0.0)
+        found = placer.choose(request, targets, WITHIN, 0.0)
+        assert found.target.name == holder
+        assert found.unread == 500
+        assert found.fetch_from is None
+
+
+def test_a_hot_part_is_fetched_by_a_second_target_before_the_first_queues():
+    placer = makers.make_placer()
+    targets = [makers.make_target("a"), makers.make_target("b")]
+    request = makers.make_request("r", ("hot", 5000), ("own", 500))
+    placer.note_sent("a", request.prompt.parts[:1], 0.0)
+    load(placer, "a", unread=20_000)
+    found = placer.choose(request, targets, WITHIN, 0.0)
+    assert found.target.name == "b"
+    assert found.fetch_from.name == "a"
+    assert found.unread == 500
+
+
+def test_routers_agree_on_the_home_of_a_part_that_nobody_holds():
+    targets = [makers.make_target(f"t{n}") for n in range(6)]
+    request = makers.make_request("r", ("new", 8000), ("own", 50))
+    homes = set()
+    for _ in range(4):
+        found = makers.make_placer().choose(request, targets, WITHIN, 0.0)
+        homes.add(found.target.name)
+    assert len(homes) == 1
+
+
+def test_no_target_is_chosen_whose_first_event_would_miss_the_goal():
+    placer = makers.make_placer()
+    targets = [makers.make_target("a")]
+    load(placer, "a", unread=60_000)
+    request = makers.make_request("r", ("p", 500))
+    assert placer.choose(request, targets, WITHIN, 0.0) is None
+
+
+def test_a_prompt_that_alone_misses_the_goal_still_goes_to_an_idle_target():
+    placer = makers.make_placer()
+    request = makers.make_request("r", ("giant", 80_000))
+    targets = [makers.make_target("a")]
+    assert placer.choose(request, targets, WITHIN, 0.0) is not None
+    load(placer, "a", unread=10_000)
+    assert placer.choose(request, targets, WITHIN, 0.0) is None
+
+
+def test_full_slots_take_nothing_and_some_are_held_back():
+    placer = makers.make_placer()
+    targets = [makers.make_target("a")]
+    request = makers.make_request("r", ("p", 100))
+    load(placer, "a", running=60)
+    assert placer.choose(request, targets, BEYOND, 0.0) is None
+    assert placer.choose(request, targets, WITHIN, 0.0) is not None
+    load(placer, "a", running=64)
+    assert placer.choose(request, targets, WITHIN, 0.0) is None
+
+
+def test_continuous_reading_is_bounded_so_that_streams_go_on():
+    placer = makers.make_placer()
+    targets = [makers.make_target("a")]
+    request = makers.make_request("r", ("p", 5000))
+    load(placer, "a", unread=8_000, recent=30_000)
+    assert placer.choose(request, targets, BEYOND, 0.0) is None
+    assert placer.choose(request, targets, WITHIN, 0.0) is not None
+
+
+def test_a_slow_engine_gets_less():
+    placer = makers.make_placer()
+    targets = [makers.make_target("a"), makers.make_target("b")]
+    slow = placement.Placement(targets[0], 0.0, 20_000.0, None)
+    for _ in range(10):
+        placer.note_read(slow, 0.06 + 0.5)
+    request = makers.make_request("r", ("p", 6000))
+    assert placer.choose(request, targets, WITHIN, 0.0).target.name == "b"
+
+
+def test_bookings_go_to_the_plain_target_with_fewest_running():
+    placer = makers.make_placer(engine=None)
+    targets = [
+        makers.make_target("a", slots=6),
+        makers.make_target("b", slots=6),
+    ]
+    load(placer, "a", running=3)
+    request = makers.make_request("r", route=makers.BOOK)
+    assert placer.choose(request, targets, WITHIN, 0.0).target.name == "b"
+    load(placer, "a", running=9)
+    load(placer, "b", running=9)
+    assert placer.choose(request, targets, WITHIN, 0.0) is None
--- /dev/null
+++ b/tests/forwarding/test_platform.py
@@ -0,0 +1,245 @@
+"""What the adapter reads and writes: good records, bad ones, and noise."""
+
+import contextlib
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import target_list
+from lentilbeam_platform import call_wire
+from lentilbeam_platform import node_file
+from lentilbeam_platform import records
+from lentilbeam_platform import store
+from lentilbeam_router import settings
+from lentilbeam_router.forwarding import wire
+
+NOISE = hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(
+                ["version", "routes", "services", "address", "slots", "node"]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "Studio.example",
+            "path_prefix": "/chat/",
+            "kind": "streaming",
+            "timeout_ms": 15000,
+            "goal_ms": 600,
+            "split": [
+                {"service": "engines", "weight": 90},
+                {"service": "canary", "weight": 10},
+            ],
+            "attempts": 2,
+            "resumable": True,
+            "gap_goal_ms": 400,
+            "unknown": [],
+        }
+    ],
+    "services": [
+        {
+            "name": "engines",
+            "max_conns": 360,
+            "engine": {"slots": 64, "kv_tokens": 800000},
+        },
+        {"name": "canary"},
+    ],
+    "limits": {"tokens_per_s": 250000, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "ashby", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+SERVER = {
+    "service": "engines",
+    "address": "10.0.0.1:80",
+    "zone": "east",
+    "slots": 64,
+    "state": "ready",
+    "born": 5,
+}
+NODE = {
+    "node": "front-1",
+    "ip": "10.0.0.9",
+    "zone": "east",
+    "listen": {
+        "front": "10.0.0.9:1",
+        "ready": "10.0.0.9:2",
+        "directory": "10.0.0.9:3",
+    },
+    "inner_ports": [7400, 7415],
+    "platform": {"address": "10.0.0.2:8", "form": "log"},
+    "bounds": {"budget_ratio": 0.2, "budget_extra": 54, "grace_s": 8},
+}
+
+
+def encode(value) -> bytes:
+    return json.dumps(value).encode()
+
+
+def test_a_configuration_is_decoded_into_our_types():
+    found = records.decode_configuration(encode(CONFIG))
+    (route,) = found.routes
+    assert found.version == 7
+    assert route.host == "studio.example"
+    assert route.kind is configuration.RouteKind.STREAMING
+    assert (route.timeout_s, route.goal_s, route.gap_goal_s) == (15, 0.6, 0.4)
+    assert [share.weight for share in route.shares] == [90, 10]
+    assert found.pools["engines"].engine.cache_tokens == 800_000
+    assert found.pools["canary"].engine is None
+    assert found.workspaces == {"k1": "ashby", "k2": "ashby"}
+    assert found.limits.tokens_per_s == 250_000
+
+
+def test_a_target_is_decoded_into_our_types():
+    entry = records.decode_target("i-1", encode(SERVER))
+    assert (entry.name, entry.host, entry.port) == ("i-1", "10.0.0.1", 80)
+    assert entry.state is target_list.TargetState.READY
+    assert entry.started_at_ms == 5
+    leaving = records.decode_target(
+        "i-1", encode(SERVER | {"state": "draining"})
+    )
+    assert leaving.state is target_list.TargetState.LEAVING
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:none"},
+        {"slots": "many"},
+        {"state": "asleep"},
+        {"zone": 3},
+    ],
+)
+def test_a_bad_target_names_nothing_to_use(change):
+    with pytest.raises(records.BadRecordError):
+        records.decode_target("i-1", encode(SERVER | change))
+
+
+@NOISE
+@hypothesis.given(strategies.binary(max_size=60) | JSON.map(encode))
+def test_noise_raises_only_the_typed_errors(data):
+    with contextlib.suppress(records.BadRecordError):
+        records.decode_configuration(data)
+    with contextlib.suppress(records.BadRecordError):
+        records.decode_target("i-1", data)
+    with contextlib.suppress(records.BadRecordError):
+        records.decode_router("front-1", data)
+    with contextlib.suppress(node_file.NodeFileError):
+        node_file.decode_node_file(data)
+    with contextlib.suppress(store.StoreError):
+        store.decode_records(data, 0)
+
+
+def test_the_node_file_is_decoded_into_our_settings():
+    found = node_file.decode_node_file(encode(NODE))
+    assert found.router.instance == "front-1"
+    assert found.router.peer == settings.Address("10.0.0.9", 7400)
+    assert found.router.budget.extra == 54
+    assert found.store == settings.Address("10.0.0.2", 8)
+    assert found.ready.port == 2
+
+
+@pytest.mark.parametrize("field", ["node", "ip", "listen", "platform"])
+def test_a_missing_field_is_named(field):
+    lacking = {name: v for name, v in NODE.items() if name != field}
+    with pytest.raises(node_file.NodeFileError, match=field):
+        node_file.decode_node_file(encode(lacking))
+
+
+def test_a_router_lists_itself_and_is_read_by_its_peers():
+    own = node_file.decode_node_file(encode(NODE)).router
+    entry = records.decode_router("front-1", records.encode_router(own))
+    assert (entry.front, entry.peer) == (own.front, own.peer)
+
+
+def test_records_of_a_keyed_topic_are_read():
+    good = bytes([1]) + b"a" + b"value"
+    dropped = bytes([1]) + b"b"
+    data = (9).to_bytes(8, "big") + (0).to_bytes(8, "big")
+    for record in (good, dropped):
+        data += len(record).to_bytes(4, "big") + record
+    page = store.decode_records(data, 7)
+    assert page.next_offset == 9
+    assert page.records == (
+        store.Record("a", b"value"),
+        store.Record("b", None),
+    )
+    with pytest.raises(store.StoreError):
+        store.decode_records(data[:-1], 7)
+
+
+def make_scope(**headers):
+    listed = {"request-id": "r1", "host": "Studio.example:80", **headers}
+    return {
+        "method": "POST",
+        "raw_path": b"/chat/a%20b",
+        "query_string": b"x=1",
+        "headers": [
+            (name.replace("_", "-").encode(), value.encode())
+            for name, value in listed.items()
+        ],
+    }
+
+
+def test_a_call_is_decoded_into_our_types():
+    call = call_wire.read_call(
+        make_scope(
+            token_count="1460,80",
+            prefix_hash="5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+            request_deadline="15000",
+            last_event_id="12",
+            connection="x-hop",
+            x_hop="1",
+        )
+    )
+    assert (call.host, call.path, call.query) == (
+        "studio.example",
+        "/chat/a%20b",
+        "x=1",
+    )
+    assert call.prompt.tokens == 1460
+    assert [part.tokens for part in call.prompt.parts] == [800, 410, 250]
+    assert (call.deadline_s, call.resume_after) == (15.0, 12)
+    names = {name for name, _ in call.headers}
+    assert b"x-hop" not in names
+    assert b"token-count" in names
+
+
+@pytest.mark.parametrize("missing", ["request-id", "host"])
+def test_a_call_without_an_id_or_host_is_bad(missing):
+    scope = make_scope()
+    scope["headers"] = [h for h in scope["headers"] if h[0].decode() != missing]
+    with pytest.raises(wire.BadCallError):
+        call_wire.read_call(scope)
+
+
+@NOISE
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from(
+            ["token-count", "prefix-hash", "request-deadline", "last-event-id"]
+        ),
+        strategies.text("0123456789abc:, .-", max_size=30),
+    )
+)
+def test_odd_numbers_in_a_call_are_left_out(headers):
+    call = call_wire.read_call(make_scope(**headers))
+    assert call.deadline_s is None or call.deadline_s >= 0
--- /dev/null
+++ b/tests/forwarding/test_shares.py
@@ -0,0 +1,57 @@
+"""Max-min shares of what workspaces asked for, over all routers."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from lentilbeam_core import messages
+from lentilbeam_core.forwarding import shares
+
+AMOUNTS = strategies.lists(strategies.floats(1.0, 1e6), min_size=1, max_size=20)
+
+
+@hypothesis.given(AMOUNTS, strategies.floats(1.0, 1e6))
+@hypothesis.settings(derandomize=True)
+def test_the_level_uses_up_the_capacity(asked, capacity):
+    level = shares.find_level(asked, capacity)
+    given = sum(min(amount, level) for amount in asked)
+    assert given == pytest.approx(min(capacity, sum(asked)))
+
+
+def test_there_is_no_level_while_capacity_is_enough():
+    assert shares.find_level([10.0, 20.0], 30.0) == float("inf")
+
+
+def test_one_that_floods_is_held_to_its_share_and_the_others_are_not():
+    usage = shares.Usage(4.0)
+    for _ in range(100):
+        usage.ask("flood", 1000.0, 0.0)
+        usage.charge("flood", 1000.0, 0.0)
+    usage.ask("light", 1000.0, 0.0)
+    usage.charge("light", 900.0, 0.0)
+    assert usage.is_within_share("light", 10_000.0, 0.0)
+    assert not usage.is_within_share("flood", 10_000.0, 0.0)
+
+
+def test_usage_at_other_routers_counts_until_they_fall_silent():
+    usage = shares.Usage(4.0)
+    usage.ask("w", 100.0, 0.0)
+    heard = (messages.WorkspaceUse("pool", "w", 500.0, 1000.0),)
+    usage.hear("peer", heard, 0.0)
+    assert usage.total("w", 0.0) == pytest.approx(500.0)
+    assert usage.total("w", 2.0) < 500.0
+    assert usage.total("w", 4.0) == 0.0
+
+
+def test_a_workspace_is_within_its_share_again_after_a_while():
+    usage = shares.Usage(4.0)
+    usage.ask("w", 50_000.0, 0.0)
+    usage.charge("w", 50_000.0, 0.0)
+    assert not usage.is_within_share("w", 10_000.0, 0.0)
+    assert usage.is_within_share("w", 10_000.0, 8.0)
+
+
+def test_without_a_known_capacity_all_are_within_their_shares():
+    usage = shares.Usage(4.0)
+    usage.charge("w", 1e9, 0.0)
+    assert usage.is_within_share("w", 0.0, 0.0)
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -11,13 +11,16 @@
 
 SETTINGS = hypothesis.settings(derandomize=True, deadline=None)
 SIZES = {"part": 16, "parts": 16, "incarnation": 64, "session": 64}
-SIZES |= {"catalogue_offset": 64, "stamp": 64}
+SIZES |= {"catalogue_offset": 64, "stamp": 64, "version": 64, "running": 16}
 ITEMS = {
     "workspaces": messages.WorkspaceDemand,
     "slots": messages.SlotUse,
     "targets": messages.TargetUse,
     "grants": messages.Grant,
     "queues": messages.QueuedElsewhere,
+    "loads": messages.TargetLoad,
+    "uses": messages.WorkspaceUse,
+    "placed": messages.PlacedPart,
 }
 
 
@@ -36,7 +39,7 @@
         return strategies.integers(0, 2**32 - 1).map(float)
     if field.type is bool:
         return strategies.booleans()
-    if field.name in ("workspace", "target", "preferred", "pool"):
+    if field.name in ("workspace", "target", "preferred", "pool", "prefix"):
         return strategies.text("abc-é", max_size=12)
     return strategies.integers(0, 2 ** SIZES.get(field.name, 32) - 1)
 
@@ -45,6 +48,7 @@
     any_of(messages.Heartbeat),
     any_of(messages.DemandReport),
     any_of(messages.GrantUpdate),
+    any_of(messages.LoadReport),
 )
 
 
