--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/feeds.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/feeds.py
@@ -47,5 +47,5 @@
     def store_lost(self, what: str, detail: str) -> None:
         """Notes that a part of the store does not answer."""
 
-    def store_returned(self, what: str) -> None:
-        """Notes that it answers again."""
+    def store_returned(self, what: str, has_targets: bool) -> None:
+        """Notes that it answers again; entries of targets may have lapsed."""
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -193,9 +193,13 @@
         """Notes that a part of the store does not answer."""
         self.log.belief("store_lost", what=what, detail=detail)
 
-    def store_returned(self, what: str) -> None:
-        """Notes that it answers again."""
-        self.targets.store_returned(self.clock.monotonic())
+    def store_returned(self, what: str, has_targets: bool) -> None:
+        """Notes that it answers again; entries of targets may have lapsed."""
+        if has_targets:
+            self.targets.store_returned(self.clock.monotonic())
+            asyncio.get_running_loop().call_later(
+                target_list.LAPSE_GRACE_S, self._expire_targets
+            )
         self.log.belief("store_returned", what=what)
 
     def change_settings(self, settings: Settings) -> None:
@@ -293,12 +297,14 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.pool.sweep()
-            now = self.clock.monotonic()
-            for name in self.targets.expire(now):
-                self.log.belief("target_gone", target=name)
-                self._forget_target(name)
+            self._expire_targets()
             self._decide_all()
 
+    def _expire_targets(self) -> None:
+        for name in self.targets.expire(self.clock.monotonic()):
+            self.log.belief("target_gone", target=name)
+            self._forget_target(name)
+
     async def _report(self) -> None:
         await peers_lib.run_reports(self._send_if_due)
 
--- /dev/null
+++ b/tests/forwarding/test_followers.py
@@ -0,0 +1,124 @@
+"""Following the store: outages, lost history, bad records."""
+
+import asyncio
+import collections
+import json
+
+from lentilbeam_platform import followers
+from lentilbeam_platform import store as store_lib
+from tests.forwarding import test_platform
+
+TARGETS = followers.TARGETS_TOPIC
+
+
+class Beliefs:
+    """Notes what it is told."""
+
+    def __init__(self):
+        self.told = []
+        self.log = self
+
+    def belief(self, change, **inputs):
+        """Notes a logged change."""
+        self.told.append((change, *inputs.values()))
+
+    def __getattr__(self, name):
+        return lambda *values: self.told.append((name, *values))
+
+
+class ScriptedStore:
+    """Answers reads by a script, then blocks; keeps what was asked."""
+
+    def __init__(self, *answers):
+        self.answers = collections.deque(answers)
+        self.asked = []
+        self.is_done = asyncio.Event()
+
+    async def read_newest(self, topic):
+        """Answers by the script."""
+        self.asked.append("newest")
+        return await self.answer()
+
+    async def read_from(self, topic, offset, wait_s):
+        """Answers by the script."""
+        self.asked.append((offset, wait_s))
+        return await self.answer()
+
+    async def answer(self):
+        """Returns the next answer, or blocks."""
+        if not self.answers:
+            self.is_done.set()
+            await asyncio.Event().wait()
+        answer = self.answers.popleft()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def follow(store, topic=TARGETS, take=followers.take_target):
+    """Follows a topic until the store has no more answers."""
+
+    async def play():
+        beliefs = Beliefs()
+        task = asyncio.create_task(
+            followers.follow(beliefs, store, topic, take)
+        )
+        await store.is_done.wait()
+        task.cancel()
+        return beliefs.told
+
+    return asyncio.run(play())
+
+
+def page(offset, **records):
+    listed = tuple(store_lib.Record(k, v) for k, v in records.items())
+    return store_lib.Page(listed, offset)
+
+
+def names(told):
+    return [item[0] for item in told]
+
+
+SERVER = json.dumps(test_platform.SERVER).encode()
+DOWN = store_lib.StoreError("down")
+
+
+def test_the_return_of_the_store_is_seen_without_waiting_for_a_change():
+    store = ScriptedStore(page(1, a=SERVER), DOWN, DOWN, page(1))
+    told = follow(store)
+    long_poll = followers.LONG_POLL_S
+    assert store.asked == [
+        "newest",
+        (1, long_poll),
+        (1, 0.0),
+        (1, 0.0),
+        (1, long_poll),
+    ]
+    assert names(told).count("store_lost") == 1
+    assert told[-1] == ("store_returned", TARGETS, True)
+
+
+def test_lost_history_is_read_anew_and_replaces_the_list():
+    gone = store_lib.HistoryGoneError()
+    store = ScriptedStore(page(5, a=SERVER), gone, page(9, b=SERVER))
+    told = follow(store)
+    replaced = [item[1] for item in told if item[0] == "replace_targets"]
+    assert [[e.name for e in entries] for entries in replaced] == [["a"], ["b"]]
+
+
+def test_a_bad_record_is_reported_and_the_others_hold():
+    store = ScriptedStore(page(2, a=SERVER, b=b"{"), page(3, c=None))
+    told = follow(store)
+    assert names(told).count("bad_record") == 1
+    assert ("remove_target", "c") in told
+    (entries,) = [item[1] for item in told if item[0] == "replace_targets"]
+    assert [entry.name for entry in entries] == ["a"]
+
+
+def test_only_the_record_of_the_configuration_is_taken():
+    config = json.dumps(test_platform.CONFIG).encode()
+    store = ScriptedStore(page(2, config=config, other=b"{}"))
+    told = follow(
+        store, followers.CONFIGURATION_TOPIC, followers.take_configuration
+    )
+    assert names(told) == ["offer_configuration"]
