--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/decision_log.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/decision_log.py
@@ -19,6 +19,7 @@
 
     Attributes:
         dropped: lines left out since the last one written.
+        dropped_in_all: lines left out since the start.
     """
 
     def __init__(self, clock: clock_lib.Clock, instance: str, output: int):
@@ -28,6 +29,7 @@
         self.allowance = BURST_LINES
         self.filled_at = clock.monotonic()
         self.dropped = 0
+        self.dropped_in_all = 0
         os.set_blocking(output, False)
 
     def request(self, name: str, decision: str, **inputs: Any) -> None:
@@ -44,7 +46,7 @@
         self.allowance = min(self.allowance + earned, BURST_LINES)
         self.filled_at = now
         if self.allowance < 1.0:
-            self.dropped += 1
+            self._drop()
             return
         self.allowance -= 1.0
         stamp = self.clock.now().isoformat(timespec="milliseconds")
@@ -56,4 +58,8 @@
             self.dropped = 0
         except OSError:
             # A full or closed pipe: the line is counted with the dropped.
-            self.dropped += 1
+            self._drop()
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self.dropped_in_all += 1
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -132,6 +132,22 @@
         self.placed.clear()
         return placed
 
+    def read_gauges(self, now: float) -> dict[str, float]:
+        """Returns the current values that the metrics page shows."""
+        totals = [
+            self.loads.total(entry.name, now)
+            for entry in self.targets.find_usable(self.pool.name)
+        ]
+        return {
+            "waiting": self.admission.count_waiting(),
+            "own_running": len(self.loads.sent),
+            "fleet_running": sum(load.running for load in totals),
+            "fleet_unread_tokens": sum(load.unread for load in totals),
+            "targets_usable": len(self._find_usable(now)),
+            "workspaces_asking": len(self.usage.asked),
+            "repeats_in_window": len(self.budget.repeats),
+        }
+
     def hear_placed(self, placed: tuple[messages.PlacedPart, ...]) -> None:
         """Takes in which parts of prompts a peer has sent where."""
         now = self.clock.monotonic()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -202,6 +202,26 @@
             )
         self.log.belief("store_returned", what=what)
 
+    def read_gauges(self) -> dict[str, float]:
+        """Returns the current values that the metrics page shows."""
+        now = self.clock.monotonic()
+        current = self.configuration.current
+        gauges = {
+            "configuration_version": current.version if current else 0,
+            "ready": self.is_ready,
+            "leaving": self.is_leaving,
+            "requests_active": self.front.active,
+            "peers_listed": len(self.peers.listed),
+            "peers_serving": len(self.peers.find_serving()),
+            "targets_listed": len(self.targets.entries),
+            "targets_lapsing": len(self.targets.lapsing),
+            "log_lines_dropped": self.log.dropped_in_all,
+        }
+        for name, dispatcher in self.dispatchers.items():
+            for key, value in dispatcher.read_gauges(now).items():
+                gauges[f"pool_{name}_{key}"] = value
+        return gauges
+
     def change_settings(self, settings: Settings) -> None:
         """Takes in changed settings; addresses stay until the next start."""
         self.settings = dataclasses.replace(
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/metrics_page.py
@@ -0,0 +1,60 @@
+"""Counters, gauges and latencies of a router as Prometheus text (ASGI)."""
+
+from collections.abc import Callable
+import re
+
+from lentilbeam_router import metrics as metrics_lib
+
+PATH = "/metrics"
+PREFIX = "lentilbeam_"
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+US_PER_S = 1_000_000
+_UNSAFE = re.compile(r"[^a-zA-Z0-9_]")
+
+ReadGauges = Callable[[], dict[str, float]]
+
+
+def build_page(metrics: metrics_lib.Metrics, read_gauges: ReadGauges):
+    """Returns the application that serves the page."""
+
+    async def answer(scope, receive, send) -> None:
+        del receive
+        if scope["type"] != "http":
+            return
+        is_known = scope["path"] == PATH
+        body = render(metrics, read_gauges()).encode() if is_known else b""
+        headers = [
+            (b"content-type", b"text/plain; version=0.0.4"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200 if is_known else 404,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    return answer
+
+
+def render(metrics: metrics_lib.Metrics, gauges: dict[str, float]) -> str:
+    """Returns all values, one a line."""
+    lines = []
+    for name, value in sorted(metrics.counters.items()):
+        lines.append(f"{_clean(name)}_total {value}")
+    for name, value in sorted(gauges.items()):
+        lines.append(f"{_clean(name)} {value:g}")
+    for name, histogram in sorted(metrics.histograms.items()):
+        clean = f"{_clean(name)}_seconds"
+        for quantile in QUANTILES:
+            value = histogram.get_value_at_percentile(quantile) / US_PER_S
+            label = f'{{quantile="{quantile / 100:g}"}}'
+            lines.append(f"{clean}{label} {value:.6f}")
+        lines.append(f"{clean}_count {histogram.total_count}")
+    return "\n".join(lines) + "\n"
+
+
+def _clean(name: str) -> str:
+    return PREFIX + _UNSAFE.sub("_", name)
