--- a/packages/lentilbeam-cli/src/lentilbeam_cli/core.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/core.py
@@ -12,6 +12,7 @@
 from lentilbeam_cli.commands import check
 from lentilbeam_cli.commands import diff
 from lentilbeam_cli.commands import drain
+from lentilbeam_cli.commands import explain
 from lentilbeam_cli.commands import export
 from lentilbeam_cli.commands import get
 from lentilbeam_cli.commands import stats
@@ -25,6 +26,7 @@
     "check": check.run,
     "diff": diff.run,
     "drain": drain.run,
+    "explain": explain.run,
     "export": export.run,
     "get": get.run,
     "stats": stats.run,
--- a/packages/lentilbeam-cli/src/lentilbeam_cli/options.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/options.py
@@ -23,6 +23,7 @@
   timeline              show the events of all routers in causal order
   export                write the time line as trace-event JSON
   drain INSTANCE        stop a router gracefully
+  explain ID FILE...    show one request's way, from routers' logs
 
 A FILE may be a folder, which stands for all .json files below it.
 
--- /dev/null
+++ b/tests/standins/keyed_store.py
@@ -0,0 +1,149 @@
+"""Stand-in for the platform's store: keyed topics of an append-only log.
+
+Run as `python -m tests.standins.keyed_store HOST PORT`. `PUT /faults` with
+{"is_down": true} has all calls refused, {"is_silent": true} left unanswered,
+{"forget": true} drops the records, but for the newest of each key.
+"""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import struct
+import sys
+import urllib.parse
+
+import uvicorn
+
+RECORD_LENGTH = struct.Struct(">I")
+BOUNDS = struct.Struct(">QQ")
+
+
+@dataclasses.dataclass
+class Topic:
+    """Records of one topic; the first `forgotten` of them are gone."""
+
+    records: list[bytes] = dataclasses.field(default_factory=list)
+    forgotten: int = 0
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def append(self, body: bytes) -> int:
+        """Appends the records in a body; returns the first one's offset."""
+        first = len(self.records)
+        while body:
+            (length,) = RECORD_LENGTH.unpack_from(body)
+            self.records.append(body[4 : 4 + length])
+            body = body[4 + length :]
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return first
+
+    def newest(self) -> dict[str, bytes]:
+        """Returns the newest value of each key that was not dropped."""
+        found = {}
+        for record in self.records:
+            end = 1 + record[0]
+            found[record[1:end].decode()] = record[end:]
+        return {key: value for key, value in found.items() if value}
+
+
+class Store:
+    """The store as an ASGI application."""
+
+    def __init__(self):
+        self.topics: dict[str, Topic] = {}
+        self.faults: dict[str, bool] = {}
+        self.speaking = asyncio.Event()
+        self.speaking.set()
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serves one call."""
+        if scope["type"] != "http":
+            return
+        body = b""
+        while True:
+            message = await receive()
+            body += message.get("body", b"")
+            if not message.get("more_body", False):
+                break
+        query = urllib.parse.parse_qs(scope["query_string"].decode())
+        values = {key: value[0] for key, value in query.items()}
+        status, answer = await self.serve(scope["path"], values, body)
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [(b"content-length", str(len(answer)).encode())],
+            }
+        )
+        await send({"type": "http.response.body", "body": answer})
+
+    async def serve(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        """Returns status and body of the answer to a call."""
+        if path == "/faults":
+            self.faults = json.loads(body)
+            if self.faults.get("is_silent"):
+                self.speaking.clear()
+            else:
+                self.speaking.set()
+            if self.faults.pop("forget", False):
+                for topic in self.topics.values():
+                    topic.forgotten = len(topic.records)
+            return 200, b""
+        await self.speaking.wait()
+        if self.faults.get("is_down"):
+            return 503, b""
+        topic = self.topics.setdefault(query["topic"], Topic())
+        if path == "/v1/log-append":
+            first = topic.append(body)
+            found = {"offset": first, "end_offset": len(topic.records)}
+            return 200, json.dumps(found).encode()
+        if path == "/v1/log-newest":
+            return 200, self.encode_newest(topic)
+        if path == "/v1/log-read":
+            return await self.read(topic, query)
+        return 404, b""
+
+    def encode_newest(self, topic: Topic) -> bytes:
+        """Returns the page of all keys."""
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
+            for key, value in topic.newest().items()
+        ]
+        end = len(topic.records)
+        page = {"items": items, "has_more": False, "end_offset": end}
+        return json.dumps(page).encode()
+
+    async def read(
+        self, topic: Topic, query: dict[str, str]
+    ) -> tuple[int, bytes]:
+        """Returns records from an offset on, waiting for the first."""
+        start = int(query["from"])
+        if start < topic.forgotten:
+            gone = {"first_offset": topic.forgotten}
+            return 410, json.dumps(gone).encode()
+        if start >= len(topic.records):
+            wait_s = int(query.get("wait_ms", "0")) / 1000
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(topic.changed.wait(), wait_s)
+            if self.faults.get("is_down"):
+                return 503, b""
+        parts = [BOUNDS.pack(len(topic.records), topic.forgotten)]
+        for record in topic.records[start:]:
+            parts += [RECORD_LENGTH.pack(len(record)), record]
+        return 200, b"".join(parts)
+
+
+def main(host: str, port: str) -> None:
+    """Serves until the process ends."""
+    config = uvicorn.Config(
+        Store(), host=host, port=int(port), lifespan="off", log_config=None
+    )
+    uvicorn.Server(config).run()
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
