--- a/packages/lentilbeam-router/src/lentilbeam_router/fleet.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/fleet.py
@@ -10,6 +10,7 @@
 from lentilbeam_core import events
 from lentilbeam_core import ids
 from lentilbeam_core import membership as membership_lib
+from lentilbeam_router import addresses
 from lentilbeam_router import catalogue_reader
 from lentilbeam_router import instance_list
 from lentilbeam_router import node_task
@@ -82,7 +83,7 @@
         self.rows = {ids.InstanceId(row.name): row for row in rows}
         self.was_listed = True
         for name, row in self.rows.items():
-            address = settings_lib.Address(row.peer_host, row.peer_port)
+            address = addresses.Address(row.peer_host, row.peer_port)
             self.node.addresses[name] = address
         instances = tuple(row.build_instance() for row in rows)
         self.node.post(events.InstanceListRead(instances))
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/feeds.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/feeds.py
@@ -6,7 +6,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import target_list
-from lentilbeam_router import settings as settings_lib
+from lentilbeam_router import addresses
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,8 +22,8 @@
 
     name: ids.InstanceId
     data_centre: ids.DataCentreId
-    front: settings_lib.Address
-    peer: settings_lib.Address
+    front: addresses.Address
+    peer: addresses.Address
 
 
 class Beliefs(Protocol):
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -19,10 +19,10 @@
 from lentilbeam_core.forwarding import configuration as configuration_lib
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import target_list
+from lentilbeam_router import addresses
 from lentilbeam_router import exit_status
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router import peer_link
-from lentilbeam_router import settings as settings_lib
 from lentilbeam_router import signal_free_server
 from lentilbeam_router.forwarding import connection_pool
 from lentilbeam_router.forwarding import decision_log
@@ -63,8 +63,8 @@
 
     instance: ids.InstanceId
     data_centre: ids.DataCentreId
-    front: settings_lib.Address
-    peer: settings_lib.Address
+    front: addresses.Address
+    peer: addresses.Address
     budget: retry_budget.Settings
     usage_window_s: float
     address_ttl_s: float
@@ -116,7 +116,7 @@
             and not self.is_leaving
         )
 
-    def list_addresses(self) -> list[settings_lib.Address]:
+    def list_addresses(self) -> list[addresses.Address]:
         """Returns where callers may connect."""
         found = [entry.front for entry in self.peers.find_serving()]
         if self.is_ready:
@@ -235,7 +235,7 @@
     async def run(
         self,
         jobs: list[Coroutine[Any, Any, None]],
-        apps: dict[settings_lib.Address, AsgiApp],
+        apps: dict[addresses.Address, AsgiApp],
     ) -> exit_status.ExitStatus:
         """Serves until told to stop.
 
@@ -276,7 +276,7 @@
         self.link.close()
         return status
 
-    def _build_app(self, apps: dict[settings_lib.Address, AsgiApp]) -> AsgiApp:
+    def _build_app(self, apps: dict[addresses.Address, AsgiApp]) -> AsgiApp:
         by_port = {address.port: app for address, app in apps.items()}
 
         async def route(scope, receive, send) -> None:
@@ -368,7 +368,7 @@
             dispatcher.decide()
 
 
-def _listen(address: settings_lib.Address) -> socket.socket:
+def _listen(address: addresses.Address) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((address.host, address.port))
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -10,8 +10,8 @@
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_router import addresses
 from lentilbeam_router import peer_link
-from lentilbeam_router import settings as settings_lib
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
 from lentilbeam_router.forwarding import feeds
@@ -147,7 +147,7 @@
             return False
         return now - heard.at < SILENT_AFTER_S
 
-    def _list_receivers(self, now: float) -> list[settings_lib.Address]:
+    def _list_receivers(self, now: float) -> list[addresses.Address]:
         is_probing = now - self.probed_at >= PROBE_SILENT_S
         if is_probing:
             self.probed_at = now
--- a/packages/lentilbeam-router/src/lentilbeam_router/node_task.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/node_task.py
@@ -11,9 +11,9 @@
 from lentilbeam_core import node as node_lib
 from lentilbeam_core import outcome
 from lentilbeam_core import timeline as timeline_lib
+from lentilbeam_router import addresses
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router import peer_link
-from lentilbeam_router import settings as settings_lib
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +52,7 @@
         self.timeline = timeline
         self.inbox: asyncio.Queue[events.Event] = asyncio.Queue()
         self.mailboxes: dict[ids.RequestId, asyncio.Queue[Decision]] = {}
-        self.addresses: dict[ids.InstanceId, settings_lib.Address] = {}
+        self.addresses: dict[ids.InstanceId, addresses.Address] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.wakeup: float | None = None
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_link.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_link.py
@@ -5,9 +5,9 @@
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_router import addresses
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router import peer_codec
-from lentilbeam_router import settings as settings_lib
 
 Receive = Callable[[ids.InstanceId, messages.PeerMessage], None]
 
@@ -47,7 +47,7 @@
         self.metrics.count("peer.socket_errors")
 
     def send(
-        self, address: settings_lib.Address, message: messages.PeerMessage
+        self, address: addresses.Address, message: messages.PeerMessage
     ) -> None:
         """Sends a message, counting its bytes by kind."""
         if self.transport is None or self.transport.is_closing():
@@ -60,7 +60,7 @@
 
     def broadcast(
         self,
-        addresses: list[settings_lib.Address],
+        addresses: list[addresses.Address],
         message: messages.PeerMessage,
     ) -> None:
         """Sends one message to many; it is encoded once."""
@@ -80,7 +80,7 @@
             self.transport.close()
 
 
-async def open_link(link: PeerLink, address: settings_lib.Address) -> None:
+async def open_link(link: PeerLink, address: addresses.Address) -> None:
     """Opens the link's socket. Raises OSError if the address is taken."""
     loop = asyncio.get_running_loop()
     await loop.create_datagram_endpoint(
--- a/packages/lentilbeam-router/src/lentilbeam_router/settings.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/settings.py
@@ -10,6 +10,7 @@
 
 from lentilbeam_core import findings as findings_lib
 from lentilbeam_core import ids
+from lentilbeam_router import addresses
 
 VALIDATOR = jsonschema.Draft202012Validator(
     json.loads(
@@ -18,14 +19,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Address:
-    """An IP address and a port."""
-
-    host: str
-    port: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Platform:
     """Where the platform's services are. Times are in seconds."""
@@ -69,8 +62,8 @@
 
     instance: ids.InstanceId
     data_centre: ids.DataCentreId
-    http: Address
-    peer: Address
+    http: addresses.Address
+    peer: addresses.Address
     platform: Platform
     limits: Limits
 
@@ -95,8 +88,8 @@
     return Settings(
         instance=ids.InstanceId(value["instance"]),
         data_centre=ids.DataCentreId(value["data_centre"]),
-        http=Address(**value["http"]),
-        peer=Address(**value["peer"]),
+        http=addresses.Address(**value["http"]),
+        peer=addresses.Address(**value["peer"]),
         platform=Platform(**value["platform"]),
         limits=Limits(**value.get("limits", {})),
     )
--- a/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
@@ -11,6 +11,7 @@
 
 from lentilbeam_core import findings as findings_lib
 from lentilbeam_core import outcome
+from lentilbeam_router import addresses
 from lentilbeam_router import fleet
 from lentilbeam_router import problems
 from lentilbeam_router import responses
@@ -44,7 +45,7 @@
 
 
 def build_server(
-    app: litestar.Litestar, address: settings_lib.Address
+    app: litestar.Litestar, address: addresses.Address
 ) -> signal_free_server.WebServer:
     """Returns the server of the application, not yet started."""
     config = uvicorn.Config(
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -13,7 +13,7 @@
 from lentilbeam_platform import node_file
 from lentilbeam_platform import records
 from lentilbeam_platform import store
-from lentilbeam_router import settings
+from lentilbeam_router import addresses
 from lentilbeam_router.forwarding import wire
 
 NOISE = hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
@@ -151,9 +151,9 @@
 def test_the_node_file_is_decoded_into_our_settings():
     found = node_file.decode_node_file(encode(NODE))
     assert found.router.instance == "front-1"
-    assert found.router.peer == settings.Address("10.0.0.9", 7400)
+    assert found.router.peer == addresses.Address("10.0.0.9", 7400)
     assert found.router.budget.extra == 54
-    assert found.store == settings.Address("10.0.0.2", 8)
+    assert found.store == addresses.Address("10.0.0.2", 8)
     assert found.ready.port == 2
 
 
--- a/tests/unit/test_peer_link.py
+++ b/tests/unit/test_peer_link.py
@@ -6,10 +6,10 @@
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_router import addresses
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router import peer_codec
 from lentilbeam_router import peer_link
-from lentilbeam_router import settings as settings_lib
 
 BEAT = messages.Heartbeat(
     incarnation=ids.Incarnation(1),
@@ -42,7 +42,7 @@
         lambda *message: received.set_result(message),
         metrics,
     )
-    await peer_link.open_link(link, settings_lib.Address("127.0.0.1", 0))
+    await peer_link.open_link(link, addresses.Address("127.0.0.1", 0))
     address = link.transport.get_extra_info("sockname")
     sender, _ = await loop.create_datagram_endpoint(
         asyncio.DatagramProtocol, remote_addr=address
