--- a/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
@@ -34,6 +34,7 @@
 from lentilbeam_router import platform_log
 from lentilbeam_router import relay
 from lentilbeam_router import settings as settings_lib
+from lentilbeam_router import signal_free_server
 from lentilbeam_router import target_client
 from lentilbeam_router import web_server
 
@@ -209,7 +210,7 @@
             self.metrics.counters,
         )
 
-    def _build_server(self) -> web_server.WebServer:
+    def _build_server(self) -> signal_free_server.WebServer:
         callers = caller_api.CallerApi(
             self.settings,
             self.fleet,
