--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -17,6 +17,12 @@
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
 
+BOUNDS = {
+    shares.Standing.OWED: placement_lib.WITHIN_SHARE,
+    shares.Standing.EVEN: placement_lib.BEYOND_SHARE,
+    shares.Standing.AHEAD: placement_lib.AHEAD,
+}
+
 
 class RefusalReason(enum.Enum):
     """Why a request is not run."""
@@ -88,8 +94,8 @@
     """Requests that wait for a target of one pool.
 
     Attributes:
-        capacity_per_s: what all targets of the pool together yield, in cost
-            units; 0 if unknown, and then all workspaces are within shares.
+        owed_per_s: what the users owe all workspaces together, in cost
+            units; 0 if unknown, and then each is owed all that it asks for.
     """
 
     def __init__(
@@ -103,7 +109,7 @@
         self.placer = placer
         self.usage = usage
         self.draw = draw
-        self.capacity_per_s = 0.0
+        self.owed_per_s = 0.0
         self.queues: dict[ids.WorkspaceId, collections.deque[Waiting]] = {}
 
     def enqueue(
@@ -173,9 +179,7 @@
         now: float,
     ) -> Placed | None:
         queue = self.queues[workspace]
-        bounds = placement_lib.BEYOND_SHARE
-        if self._is_within_share(workspace, now):
-            bounds = placement_lib.WITHIN_SHARE
+        bounds = BOUNDS[self._find_standing(workspace, now)]
         for waiting in queue:
             usable = [t for t in targets if t.name not in waiting.excluded]
             found = self.placer.choose(waiting.request, usable, bounds, now)
@@ -201,7 +205,8 @@
         refused = []
         for workspace, queue in list(self.queues.items()):
             latest_since = -math.inf
-            if not self._is_within_share(workspace, now):
+            standing = self._find_standing(workspace, now)
+            if standing is not shares.Standing.OWED:
                 latest_since = now - self.settings.beyond_share_wait_s
             over = [
                 waiting
@@ -219,7 +224,7 @@
         return refused
 
     def _is_within_share(self, workspace: ids.WorkspaceId, now: float) -> bool:
-        return self.usage.is_within_share(workspace, self.capacity_per_s, now)
+        return self.usage.is_within_share(workspace, self.owed_per_s, now)
 
     def refuse(
         self, request: requests.Request, reason: RefusalReason, now: float
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -40,6 +40,8 @@
 """For workspaces that have received less than their share."""
 BEYOND_SHARE = Bounds(0.7, 0.6, 0.8)
 """For the others: the difference is kept free for those within theirs."""
+AHEAD = Bounds(0.4, 0.4, 0.55)
+"""For those that received more than any other that asks for as much."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -1,10 +1,12 @@
 """Service that each workspace has asked for and received lately, fleet-wide.
 
-Sums decay, so that shares follow the users' window. The level is the
-max-min share of a pool's capacity: workspaces that ask for less get all of
-it, and those that ask for more get the same.
+Sums decay, so that shares follow the users' window. A level is the max-min
+share of a capacity: workspaces that ask for less get all of it, and those
+that ask for more get the same. There are two: of what the users owe, and of
+what the pool actually yields, which is more most of the time.
 """
 
+import enum
 import math
 
 from lentilbeam_core import ids
@@ -16,6 +18,19 @@
 LEVEL_AGE_S = 0.1
 """The level is computed anew at most this often."""
 
+EVEN_SLACK = 1.15
+"""Served beyond the even share of the yield by this factor is too much: the
+sums are up to a report's age old."""
+
+
+class Standing(enum.Enum):
+    """What a workspace has received, compared with its shares."""
+
+    OWED = "owed"  # Less than its share of what the users owe.
+    EVEN = "even"  # That, but not more than its share of the yield.
+    AHEAD = "ahead"  # More than its share of the yield.
+
+
 _PeerUses = dict[ids.WorkspaceId, messages.WorkspaceUse]
 
 
@@ -27,7 +42,8 @@
         self.served: dict[ids.WorkspaceId, decayed.Decayed] = {}
         self.asked: dict[ids.WorkspaceId, decayed.Decayed] = {}
         self.peers: dict[ids.InstanceId, tuple[float, _PeerUses]] = {}
-        self.level = math.inf
+        self.owed_level = math.inf
+        self.even_level = math.inf
         self.level_at = -math.inf
 
     def ask(self, workspace: ids.WorkspaceId, cost: float, now: float) -> None:
@@ -62,17 +78,27 @@
                 total += uses[workspace].cost * remains
         return total
 
-    def is_within_share(
-        self, workspace: ids.WorkspaceId, capacity_per_s: float, now: float
-    ) -> bool:
-        """Whether the workspace has received less than its max-min share."""
-        if capacity_per_s <= 0:
-            return True
+    def find_standing(
+        self, workspace: ids.WorkspaceId, owed_per_s: float, now: float
+    ) -> Standing:
+        """Returns where a workspace stands.
+
+        Args:
+            workspace: whose standing.
+            owed_per_s: what the users owe all workspaces together; 0 if
+                unknown, and then each is owed all that it asks for.
+            now: monotonic seconds.
+        """
+        if owed_per_s <= 0:
+            return Standing.OWED
         if now - self.level_at > LEVEL_AGE_S:
-            self.level_at = now
-            capacity = capacity_per_s * self.window_s
-            self.level = find_level(self._list_asked(now), capacity)
-        return self.total(workspace, now) < self.level
+            self._refresh_levels(owed_per_s * self.window_s, now)
+        received = self.total(workspace, now)
+        if received < self.owed_level:
+            return Standing.OWED
+        if received <= self.even_level * EVEN_SLACK:
+            return Standing.EVEN
+        return Standing.AHEAD
 
     def export(
         self, pool: ids.PoolId, now: float
@@ -89,11 +115,13 @@
                 )
         return tuple(uses)
 
-    def _list_asked(self, now: float) -> list[float]:
-        asked = {
-            workspace: own.read(now, self.window_s)
-            for workspace, own in self.asked.items()
-        }
+    def _refresh_levels(self, owed: float, now: float) -> None:
+        asked: dict[ids.WorkspaceId, float] = {}
+        received = 0.0
+        for workspace, own in self.asked.items():
+            asked[workspace] = own.read(now, self.window_s)
+        for own in self.served.values():
+            received += own.read(now, self.window_s)
         for heard_at, uses in self.peers.values():
             age_s = now - heard_at
             if age_s >= PEER_USAGE_AGE_S:
@@ -102,7 +130,11 @@
             for workspace, use in uses.items():
                 before = asked.get(workspace, 0.0)
                 asked[workspace] = before + use.asked * remains
-        return list(asked.values())
+                received += use.cost * remains
+        amounts = list(asked.values())
+        self.level_at = now
+        self.owed_level = find_level(amounts, owed)
+        self.even_level = find_level(amounts, max(received, owed))
 
 
 def find_level(asked: list[float], capacity: float) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -63,7 +63,7 @@
         """Takes in a new version; a pool that it lacks stays as it was."""
         self.pool = current.pools.get(self.pool.name, self.pool)
         if self.pool.engine is not None:
-            self.admission.capacity_per_s = current.limits.tokens_per_s
+            self.admission.owed_per_s = current.limits.tokens_per_s
 
     async def place(
         self,
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -41,7 +41,7 @@
 
 def test_a_flood_beyond_its_share_is_refused_soon_and_others_wait():
     queue = makers.make_admission()
-    queue.capacity_per_s = 100.0
+    queue.owed_per_s = 100.0
     full = messages.TargetLoad("a", 0.0, 2, 0.0, 0.0)
     queue.placer.loads.hear("peer", (full,), 0.0)
     queue.usage.ask("flood", 10_000.0, 0.0)
--- a/tests/forwarding/test_shares.py
+++ b/tests/forwarding/test_shares.py
@@ -7,6 +7,7 @@
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import shares
 
+OWED = shares.Standing.OWED
 AMOUNTS = strategies.lists(strategies.floats(1.0, 1e6), min_size=1, max_size=20)
 
 
@@ -29,8 +30,26 @@
         usage.charge("flood", 1000.0, 0.0)
     usage.ask("light", 1000.0, 0.0)
     usage.charge("light", 900.0, 0.0)
-    assert usage.is_within_share("light", 10_000.0, 0.0)
-    assert not usage.is_within_share("flood", 10_000.0, 0.0)
+    assert usage.find_standing("light", 10_000.0, 0.0) is OWED
+    assert usage.find_standing("flood", 10_000.0, 0.0) is not OWED
+
+
+def test_of_two_that_flood_the_one_served_more_is_ahead():
+    usage = shares.Usage(4.0)
+    for workspace, served in (("loud", 900.0), ("louder", 300.0)):
+        usage.ask(workspace, 2000.0, 0.0)
+        usage.charge(workspace, served, 0.0)
+    assert usage.find_standing("loud", 50.0, 0.0) is shares.Standing.AHEAD
+    assert usage.find_standing("louder", 50.0, 0.0) is shares.Standing.EVEN
+
+
+def test_one_that_floods_alone_may_use_what_nobody_else_wants():
+    usage = shares.Usage(4.0)
+    usage.ask("flood", 5000.0, 0.0)
+    usage.charge("flood", 3000.0, 0.0)
+    usage.ask("light", 100.0, 0.0)
+    usage.charge("light", 100.0, 0.0)
+    assert usage.find_standing("flood", 50.0, 0.0) is shares.Standing.EVEN
 
 
 def test_usage_at_other_routers_counts_until_they_fall_silent():
@@ -47,11 +66,11 @@
     usage = shares.Usage(4.0)
     usage.ask("w", 50_000.0, 0.0)
     usage.charge("w", 50_000.0, 0.0)
-    assert not usage.is_within_share("w", 10_000.0, 0.0)
-    assert usage.is_within_share("w", 10_000.0, 8.0)
+    assert usage.find_standing("w", 10_000.0, 0.0) is not OWED
+    assert usage.find_standing("w", 10_000.0, 8.0) is OWED
 
 
 def test_without_a_known_capacity_all_are_within_their_shares():
     usage = shares.Usage(4.0)
     usage.charge("w", 1e9, 0.0)
-    assert usage.is_within_share("w", 0.0, 0.0)
+    assert usage.find_standing("w", 0.0, 0.0) is OWED
