--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -223,8 +223,10 @@
                 del self.queues[workspace]
         return refused
 
-    def _is_within_share(self, workspace: ids.WorkspaceId, now: float) -> bool:
-        return self.usage.is_within_share(workspace, self.owed_per_s, now)
+    def _find_standing(
+        self, workspace: ids.WorkspaceId, now: float
+    ) -> shares.Standing:
+        return self.usage.find_standing(workspace, self.owed_per_s, now)
 
     def refuse(
         self, request: requests.Request, reason: RefusalReason, now: float
