--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -255,6 +255,7 @@
         incarnation: the sender's start.
         sequence: grows by one with each report of the incarnation.
         version: version of the configuration in force at the sender.
+        targets_offset: how far the sender has read the list of targets.
         leaving: whether the sender was told to stop.
         is_ready: whether callers may be sent to it.
         loads: its work at the targets.
@@ -265,6 +266,7 @@
     incarnation: ids.Incarnation
     sequence: int
     version: int
+    targets_offset: int
     leaving: bool
     is_ready: bool
     loads: tuple[TargetLoad, ...]
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/feeds.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/feeds.py
@@ -1,10 +1,12 @@
 """What the platform tells this process: configuration, targets, routers."""
 
+import asyncio
 import dataclasses
 from typing import Protocol
 
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import feed_lag
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_router import addresses
 
@@ -26,6 +28,27 @@
     peer: addresses.Address
 
 
+class FeedWatch:
+    """Wakes the reader of a feed that has fallen behind its peers.
+
+    Attributes:
+        lag: how far this router and its peers have read.
+        must_reread: set when the feed is to be read anew.
+    """
+
+    def __init__(self, patience_s: float):
+        self.lag = feed_lag.FeedLag(patience_s)
+        self.must_reread = asyncio.Event()
+
+    def hear(self, position: int, now: float) -> bool:
+        """Takes in a peer's position; tells whether the reader was woken."""
+        self.lag.note_peer(position, now)
+        if not self.lag.take_alarm(now):
+            return False
+        self.must_reread.set()
+        return True
+
+
 class Beliefs(Protocol):
     """Takes in what the platform's store says."""
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -40,6 +40,10 @@
 """A stopping process is gone this long before it would be killed."""
 ADDRESS_LIFE_FACTOR = 2.8
 """Some callers keep an answer with addresses three times as long."""
+CONFIGURATION_PATIENCE_S = 0.3
+"""An answer of the store takes some 10 ms, a report at most 0.5 s."""
+TARGETS_PATIENCE_S = 0.9
+"""Reads of the list of targets pause for up to 0.4 s."""
 BACKLOG = 512
 """Connections that wait to be accepted."""
 
@@ -93,6 +97,8 @@
         self.targets = target_list.TargetList()
         self.has_targets = False
         self.is_leaving = False
+        self.configuration_watch = feeds.FeedWatch(CONFIGURATION_PATIENCE_S)
+        self.targets_watch = feeds.FeedWatch(TARGETS_PATIENCE_S)
         self.stop = asyncio.Event()
         self.dispatchers: dict[ids.PoolId, dispatcher_lib.Dispatcher] = {}
         self.link = peer_link.PeerLink(
@@ -142,6 +148,7 @@
         self, found: configuration_lib.Configuration
     ) -> None:
         """Takes in a configuration, whatever its version."""
+        self.configuration_watch.lag.note_own(found.version)
         if self.configuration.offer(found):
             for dispatcher in self.dispatchers.values():
                 dispatcher.change_configuration(found)
@@ -338,6 +345,7 @@
         self.peers.report(
             list(self.dispatchers.values()),
             current.version if current else 0,
+            self.targets_watch.lag.own,
             self.is_ready,
             self.is_leaving,
         )
@@ -351,6 +359,7 @@
         if not self.peers.hear(sender, message):
             return
         now = self.clock.monotonic()
+        self._compare_feeds(sender, message, now)
         for dispatcher in self.dispatchers.values():
             uses = [u for u in message.uses if u.pool == dispatcher.pool.name]
             dispatcher.usage.hear(sender, tuple(uses), now)
@@ -358,6 +367,22 @@
             dispatcher.hear_placed(message.placed)
         self._decide_all()
 
+    def _compare_feeds(
+        self, peer: ids.InstanceId, report: messages.LoadReport, now: float
+    ) -> None:
+        for name, watch, position in (
+            ("configuration", self.configuration_watch, report.version),
+            ("targets", self.targets_watch, report.targets_offset),
+        ):
+            if watch.hear(position, now):
+                self.log.belief(
+                    "behind_peer",
+                    feed=name,
+                    peer=peer,
+                    own=watch.lag.own,
+                    peers=watch.lag.furthest,
+                )
+
     def _forget_target(self, name: ids.TargetId) -> None:
         self.pool.forget(name)
         for dispatcher in self.dispatchers.values():
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -114,6 +114,7 @@
         self,
         dispatchers: list[dispatcher_lib.Dispatcher],
         version: int,
+        targets_offset: int,
         is_ready: bool,
         leaving: bool,
     ) -> None:
@@ -133,6 +134,7 @@
             incarnation=self.incarnation,
             sequence=self.sequence,
             version=version,
+            targets_offset=targets_offset,
             leaving=leaving,
             is_ready=is_ready,
             loads=tuple(loads),
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -122,4 +122,5 @@
   uses @6 :List(WorkspaceUse);
   placed @7 :List(PlacedPart);
   names @8 :List(Text);
+  targetsOffset @9 :UInt64;
 }
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -6,6 +6,7 @@
 
 from lentilbeam_platform import followers
 from lentilbeam_platform import store as store_lib
+from lentilbeam_router.forwarding import feeds
 from tests.forwarding import test_platform
 
 TARGETS = followers.TARGETS_TOPIC
@@ -17,6 +18,8 @@
     def __init__(self):
         self.told = []
         self.log = self
+        self.configuration_watch = feeds.FeedWatch(0.3)
+        self.targets_watch = feeds.FeedWatch(0.9)
 
     def belief(self, change, **inputs):
         """Notes a logged change."""
@@ -122,3 +125,25 @@
         store, followers.CONFIGURATION_TOPIC, followers.take_configuration
     )
     assert names(told) == ["offer_configuration"]
+
+
+def test_a_silent_long_poll_is_given_up_once_peers_are_further_on():
+    async def play():
+        beliefs = Beliefs()
+        store = ScriptedStore(page(1, a=SERVER))
+        task = asyncio.create_task(
+            followers.follow(beliefs, store, TARGETS, followers.take_target)
+        )
+        await store.is_done.wait()
+        assert not beliefs.targets_watch.hear(5, 10.0)
+        assert beliefs.targets_watch.hear(5, 11.0)
+        store.answers.append(page(5, b=SERVER))
+        store.is_done.clear()
+        await store.is_done.wait()
+        task.cancel()
+        return store.asked, beliefs
+
+    asked, beliefs = asyncio.run(play())
+    assert asked[:3] == ["newest", (1, followers.LONG_POLL_S), "newest"]
+    assert beliefs.targets_watch.lag.own == 5
+    assert not beliefs.targets_watch.hear(5, 20.0)
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -11,7 +11,13 @@
 
 SETTINGS = hypothesis.settings(derandomize=True, deadline=None)
 SIZES = {"part": 16, "parts": 16, "incarnation": 64, "session": 64}
-SIZES |= {"catalogue_offset": 64, "stamp": 64, "version": 64, "running": 16}
+SIZES |= {
+    "catalogue_offset": 64,
+    "stamp": 64,
+    "version": 64,
+    "targets_offset": 64,
+    "running": 16,
+}
 ITEMS = {
     "workspaces": messages.WorkspaceDemand,
     "slots": messages.SlotUse,
