--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -36,8 +36,9 @@
 KEEP_ALIVE_S = 30
 """Longer than callers may keep an idle connection."""
 HOUSEKEEPING_S = 0.25
-LEAVE_MARGIN_S = 0.8
-"""A stopping process is gone this long before it would be killed."""
+LEAVE_MARGIN_S = 1.2
+"""A stopping process begins to end this long before it would be killed: a slow
+instance takes some tenths of a second for it."""
 ADDRESS_LIFE_FACTOR = 2.8
 """Some callers keep an answer with addresses three times as long."""
 CONFIGURATION_PATIENCE_S = 0.3
