--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -29,7 +29,6 @@
 
     NO_ROOM = "no_room"
     NO_TARGET = "no_target"
-    TOO_LATE = "too_late"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -49,7 +49,7 @@
         arrived_at: when its head was read, monotonic seconds.
         ends_at: when the caller or the route's timeout ends it.
         prompt: None for plain services.
-        key_version: version of the configuration that admitted it.
+        configuration_version: the configuration that admitted it.
     """
 
     name: str
@@ -59,7 +59,7 @@
     arrived_at: float
     ends_at: float
     prompt: Prompt | None
-    key_version: int
+    configuration_version: int
 
     @property
     def goal_at(self) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -6,11 +6,8 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
-import enum
 
 from lentilbeam_core import clock as clock_lib
-from lentilbeam_core import ids
 from lentilbeam_core.forwarding import admission
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import event_stream
@@ -23,61 +20,13 @@
 from lentilbeam_router.forwarding import connection_pool
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
+from lentilbeam_router.forwarding import progress as progress_lib
 from lentilbeam_router.forwarding import wire as wire_lib
 
 WHOLE_ANSWER_BYTES = 65_536
 """A plain answer up to this size is passed on only once it is whole."""
 
 
-class SendResult(enum.Enum):
-    """How sending a request to one target ended."""
-
-    DONE = "done"  # The answer was passed on, whole.
-    NOT_RUN = "not_run"  # The target ran nothing.
-    BROKEN = "broken"  # It may have run; no whole answer came.
-    FAILED = "failed"  # The target answered that it failed.
-
-
-@dataclasses.dataclass(slots=True)
-class Sent:
-    """What is known after sending to one target."""
-
-    result: SendResult
-    detail: str
-    answer: wire_lib.Answer | None = None
-    body: bytes = b""
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What has happened to a request so far.
-
-    Attributes:
-        tried: targets that it was sent to.
-        may_have_run: whether some target may have run it.
-        events: state of the stream that is passed on.
-        sent: number of hand-overs.
-        first_event_s: time from arrival to the first event.
-        last_event_at: when the last event came, monotonic seconds.
-        longest_gap_s: longest pause between two events.
-    """
-
-    events: event_stream.EventStream
-    tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
-    may_have_run: bool = False
-    sent: int = 0
-    first_event_s: float | None = None
-    last_event_at: float = 0.0
-    longest_gap_s: float = 0.0
-
-    def note_event(self, now: float) -> None:
-        """Keeps the longest pause between events."""
-        if self.last_event_at:
-            gap_s = now - self.last_event_at
-            self.longest_gap_s = max(self.longest_gap_s, gap_s)
-        self.last_event_at = now
-
-
 class Forwarder:
     """Runs requests against the targets of their pools."""
 
@@ -137,7 +86,9 @@
         self.dispatcher = dispatcher
         self.channel = channel
         self.routers = routers
-        self.progress = Progress(event_stream.EventStream(call.resume_after))
+        self.progress = progress_lib.Progress(
+            event_stream.EventStream(call.resume_after)
+        )
 
     async def serve(self) -> None:
         """Sends the request until it has its final answer."""
@@ -148,7 +99,7 @@
                 await self._end_refused(decision)
                 return
             sent = await self._send(decision.placement)
-            if sent.result is SendResult.DONE:
+            if sent.result is progress_lib.SendResult.DONE:
                 return
             if not self._may_send_again(sent):
                 await self._end_failed(sent)
@@ -164,7 +115,9 @@
         else:
             await self.channel.answer(503, retry_after_s=0.0)
 
-    async def _send(self, placement: placement_lib.Placement) -> Sent:
+    async def _send(
+        self, placement: placement_lib.Placement
+    ) -> progress_lib.Sent:
         target = placement.target
         try:
             connection = await self.forwarder.pool.acquire(
@@ -174,7 +127,9 @@
             self.dispatcher.note_end(self.request.name)
             self._note_failure(target)
             self.progress.tried.add(target.name)
-            return Sent(SendResult.NOT_RUN, f"connect: {error}")
+            return progress_lib.Sent(
+                progress_lib.SendResult.NOT_RUN, f"connect: {error}"
+            )
         except asyncio.CancelledError:
             self.dispatcher.note_end(self.request.name)
             raise
@@ -188,7 +143,7 @@
         self,
         placement: placement_lib.Placement,
         connection: connection_lib.TargetConnection,
-    ) -> Sent:
+    ) -> progress_lib.Sent:
         target = placement.target
         self.progress.tried.add(target.name)
         could_have_run = self.progress.may_have_run
@@ -202,16 +157,17 @@
             ahead=round(placement.ahead),
             fetch=placement.fetch_from.name if placement.fetch_from else None,
             attempt=self.progress.sent,
+            version=self.request.configuration_version,
         )
         try:
             sent = await self._receive(connection, placement)
         except connection_lib.BrokenError as error:
-            sent = Sent(SendResult.BROKEN, str(error))
+            sent = progress_lib.Sent(progress_lib.SendResult.BROKEN, str(error))
         except event_stream.OutOfOrderError as error:
-            sent = Sent(SendResult.BROKEN, str(error))
-        if sent.result is SendResult.NOT_RUN:
+            sent = progress_lib.Sent(progress_lib.SendResult.BROKEN, str(error))
+        if sent.result is progress_lib.SendResult.NOT_RUN:
             self.progress.may_have_run = could_have_run
-        if sent.result is SendResult.DONE:
+        if sent.result is progress_lib.SendResult.DONE:
             self.dispatcher.note_success(target.name)
         else:
             connection.close()
@@ -237,7 +193,7 @@
         self,
         connection: connection_lib.TargetConnection,
         placement: placement_lib.Placement,
-    ) -> Sent:
+    ) -> progress_lib.Sent:
         sent_at = self.clock.monotonic()
         head = await connection.receive()
         answer = self.forwarder.wire.read_answer(head.status, head.headers)
@@ -253,17 +209,25 @@
             )
         return await self._pass_plain(connection, answer)
 
-    def _find_fault(self, answer: wire_lib.Answer) -> Sent | None:
+    def _find_fault(self, answer: wire_lib.Answer) -> progress_lib.Sent | None:
         if answer.is_other_instance:
-            return Sent(SendResult.NOT_RUN, "another instance")
+            return progress_lib.Sent(
+                progress_lib.SendResult.NOT_RUN, "another instance"
+            )
         if answer.is_not_run:
-            return Sent(SendResult.NOT_RUN, f"status {answer.status}")
+            return progress_lib.Sent(
+                progress_lib.SendResult.NOT_RUN, f"status {answer.status}"
+            )
         if answer.request != self.call.name:
-            return Sent(SendResult.BROKEN, f"answer to {answer.request!r}")
+            return progress_lib.Sent(
+                progress_lib.SendResult.BROKEN, f"answer to {answer.request!r}"
+            )
         if answer.is_encoded:
-            return Sent(SendResult.BROKEN, "encoded body")
+            return progress_lib.Sent(
+                progress_lib.SendResult.BROKEN, "encoded body"
+            )
         if answer.status < 300 and not answer.is_sealed:
-            return Sent(SendResult.BROKEN, "no proof")
+            return progress_lib.Sent(progress_lib.SendResult.BROKEN, "no proof")
         return None
 
     async def _pass_stream(
@@ -271,7 +235,7 @@
         connection: connection_lib.TargetConnection,
         answer: wire_lib.Answer,
         note_first_event: Callable[[], None],
-    ) -> Sent:
+    ) -> progress_lib.Sent:
         events = self.progress.events
         events.restart()
         is_first = True
@@ -290,7 +254,9 @@
                 await self.channel.start(answer.status, answer.headers)
             await self.channel.write(data)
         if events.rest:
-            return Sent(SendResult.BROKEN, "ended within an event")
+            return progress_lib.Sent(
+                progress_lib.SendResult.BROKEN, "ended within an event"
+            )
         if not self.channel.is_started:
             await self.channel.start(answer.status, answer.headers)
         await self.channel.finish()
@@ -302,13 +268,13 @@
             first_event_s=round(self.progress.first_event_s or 0.0, 3),
             longest_gap_s=round(self.progress.longest_gap_s, 3),
         )
-        return Sent(SendResult.DONE, "")
+        return progress_lib.Sent(progress_lib.SendResult.DONE, "")
 
     async def _pass_plain(
         self,
         connection: connection_lib.TargetConnection,
         answer: wire_lib.Answer,
-    ) -> Sent:
+    ) -> progress_lib.Sent:
         held = []
         size = 0
         while size <= WHOLE_ANSWER_BYTES:
@@ -323,15 +289,19 @@
             item = await connection.receive()
             if isinstance(item, connection_lib.End):
                 await self.channel.finish()
-                return Sent(SendResult.DONE, "")
+                return progress_lib.Sent(progress_lib.SendResult.DONE, "")
             await self.channel.write(item)
 
-    async def _pass_whole(self, answer: wire_lib.Answer, body: bytes) -> Sent:
+    async def _pass_whole(
+        self, answer: wire_lib.Answer, body: bytes
+    ) -> progress_lib.Sent:
         if answer.status >= 500:
             detail = f"status {answer.status}"
-            return Sent(SendResult.FAILED, detail, answer, body)
+            return progress_lib.Sent(
+                progress_lib.SendResult.FAILED, detail, answer, body
+            )
         await self._pass(answer, body)
-        return Sent(SendResult.DONE, "")
+        return progress_lib.Sent(progress_lib.SendResult.DONE, "")
 
     async def _pass(self, answer: wire_lib.Answer, body: bytes) -> None:
         await self.channel.start(answer.status, answer.headers)
@@ -340,10 +310,13 @@
         await self.channel.finish()
         self._record("completed", status=answer.status)
 
-    def _may_send_again(self, sent: Sent) -> bool:
+    def _may_send_again(self, sent: progress_lib.Sent) -> bool:
         if self.progress.sent >= self.route.attempts:
             return False
-        if sent.result is not SendResult.NOT_RUN and not self.route.may_repeat:
+        if (
+            sent.result is not progress_lib.SendResult.NOT_RUN
+            and not self.route.may_repeat
+        ):
             return False
         if self.channel.is_started and self.progress.events.last_id is None:
             return False
@@ -370,7 +343,7 @@
         else:
             await self.channel.answer(503, retry_after_s=refused.retry_after_s)
 
-    async def _end_failed(self, sent: Sent) -> None:
+    async def _end_failed(self, sent: progress_lib.Sent) -> None:
         self._record("failed", result=sent.result.value, detail=sent.detail)
         if self.channel.is_started:
             self.channel.abort()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/front.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/front.py
@@ -115,7 +115,7 @@
             arrived_at=arrived_at,
             ends_at=arrived_at + wait_s,
             prompt=call.prompt,
-            key_version=current.version,
+            configuration_version=current.version,
         )
 
     async def _forward(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -1,18 +1,12 @@
 """The process that forwards requests: builds its parts, runs, and stops."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Coroutine
 import dataclasses
-import logging
 import random
 import signal
-import socket
 from typing import Any
 
-import uvicorn
-
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core import messages
@@ -30,11 +24,10 @@
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import forwarder as forwarder_lib
 from lentilbeam_router.forwarding import front as front_lib
+from lentilbeam_router.forwarding import listening
 from lentilbeam_router.forwarding import peers as peers_lib
 from lentilbeam_router.forwarding import wire as wire_lib
 
-KEEP_ALIVE_S = 30
-"""Longer than callers may keep an idle connection."""
 HOUSEKEEPING_S = 0.25
 LEAVE_MARGIN_S = 1.2
 """A stopping process begins to end this long before it would be killed: a slow
@@ -45,10 +38,6 @@
 """An answer of the store takes some 10 ms, a report at most 0.5 s."""
 TARGETS_PATIENCE_S = 0.9
 """Reads of the list of targets pause for up to 0.4 s."""
-BACKLOG = 512
-"""Connections that wait to be accepted."""
-
-AsgiApp = Callable[..., Awaitable[None]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -243,7 +232,7 @@
     async def run(
         self,
         jobs: list[Coroutine[Any, Any, None]],
-        apps: dict[addresses.Address, AsgiApp],
+        apps: dict[addresses.Address, listening.AsgiApp],
     ) -> exit_status.ExitStatus:
         """Serves until told to stop.
 
@@ -254,11 +243,13 @@
         self.log.belief("started", incarnation=self.incarnation)
         try:
             await peer_link.open_link(self.link, self.settings.peer)
-            sockets = [_listen(a) for a in (self.settings.front, *apps)]
+            sockets = [
+                listening.open_socket(a) for a in (self.settings.front, *apps)
+            ]
         except OSError as error:
             self.log.belief("cannot_listen", detail=str(error))
             return exit_status.ExitStatus.CANNOT_LISTEN
-        server = _build_server(self._build_app(apps))
+        server = listening.build_server(self._build_app(apps))
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
@@ -284,7 +275,9 @@
         self.link.close()
         return status
 
-    def _build_app(self, apps: dict[addresses.Address, AsgiApp]) -> AsgiApp:
+    def _build_app(
+        self, apps: dict[addresses.Address, listening.AsgiApp]
+    ) -> listening.AsgiApp:
         by_port = {address.port: app for address, app in apps.items()}
 
         async def route(scope, receive, send) -> None:
@@ -392,33 +385,3 @@
     def _decide_all(self) -> None:
         for dispatcher in self.dispatchers.values():
             dispatcher.decide()
-
-
-def _listen(address: addresses.Address) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address.host, address.port))
-    sock.listen(BACKLOG)
-    sock.setblocking(False)
-    return sock
-
-
-def _build_server(app: AsgiApp) -> signal_free_server.WebServer:
-    # The server's own log repeats what the decision log says.
-    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
-    config = uvicorn.Config(
-        app,
-        loop="asyncio",
-        http="httptools",
-        ws="none",
-        lifespan="off",
-        access_log=False,
-        proxy_headers=False,
-        server_header=False,
-        date_header=False,
-        timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=0,
-        backlog=BACKLOG,
-        log_config=None,
-    )
-    return signal_free_server.WebServer(config)
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/listening.py
@@ -0,0 +1,50 @@
+"""Sockets and the HTTP server of a forwarding router."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import socket
+
+import uvicorn
+
+from lentilbeam_router import addresses
+from lentilbeam_router import signal_free_server
+
+KEEP_ALIVE_S = 30
+"""Longer than callers may keep an idle connection."""
+BACKLOG = 512
+"""Connections that wait to be accepted."""
+
+AsgiApp = Callable[..., Awaitable[None]]
+
+
+def open_socket(address: addresses.Address) -> socket.socket:
+    """Returns a listening socket. Raises OSError if the address is taken."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((address.host, address.port))
+    sock.listen(BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+def build_server(app: AsgiApp) -> signal_free_server.WebServer:
+    """Returns the server of an application, not yet started."""
+    # The server's own log repeats what the decision log says.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    config = uvicorn.Config(
+        app,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=0,
+        backlog=BACKLOG,
+        log_config=None,
+    )
+    return signal_free_server.WebServer(config)
--- a/tests/forwarding/makers.py
+++ b/tests/forwarding/makers.py
@@ -80,7 +80,7 @@
         arrived_at=now,
         ends_at=now + route.timeout_s,
         prompt=prompt,
-        key_version=1,
+        configuration_version=1,
     )
     return dataclasses.replace(request, **changes)
 
