--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 import math
 import random
 
@@ -23,6 +24,10 @@
     shares.Standing.AHEAD: placement_lib.AHEAD,
 }
 
+HEAD_WINDOW = 3
+"""Requests at the head of a workspace's queue that are tried at a time: a
+flood must not make each look at the queue longer than the pause between two."""
+
 
 class RefusalReason(enum.Enum):
     """Why a request is not run."""
@@ -179,7 +184,7 @@
     ) -> Placed | None:
         queue = self.queues[workspace]
         bounds = BOUNDS[self._find_standing(workspace, now)]
-        for waiting in queue:
+        for waiting in itertools.islice(queue, HEAD_WINDOW):
             usable = [t for t in targets if t.name not in waiting.excluded]
             found = self.placer.choose(waiting.request, usable, bounds, now)
             if found is not None:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -57,6 +57,8 @@
         self.own: dict[ids.TargetId, Load] = collections.defaultdict(Load)
         self.sent: dict[str, Sent] = {}
         self.recent: dict[ids.TargetId, decayed.Decayed] = {}
+        self.totals: dict[ids.TargetId, Load] = {}
+        self.totals_at = -math.inf
         self.peers: dict[
             ids.InstanceId, tuple[float, dict[ids.TargetId, Load]]
         ] = {}
@@ -70,6 +72,7 @@
         now: float,
     ) -> None:
         """Notes that a request is sent to `target`."""
+        self.totals.pop(target, None)
         recent = self.recent.setdefault(target, decayed.Decayed())
         recent.add(unread, now, RECENT_S)
         load = Load(unread, 1, held)
@@ -80,6 +83,7 @@
         """Notes that a request's prompt was read: its answer has begun."""
         sent = self.sent.get(name)
         if sent is not None:
+            self.totals.pop(sent.target, None)
             self.own[sent.target].unread -= sent.load.unread
             sent.load.unread = 0.0
 
@@ -87,6 +91,7 @@
         """Notes that a request is no longer at its target."""
         sent = self.sent.pop(name, None)
         if sent is not None:
+            self.totals.pop(sent.target, None)
             self.own[sent.target].add(sent.load, -1)
 
     def hear(
@@ -101,9 +106,21 @@
             for t in reported
         }
         self.peers[peer] = (now, loads)
+        self.totals.clear()
 
     def total(self, target: ids.TargetId, now: float) -> Load:
-        """Returns the work that all routers heard of have at `target`."""
+        """Returns the work that all routers heard of have at `target`.
+
+        The sums are kept for as long as the time and the work stay the same.
+        """
+        if now != self.totals_at:
+            self.totals.clear()
+            self.totals_at = now
+        if target not in self.totals:
+            self.totals[target] = self._sum(target, now)
+        return self.totals[target]
+
+    def _sum(self, target: ids.TargetId, now: float) -> Load:
         total = Load()
         own = self.own.get(target)
         if own is not None:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -108,3 +108,16 @@
             counts[decision.request.workspace] += 1
             queue.placer.loads.end(decision.request.name)
     assert max(counts.values()) - min(counts.values()) <= 2
+
+
+def test_a_flood_does_not_make_a_look_at_the_queue_longer():
+    queue = makers.make_admission()
+    full = messages.TargetLoad("a", 0.0, 2, 0.0, 0.0)
+    queue.placer.loads.hear("peer", (full,), 0.0)
+    for n in range(500):
+        queue.enqueue(makers.make_request(f"r{n}", SMALL), 0.0)
+    tried = []
+    choose = queue.placer.choose
+    queue.placer.choose = lambda *given: tried.append(1) or choose(*given)
+    decide(queue, 0.01)
+    assert len(tried) <= admission.HEAD_WINDOW
--- /dev/null
+++ b/tests/forwarding/test_loads.py
@@ -0,0 +1,25 @@
+"""Sums of work over routers follow each change, kept sums included."""
+
+from lentilbeam_core import messages
+from lentilbeam_core.forwarding import loads as loads_lib
+
+
+def test_the_sum_follows_each_step_of_a_request():
+    loads = loads_lib.Loads()
+    loads.start("r", "t", 100.0, 150.0, 1.0)
+    loads.hear("p", (messages.TargetLoad("t", 50.0, 2, 70.0, 10.0),), 1.0)
+    total = loads.total("t", 1.0)
+    assert (total.unread, total.running, total.held) == (150.0, 3, 220.0)
+    loads.read("r")
+    assert loads.total("t", 1.0).unread == 50.0
+    loads.end("r")
+    assert loads.total("t", 1.0).running == 2
+    loads.hear("p", (), 1.0)
+    assert loads.total("t", 1.0).running == 0
+
+
+def test_a_silent_peers_work_counts_no_more():
+    loads = loads_lib.Loads()
+    loads.hear("p", (messages.TargetLoad("t", 50.0, 2, 70.0, 10.0),), 1.0)
+    assert loads.total("t", 2.0).running == 2
+    assert loads.total("t", 3.0).running == 0
