--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -7,10 +7,10 @@
 """
 
 import dataclasses
-import hashlib
 import random
 
 from lentilbeam_core import ids
+from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import prompt_cache
@@ -213,9 +213,9 @@
         holder = targets[tokens.index(most)] if most > 0 else None
         shared_parts = prompt.parts[:-1]
         key = shared_parts[-1].name if shared_parts else ""
-        home = max(targets, key=lambda entry: _rank(key, entry.name))
+        home = rendezvous.choose(key, (entry.name for entry in targets))
         shared = sum(part.tokens for part in shared_parts)
-        return _Kept(tokens, most, holder, shared, home.name)
+        return _Kept(tokens, most, holder, shared, home)
 
     def _weigh(
         self,
@@ -262,8 +262,3 @@
             fetch_from=found.holder if is_fetched else None,
         )
         return _Choice(first_s + extra_s, placement)
-
-
-def _rank(key: str, target: ids.TargetId) -> bytes:
-    """Returns the rank of a target for a part of a prompt; highest wins."""
-    return hashlib.blake2b(f"{key}|{target}".encode(), digest_size=8).digest()
--- a/packages/lentilbeam-core/src/lentilbeam_core/rendezvous.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/rendezvous.py
@@ -1,19 +1,18 @@
-"""Rendezvous hashing: each pool's role falls to one of the candidates."""
+"""Rendezvous hashing: each key falls to one of the candidates."""
 
 from collections.abc import Iterable
 import hashlib
+from typing import TypeVar
 
-from lentilbeam_core import ids
+T = TypeVar("T", bound=str)
 
 
-def score(pool: ids.PoolId, instance: ids.InstanceId) -> bytes:
-    """Returns the rank of `instance` for `pool`; the highest wins."""
-    key = f"{pool}|{instance}".encode()
-    return hashlib.blake2b(key, digest_size=8).digest()
+def score(key: str, candidate: str) -> bytes:
+    """Returns the rank of `candidate` for `key`; the highest wins."""
+    text = f"{key}|{candidate}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
 
 
-def choose(
-    pool: ids.PoolId, candidates: Iterable[ids.InstanceId]
-) -> ids.InstanceId | None:
+def choose(key: str, candidates: Iterable[T]) -> T | None:
     """Returns the winner among `candidates`, or None if there are none."""
-    return max(candidates, key=lambda name: score(pool, name), default=None)
+    return max(candidates, key=lambda name: score(key, name), default=None)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -22,6 +22,14 @@
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
+SILENCE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS),
+)
+"""Socket options with which the system notices a silent peer."""
 HIGH_WATER_BYTES = 65_536
 """Unread answer bytes beyond which the socket is not read."""
 DEFAULT_KEEP_ALIVE_S = 4.0
@@ -210,15 +218,8 @@
 
 def watch_silence(sock: socket.socket) -> None:
     """Makes the system notice a peer that no longer answers."""
-    options = (
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS),
-    )
-    for level, option, value in options:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    for level, option, value in SILENCE_OPTIONS:
         sock.setsockopt(level, option, value)
 
 
