Sum the work of larger fleets in a relay for each data centre

Above 16 routers those of a data centre now report to one of them, chosen by rendezvous among those heard, which sums their work, exchanges sums with the other relays and tells its routers of everything. Signs of life still go to all. Sums over peers are made over reported items instead of pairs of target and peer.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -14,6 +14,8 @@
 
 PEER_REPORT_AGE_S = 1.5
 """Reports of a peer that is silent for longer count no more."""
+SUM_AGE_S = 0.02
+"""Sums over peers are made anew after this time, to drop the silent."""
 RECENT_S = 0.5
 """Time after which prompt tokens sent to a target count 1/e."""
 
@@ -42,6 +44,14 @@
         self.recent += sign * other.recent
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """What a peer has at the targets, and when it said so."""
+
+    at: float
+    reported: tuple[messages.TargetLoad, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class Sent:
     """A request that this router has at a target."""
@@ -57,11 +67,9 @@
         self.own: dict[ids.TargetId, Load] = collections.defaultdict(Load)
         self.sent: dict[str, Sent] = {}
         self.recent: dict[ids.TargetId, decayed.Decayed] = {}
-        self.totals: dict[ids.TargetId, Load] = {}
-        self.totals_at = -math.inf
-        self.peers: dict[
-            ids.InstanceId, tuple[float, dict[ids.TargetId, Load]]
-        ] = {}
+        self.peers: dict[ids.InstanceId, Heard] = {}
+        self.peer_sums: dict[ids.TargetId, Load] = {}
+        self.summed_at = -math.inf
 
     def start(
         self,
@@ -72,7 +80,6 @@
         now: float,
     ) -> None:
         """Notes that a request is sent to `target`."""
-        self.totals.pop(target, None)
         recent = self.recent.setdefault(target, decayed.Decayed())
         recent.add(unread, now, RECENT_S)
         load = Load(unread, 1, held)
@@ -83,7 +90,6 @@
         """Notes that a request's prompt was read: its answer has begun."""
         sent = self.sent.get(name)
         if sent is not None:
-            self.totals.pop(sent.target, None)
             self.own[sent.target].unread -= sent.load.unread
             sent.load.unread = 0.0
 
@@ -91,7 +97,6 @@
         """Notes that a request is no longer at its target."""
         sent = self.sent.pop(name, None)
         if sent is not None:
-            self.totals.pop(sent.target, None)
             self.own[sent.target].add(sent.load, -1)
 
     def hear(
@@ -101,37 +106,27 @@
         now: float,
     ) -> None:
         """Takes in what a peer has at the targets."""
-        loads = {
-            t.target: Load(t.unread, t.running, t.held, t.recent)
-            for t in reported
-        }
-        self.peers[peer] = (now, loads)
-        self.totals.clear()
+        self.peers[peer] = Heard(now, reported)
+        self.summed_at = -math.inf
+
+    def drop(self, peer: ids.InstanceId) -> None:
+        """Forgets what a peer reported: another report includes it."""
+        self.peers.pop(peer, None)
+        self.summed_at = -math.inf
 
     def total(self, target: ids.TargetId, now: float) -> Load:
-        """Returns the work that all routers heard of have at `target`.
-
-        The sums are kept for as long as the time and the work stay the same.
-        """
-        if now != self.totals_at:
-            self.totals.clear()
-            self.totals_at = now
-        if target not in self.totals:
-            self.totals[target] = self._sum(target, now)
-        return self.totals[target]
-
-    def _sum(self, target: ids.TargetId, now: float) -> Load:
+        """Returns the work that all routers heard of have at `target`."""
+        if now - self.summed_at > SUM_AGE_S:
+            self._sum_peers(now)
         total = Load()
+        peers = self.peer_sums.get(target)
+        if peers is not None:
+            total.add(peers)
+            total.recent *= math.exp((self.summed_at - now) / RECENT_S)
         own = self.own.get(target)
         if own is not None:
             total.add(own)
-            total.recent = self.recent[target].read(now, RECENT_S)
-        for heard_at, loads in self.peers.values():
-            load = loads.get(target)
-            age_s = now - heard_at
-            if load is not None and age_s < PEER_REPORT_AGE_S:
-                total.add(load)
-                total.recent -= load.recent * (1 - math.exp(-age_s / RECENT_S))
+            total.recent += self.recent[target].read(now, RECENT_S)
         return total
 
     def export(self, now: float) -> list[messages.TargetLoad]:
@@ -153,3 +148,19 @@
         if own is not None and own.running == 0:
             del self.own[target]
             del self.recent[target]
+
+    def _sum_peers(self, now: float) -> None:
+        """Sums all reports: there are far fewer items than pairs."""
+        self.summed_at = now
+        self.peer_sums = {}
+        for heard in self.peers.values():
+            age_s = now - heard.at
+            if age_s >= PEER_REPORT_AGE_S:
+                continue
+            remains = math.exp(-age_s / RECENT_S)
+            for item in heard.reported:
+                load = self.peer_sums.setdefault(item.target, Load())
+                load.unread += item.unread
+                load.running += item.running
+                load.held += item.held
+                load.recent += item.recent * remains
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -67,6 +67,10 @@
         """Takes in what a peer has served and was asked for."""
         self.peers[peer] = (now, {use.workspace: use for use in uses})
 
+    def drop(self, peer: ids.InstanceId) -> None:
+        """Forgets what a peer reported: another report includes it."""
+        self.peers.pop(peer, None)
+
     def total(self, workspace: ids.WorkspaceId, now: float) -> float:
         """Returns what the workspace received of all routers heard of."""
         own = self.served.get(workspace)
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 
 from lentilbeam_core import ids
 
@@ -247,9 +248,30 @@
     tokens: int
 
 
+class ReportKind(enum.Enum):
+    """Whose work a report sums."""
+
+    GROUP = 0  # The sender's, and that of the routers that report to it.
+    FLEET = 1  # All that the sender knows of; for those that report to it.
+    PRESENCE = 2  # Nobody's: a sign of life.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Included:
+    """A report that the sender of a sum has added up.
+
+    Attributes:
+        router: whose it was.
+        report: its sequence.
+    """
+
+    router: ids.InstanceId
+    report: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """What a router that forwards requests tells its peers of its work.
+    """What a router that forwards requests tells its peers of work.
 
     Attributes:
         incarnation: the sender's start.
@@ -258,9 +280,12 @@
         targets_offset: how far the sender has read the list of targets.
         leaving: whether the sender was told to stop.
         is_ready: whether callers may be sent to it.
-        loads: its work at the targets.
-        uses: what it served lately, by workspace.
-        placed: parts of prompts that it sent to targets since its last report.
+        kind: whose work this is.
+        loads: work at the targets.
+        uses: what was served lately, by workspace.
+        placed: parts of prompts that were sent to targets since the sender's
+            last report.
+        included: reports of routers that are part of the sums.
     """
 
     incarnation: ids.Incarnation
@@ -269,9 +294,11 @@
     targets_offset: int
     leaving: bool
     is_ready: bool
-    loads: tuple[TargetLoad, ...]
-    uses: tuple[WorkspaceUse, ...]
-    placed: tuple[PlacedPart, ...]
+    kind: ReportKind
+    loads: tuple[TargetLoad, ...] = ()
+    uses: tuple[WorkspaceUse, ...] = ()
+    placed: tuple[PlacedPart, ...] = ()
+    included: tuple[Included, ...] = ()
 
 
 PeerMessage = Heartbeat | DemandReport | GrantUpdate | LoadReport
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -16,9 +16,6 @@
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
 
-MAX_PLACED_PARTS = 48
-"""Parts of prompts in one report to peers; a datagram holds them."""
-
 LEAST_WAIT_S = 0.02
 """Least time between two looks at a queue in which nothing changes."""
 
@@ -128,7 +125,7 @@
 
     def take_placed(self) -> tuple[messages.PlacedPart, ...]:
         """Returns the parts of prompts placed since the last report."""
-        placed = tuple(self.placed[:MAX_PLACED_PARTS])
+        placed = tuple(self.placed)
         self.placed.clear()
         return placed
 
@@ -148,9 +145,22 @@
             "repeats_in_window": len(self.budget.repeats),
         }
 
-    def hear_placed(self, placed: tuple[messages.PlacedPart, ...]) -> None:
-        """Takes in which parts of prompts a peer has sent where."""
+    def hear(self, peer: ids.InstanceId, report: messages.LoadReport) -> None:
+        """Takes in a peer's work."""
         now = self.clock.monotonic()
+        uses = [use for use in report.uses if use.pool == self.pool.name]
+        self.usage.hear(peer, tuple(uses), now)
+        self.loads.hear(peer, report.loads, now)
+        self._hear_placed(report.placed, now)
+
+    def drop_peer(self, peer: ids.InstanceId) -> None:
+        """Forgets a peer's work: another report includes it."""
+        self.usage.drop(peer)
+        self.loads.drop(peer)
+
+    def _hear_placed(
+        self, placed: tuple[messages.PlacedPart, ...], now: float
+    ) -> None:
         runs: dict[ids.TargetId, list[requests.Part]] = {}
         for part in placed:
             runs.setdefault(part.target, []).append(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -13,6 +13,7 @@
 from lentilbeam_core.forwarding import configuration as configuration_lib
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import target_list
+from lentilbeam_core.forwarding import work_sums
 from lentilbeam_router import addresses
 from lentilbeam_router import exit_status
 from lentilbeam_router import metrics as metrics_lib
@@ -26,6 +27,7 @@
 from lentilbeam_router.forwarding import front as front_lib
 from lentilbeam_router.forwarding import listening
 from lentilbeam_router.forwarding import peers as peers_lib
+from lentilbeam_router.forwarding import reports as reports_lib
 from lentilbeam_router.forwarding import wire as wire_lib
 
 HOUSEKEEPING_S = 0.25
@@ -94,8 +96,16 @@
         self.link = peer_link.PeerLink(
             settings.instance, self._receive, self.metrics
         )
-        self.peers = peers_lib.Peers(
-            settings.instance, self.incarnation, clock, self.link, self.log
+        self.peers = peers_lib.Peers(settings.instance, clock, self.log)
+        self.reports = reports_lib.Reports(
+            settings.instance,
+            self.incarnation,
+            settings.data_centre,
+            settings.usage_window_s,
+            self.peers,
+            self.link,
+            clock,
+            self.log,
         )
         self.pool = connection_pool.ConnectionPool(clock, self.metrics)
         self.forwarder = forwarder_lib.Forwarder(
@@ -227,6 +237,7 @@
         for dispatcher in self.dispatchers.values():
             dispatcher.budget.settings = settings.budget
             dispatcher.usage.window_s = settings.usage_window_s
+        self.reports.window_s = settings.usage_window_s
         self.log.belief("settings_changed")
 
     async def run(
@@ -292,9 +303,9 @@
         self.is_leaving = True
         self.log.belief("leaving", active=self.front.active)
         # Datagrams get lost: the second report is for those that missed one.
-        self._send_report()
-        await asyncio.sleep(peers_lib.REPORT_INTERVAL_S)
-        self._send_report()
+        self.reports.announce(self._describe())
+        await asyncio.sleep(reports_lib.TICK_S)
+        self.reports.announce(self._describe())
         await asyncio.sleep(self.settings.address_ttl_s * ADDRESS_LIFE_FACTOR)
 
     async def _finish(
@@ -327,23 +338,35 @@
             self._forget_target(name)
 
     async def _report(self) -> None:
-        await peers_lib.run_reports(self._send_if_due)
-
-    def _send_if_due(self) -> None:
-        is_changed = any(d.is_changed for d in self.dispatchers.values())
-        if self.peers.is_due(is_changed):
-            self._send_report()
+        while True:
+            await asyncio.sleep(reports_lib.TICK_S)
+            is_changed = any(d.is_changed for d in self.dispatchers.values())
+            self.reports.send_if_due(
+                self._describe(), is_changed, self._collect_work
+            )
 
-    def _send_report(self) -> None:
+    def _describe(self) -> reports_lib.Status:
         current = self.configuration.current
-        self.peers.report(
-            list(self.dispatchers.values()),
-            current.version if current else 0,
-            self.targets_watch.lag.own,
-            self.is_ready,
-            self.is_leaving,
+        return reports_lib.Status(
+            version=current.version if current else 0,
+            targets_offset=self.targets_watch.lag.own,
+            is_ready=self.is_ready,
+            leaving=self.is_leaving,
         )
 
+    def _collect_work(self) -> reports_lib.OwnWork:
+        now = self.clock.monotonic()
+        loads = []
+        uses = []
+        placed = []
+        for dispatcher in self.dispatchers.values():
+            dispatcher.is_changed = False
+            uses.extend(dispatcher.usage.export(dispatcher.pool.name, now))
+            placed.extend(dispatcher.take_placed())
+            loads.extend(dispatcher.loads.export(now))
+        work = work_sums.Work(tuple(loads), tuple(uses))
+        return reports_lib.OwnWork(work, tuple(placed))
+
     def _receive(
         self, sender: ids.InstanceId, message: messages.PeerMessage
     ) -> None:
@@ -354,11 +377,13 @@
             return
         now = self.clock.monotonic()
         self._compare_feeds(sender, message, now)
+        taken = self.reports.take_in(sender, message)
+        if taken is None:
+            return
         for dispatcher in self.dispatchers.values():
-            uses = [u for u in message.uses if u.pool == dispatcher.pool.name]
-            dispatcher.usage.hear(sender, tuple(uses), now)
-            dispatcher.loads.hear(sender, message.loads, now)
-            dispatcher.hear_placed(message.placed)
+            if taken.replaced is not None:
+                dispatcher.drop_peer(taken.replaced)
+            dispatcher.hear(sender, taken.report)
         self._decide_all()
 
     def _compare_feeds(
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/reports.py
@@ -0,0 +1,444 @@
+"""Tells the other routers of this one's work, and hears of theirs.
+
+While routers are few, each reports to every other. In a larger fleet those of
+a data centre report to one of them, their relay, which sums their work,
+exchanges sums with the relays of other data centres, and tells its own
+routers of everything. A relay has no state that it alone knows: when it is
+silent, those that reported to it turn to the next.
+
+Reports carry state, so a lost one is mended by the next.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import ids
+from lentilbeam_core import messages
+from lentilbeam_core import rendezvous
+from lentilbeam_core.forwarding import work_sums
+from lentilbeam_router import addresses
+from lentilbeam_router import peer_link
+from lentilbeam_router.forwarding import decision_log
+from lentilbeam_router.forwarding import peers as peers_lib
+
+TICK_S = 0.04
+"""Least time between two reports while work changes."""
+DIRECT_ROUTERS = 16
+"""In a larger fleet routers report to relays: the messages of direct reports
+grow with the square of the routers."""
+INTERVAL_FOR_EACH_PEER_S = 0.01
+"""Reports to all peers are further apart in a larger fleet, and take a bounded
+part of a router's time."""
+INTERVAL_FOR_EACH_MEMBER_S = 0.003
+"""The same for reports to and from a relay: it takes in some 300 a second."""
+IDLE_INTERVAL_S = 0.5
+"""Longest time between two reports to all peers."""
+RELAY_IDLE_INTERVAL_S = 0.2
+"""Longest time between two reports of a relay."""
+RELAY_SILENT_S = 0.5
+"""A relay that sends nothing for longer is replaced."""
+RELAY_AVOIDED_S = 6.0
+"""Time until a relay that fell silent is tried again."""
+MEMBER_SILENT_S = 1.5
+"""A member that sends nothing for longer is no part of the sum any more."""
+MAX_PLACED_PARTS = 160
+"""Parts of prompts in one report, so that its datagram stays small."""
+MAX_PENDING_PARTS = 640
+"""Parts of prompts that wait for a report; older ones are dropped."""
+KEPT_REPORTS = 64
+"""Own reports that are remembered, to be taken off sums that include them."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """What a router says of itself in each report.
+
+    Attributes:
+        version: of the configuration in force.
+        targets_offset: how far the list of targets was read.
+        is_ready: whether callers may be sent here.
+        leaving: whether this router was told to stop.
+    """
+
+    version: int
+    targets_offset: int
+    is_ready: bool
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnWork:
+    """This router's work, and the parts of prompts that it placed lately."""
+
+    work: work_sums.Work
+    placed: tuple[messages.PlacedPart, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """What a report says of the work of others.
+
+    Attributes:
+        report: with this router's own work taken off.
+        replaced: a peer whose earlier reports this one includes.
+    """
+
+    report: messages.LoadReport
+    replaced: ids.InstanceId | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heard:
+    at: float
+    report: messages.LoadReport
+
+    def as_term(self, now: float) -> work_sums.Term:
+        work = work_sums.Work(self.report.loads, self.report.uses)
+        return work_sums.Term(work, now - self.at)
+
+
+class Reports:
+    """The exchange of reports with the other routers.
+
+    Attributes:
+        relay: who sums the work of this data centre; None if this router
+            does, or if there are no relays.
+        source: whose sums are in use; follows `relay` once it is heard.
+        groups: last reports of those that report to this router, and of
+            other relays.
+    """
+
+    def __init__(
+        self,
+        me: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        data_centre: ids.DataCentreId,
+        window_s: float,
+        peers: peers_lib.Peers,
+        link: peer_link.PeerLink,
+        clock: clock_lib.Clock,
+        log: decision_log.DecisionLog,
+    ):
+        self.me = me
+        self.incarnation = incarnation
+        self.data_centre = data_centre
+        self.window_s = window_s
+        self.peers = peers
+        self.link = link
+        self.clock = clock
+        self.log = log
+        self.sequence = 0
+        self.reported_at = 0.0
+        self.present_at = 0.0
+        self.relay: ids.InstanceId | None = None
+        self.relay_since = clock.monotonic()
+        self.relay_heard_at = 0.0
+        self.source: ids.InstanceId | None = None
+        self.source_report: _Heard | None = None
+        self.avoided: dict[ids.InstanceId, float] = {}
+        self.groups: dict[ids.InstanceId, _Heard] = {}
+        self.sent: collections.OrderedDict[int, _Heard] = (
+            collections.OrderedDict()
+        )
+        self.placed_up: collections.deque[messages.PlacedPart] = (
+            collections.deque(maxlen=MAX_PENDING_PARTS)
+        )
+        self.placed_down: collections.deque[messages.PlacedPart] = (
+            collections.deque(maxlen=MAX_PENDING_PARTS)
+        )
+
+    @property
+    def is_direct(self) -> bool:
+        """Whether each router reports to every other."""
+        return self.peers.count_routers() <= DIRECT_ROUTERS
+
+    def take_in(
+        self, sender: ids.InstanceId, report: messages.LoadReport
+    ) -> Taken | None:
+        """Takes in a report; returns what it says of the work of others."""
+        now = self.clock.monotonic()
+        if report.kind is messages.ReportKind.FLEET:
+            return self._take_fleet(sender, report, now)
+        if report.kind is messages.ReportKind.PRESENCE:
+            return None
+        if not self.is_direct and not self._is_group_expected(sender, report):
+            return None
+        self.groups[sender] = _Heard(now, report)
+        replaced = None
+        if not self.is_direct:
+            self.placed_down.extend(report.placed)
+            if self._is_member(sender):
+                self.placed_up.extend(report.placed)
+            if self.relay is None:
+                # This router became the relay: its members now tell it all.
+                replaced, self.source = self.source, None
+        return Taken(report, replaced)
+
+    def send_if_due(
+        self,
+        status: Status,
+        is_changed: bool,
+        collect: Callable[[], OwnWork],
+    ) -> None:
+        """Sends what is due.
+
+        Args:
+            status: of this router.
+            is_changed: whether its work changed since the last report.
+            collect: returns its work.
+        """
+        now = self.clock.monotonic()
+        if self.is_direct:
+            if now - self.reported_at >= self._find_direct_interval(is_changed):
+                self._send_directly(status, collect(), now)
+            return
+        self._follow_relay(now)
+        if now - self.present_at >= self._find_direct_interval(False):
+            self.announce(status)
+        if now - self.reported_at >= self._find_relay_interval(is_changed):
+            self._send_by_relay(status, collect(), now)
+
+    def announce(self, status: Status) -> None:
+        """Tells all peers of this router's status."""
+        now = self.clock.monotonic()
+        self.present_at = now
+        self._send(
+            self.peers.list_receivers(now),
+            status,
+            messages.ReportKind.PRESENCE,
+            work_sums.Work(),
+        )
+
+    def _take_fleet(
+        self, sender: ids.InstanceId, report: messages.LoadReport, now: float
+    ) -> Taken | None:
+        if self.is_direct or sender not in (self.relay, self.source):
+            return None
+        replaced = None
+        if sender == self.relay:
+            self.relay_heard_at = now
+            if self.source != sender:
+                replaced, self.source = self.source, sender
+        if sender != self.source:
+            return None
+        others = self._take_off_own(report, now)
+        self.source_report = _Heard(now, others)
+        self.placed_down.extend(report.placed)
+        return Taken(others, replaced)
+
+    def _take_off_own(
+        self, report: messages.LoadReport, now: float
+    ) -> messages.LoadReport:
+        terms = [work_sums.Term(work_sums.Work(report.loads, report.uses))]
+        for included in report.included:
+            own = self.sent.get(included.report)
+            if included.router == self.me and own is not None:
+                terms.append(dataclasses.replace(own.as_term(now), sign=-1))
+        others = work_sums.add_up(terms, self.window_s)
+        return dataclasses.replace(
+            report, loads=others.loads, uses=others.uses, included=()
+        )
+
+    def _is_group_expected(
+        self, sender: ids.InstanceId, report: messages.LoadReport
+    ) -> bool:
+        """Whether a sum belongs here; else it comes by the relay as well."""
+        if any(included.router == self.me for included in report.included):
+            return False
+        if self._is_member(sender):
+            return sender != self.relay or not self._is_above(sender)
+        return self.relay is None
+
+    def _is_member(self, sender: ids.InstanceId) -> bool:
+        entry = self.peers.listed.get(sender)
+        return entry is not None and entry.data_centre == self.data_centre
+
+    def _follow_relay(self, now: float) -> None:
+        """Turns to another relay if there is a better one or none is heard."""
+        if self.relay and now - self.relay_heard_at > RELAY_SILENT_S:
+            self.avoided[self.relay] = now + RELAY_AVOIDED_S
+        found = self._choose_relay(self.data_centre, now)
+        relay = None if found == self.me else found
+        if relay == self.relay:
+            return
+        self.log.belief("relay", relay=found, before=self.relay or self.me)
+        self.relay = relay
+        self.relay_since = now
+        self.relay_heard_at = now
+
+    def _choose_relay(
+        self, data_centre: ids.DataCentreId, now: float
+    ) -> ids.InstanceId | None:
+        """Returns the relay of a data centre, as far as this router can tell.
+
+        This router is one if no better is heard. If nobody reports to it, the
+        others hear a better one: it joins them by way of the next.
+        """
+        candidates = [
+            entry.name
+            for entry in self.peers.listed.values()
+            if entry.data_centre == data_centre
+            and self.peers.is_serving(entry.name, now)
+            and self.avoided.get(entry.name, 0.0) <= now
+        ]
+        is_own = data_centre == self.data_centre
+        if is_own and not (candidates and self._is_alone(now)):
+            candidates.append(self.me)
+        return self._rank(data_centre, candidates)
+
+    def _is_alone(self, now: float) -> bool:
+        """Whether nobody reports here, though this router is a relay."""
+        if any(map(self._is_member, self.groups)):
+            return False
+        if self.relay is None:
+            return now - self.relay_since > MEMBER_SILENT_S
+        return not self._is_above(self.relay)
+
+    def _is_above(self, other: ids.InstanceId) -> bool:
+        """Whether another router of this data centre goes before this one."""
+        names = (self.me, other)
+        return self._rank(self.data_centre, names) == other
+
+    def _rank(
+        self,
+        data_centre: ids.DataCentreId,
+        candidates: Iterable[ids.InstanceId],
+    ) -> ids.InstanceId | None:
+        return rendezvous.choose(f"relay of {data_centre}", candidates)
+
+    def _find_direct_interval(self, is_changed: bool) -> float:
+        least_s = INTERVAL_FOR_EACH_PEER_S * len(self.peers.listed)
+        return max(TICK_S if is_changed else IDLE_INTERVAL_S, least_s)
+
+    def _find_relay_interval(self, is_changed: bool) -> float:
+        members = sum(map(self._is_member, self.peers.listed))
+        least_s = INTERVAL_FOR_EACH_MEMBER_S * members
+        is_changed = is_changed or bool(self.groups)
+        return max(TICK_S if is_changed else RELAY_IDLE_INTERVAL_S, least_s)
+
+    def _send_directly(self, status: Status, own: OwnWork, now: float) -> None:
+        self.reported_at = now
+        self._send(
+            self.peers.list_receivers(now),
+            status,
+            messages.ReportKind.GROUP,
+            own.work,
+            own.placed[:MAX_PLACED_PARTS],
+        )
+
+    def _send_by_relay(self, status: Status, own: OwnWork, now: float) -> None:
+        self.reported_at = now
+        self.placed_up.extend(own.placed)
+        self.placed_down.extend(own.placed)
+        self._drop_silent(now)
+        members = [name for name in self.groups if self._is_member(name)]
+        relays = [name for name in self.groups if not self._is_member(name)]
+        group = work_sums.add_up(
+            [
+                work_sums.Term(own.work),
+                *(self.groups[name].as_term(now) for name in members),
+            ],
+            self.window_s,
+        )
+        included = self._list_included(members)
+        above = [self.relay] if self.relay else self._list_relays(relays, now)
+        report = self._send(
+            self._find_addresses(above),
+            status,
+            messages.ReportKind.GROUP,
+            group,
+            _take_some(self.placed_up),
+            included,
+        )
+        self._remember(report, now)
+        if not members:
+            self.placed_down.clear()
+            return
+        fleet = [work_sums.Term(group)]
+        fleet += [self.groups[name].as_term(now) for name in relays]
+        if self.relay and self.source_report:
+            fleet.append(self.source_report.as_term(now))
+        self._send(
+            self._find_addresses(members),
+            status,
+            messages.ReportKind.FLEET,
+            work_sums.add_up(fleet, self.window_s),
+            _take_some(self.placed_down),
+            included,
+        )
+
+    def _list_included(
+        self, members: list[ids.InstanceId]
+    ) -> tuple[messages.Included, ...]:
+        """Returns the reports that the sum of the members is made of."""
+        included = []
+        for name in members:
+            report = self.groups[name].report
+            included.append(messages.Included(name, report.sequence))
+            included.extend(report.included)
+        return tuple(included)
+
+    def _drop_silent(self, now: float) -> None:
+        for name, heard in list(self.groups.items()):
+            if now - heard.at > MEMBER_SILENT_S or name == self.relay:
+                del self.groups[name]
+
+    def _list_relays(
+        self, heard: list[ids.InstanceId], now: float
+    ) -> list[ids.InstanceId]:
+        """Returns the relays of other data centres: the chosen and the heard.
+
+        A relay that others chose may not be the one that this router would.
+        """
+        data_centres = {
+            entry.data_centre for entry in self.peers.listed.values()
+        } - {self.data_centre}
+        found = {self._choose_relay(name, now) for name in data_centres}
+        return sorted({*found, *heard} - {None})
+
+    def _find_addresses(
+        self, names: list[ids.InstanceId]
+    ) -> list[addresses.Address]:
+        listed = self.peers.listed
+        return [listed[name].peer for name in names if name in listed]
+
+    def _send(
+        self,
+        receivers: list[addresses.Address],
+        status: Status,
+        kind: messages.ReportKind,
+        work: work_sums.Work,
+        placed: tuple[messages.PlacedPart, ...] = (),
+        included: tuple[messages.Included, ...] = (),
+    ) -> messages.LoadReport:
+        self.sequence += 1
+        report = messages.LoadReport(
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            version=status.version,
+            targets_offset=status.targets_offset,
+            leaving=status.leaving,
+            is_ready=status.is_ready,
+            kind=kind,
+            loads=work.loads,
+            uses=work.uses,
+            placed=placed,
+            included=included,
+        )
+        self.link.broadcast(receivers, report)
+        return report
+
+    def _remember(self, report: messages.LoadReport, now: float) -> None:
+        self.sent[report.sequence] = _Heard(now, report)
+        while len(self.sent) > KEPT_REPORTS:
+            self.sent.popitem(last=False)
+
+
+def _take_some(
+    pending: collections.deque[messages.PlacedPart],
+) -> tuple[messages.PlacedPart, ...]:
+    count = min(len(pending), MAX_PLACED_PARTS)
+    return tuple(pending.popleft() for _ in range(count))
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -112,6 +112,11 @@
   tokens @2 :UInt32;
 }
 
+struct Included {
+  router @0 :UInt16;
+  report @1 :UInt32;
+}
+
 struct LoadReport {
   incarnation @0 :UInt64;
   version @1 :UInt64;
@@ -123,4 +128,6 @@
   placed @7 :List(PlacedPart);
   names @8 :List(Text);
   targetsOffset @9 :UInt64;
+  kind @10 :UInt8;
+  included @11 :List(Included);
 }
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import enum
 import pathlib
 import re
 
@@ -13,8 +14,8 @@
 from lentilbeam_core import ids
 from lentilbeam_core import messages
 
-MAX_DATAGRAM_BYTES = 4096
-"""A longer datagram is none of ours."""
+MAX_DATAGRAM_BYTES = 16_384
+"""A longer datagram is none of ours: the sums of a fleet take some 6 KB."""
 MAX_WORDS = 16384
 """Bound of what a reader may traverse, in words of 8 bytes."""
 
@@ -68,6 +69,7 @@
     "loads": messages.TargetLoad,
     "uses": messages.WorkspaceUse,
     "placed": messages.PlacedPart,
+    "included": messages.Included,
 }
 
 
@@ -81,14 +83,16 @@
     is_name: bool
     item: type | None
     largest: int
+    states: type[enum.Enum] | None
 
 
 def _to_wire_name(name: str) -> str:
     return re.sub(r"_(\w)", lambda match: match.group(1).upper(), name)
 
 
-_NAMES = {"workspace", "target", "preferred", "prefix", "pool"}
-_WIDTHS = {"uint16": 16, "uint32": 32, "uint64": 64}
+_NAMES = {"workspace", "target", "preferred", "prefix", "pool", "router"}
+_STATES = {"kind": messages.ReportKind}
+_WIDTHS = {"uint8": 8, "uint16": 16, "uint32": 32, "uint64": 64}
 _STRUCTS = {
     messages.Heartbeat: _schema.Heartbeat,
     messages.DemandReport: _schema.DemandReport,
@@ -102,6 +106,7 @@
     messages.TargetLoad: _schema.TargetLoad,
     messages.WorkspaceUse: _schema.WorkspaceUse,
     messages.PlacedPart: _schema.PlacedPart,
+    messages.Included: _schema.Included,
 }
 
 
@@ -116,8 +121,11 @@
         is_name = field.name in _NAMES
         item = _ITEMS.get(field.name)
         largest = 2**width - 1
+        states = _STATES.get(field.name)
         plan.append(
-            _Field(field.name, wire_name, is_float, is_name, item, largest)
+            _Field(
+                field.name, wire_name, is_float, is_name, item, largest, states
+            )
         )
     return tuple(plan)
 
@@ -164,7 +172,9 @@
 
 
 def _write_value(builder, field: _Field, value) -> None:
-    if field.largest:
+    if field.states is not None:
+        value = value.value
+    elif field.largest:
         value = min(max(round(value), 0), field.largest)
     setattr(builder, field.wire_name, value)
 
@@ -177,6 +187,8 @@
         value = getattr(reader, field.wire_name)
         if field.item is not None:
             value = tuple(_read_item(i, field.item, names) for i in value)
+        elif field.states is not None:
+            value = field.states(value)
         values.append(float(value) if field.is_float else value)
     return kind(*values)
 
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -27,6 +27,7 @@
     "loads": messages.TargetLoad,
     "uses": messages.WorkspaceUse,
     "placed": messages.PlacedPart,
+    "included": messages.Included,
 }
 
 
@@ -45,7 +46,16 @@
         return strategies.integers(0, 2**32 - 1).map(float)
     if field.type is bool:
         return strategies.booleans()
-    if field.name in ("workspace", "target", "preferred", "pool", "prefix"):
+    if field.type is messages.ReportKind:
+        return strategies.sampled_from(messages.ReportKind)
+    if field.name in (
+        "workspace",
+        "target",
+        "preferred",
+        "pool",
+        "prefix",
+        "router",
+    ):
         return strategies.text("abc-é", max_size=12)
     return strategies.integers(0, 2 ** SIZES.get(field.name, 32) - 1)
 
