--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -1,7 +1,9 @@
 """Carries out the decisions of a pool's admission: wakes who may go."""
 
 import asyncio
+import math
 import random
+from typing import Any
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ejection
@@ -129,6 +131,23 @@
         self.placed.clear()
         return placed
 
+    def describe_share(self, workspace: ids.WorkspaceId) -> dict[str, Any]:
+        """Returns what decides on a workspace's requests, for the log."""
+        now = self.clock.monotonic()
+        usage = self.usage
+        owed_per_s = self.admission.owed_per_s
+        standing = usage.find_standing(workspace, owed_per_s, now)
+        heard_at = max((at for at, _ in usage.peers.values()), default=None)
+        return {
+            "standing": standing.value,
+            "received": round(usage.total(workspace, now)),
+            "owed_level": _round_level(usage.owed_level),
+            "even_level": _round_level(usage.even_level),
+            "usage_age_s": None
+            if heard_at is None
+            else round(now - heard_at, 3),
+        }
+
     def read_gauges(self, now: float) -> dict[str, float]:
         """Returns the current values that the metrics page shows."""
         totals = [
@@ -211,3 +230,7 @@
             self.timer = loop.call_later(
                 max(deadline - now, LEAST_WAIT_S), self.decide
             )
+
+
+def _round_level(level: float) -> int | None:
+    return None if math.isinf(level) else round(level)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -158,6 +158,7 @@
             fetch=placement.fetch_from.name if placement.fetch_from else None,
             attempt=self.progress.sent,
             version=self.request.configuration_version,
+            **self._describe_request(),
         )
         try:
             sent = await self._receive(connection, placement)
@@ -335,6 +336,8 @@
             retry_after_s=round(refused.retry_after_s, 2),
             waiting=self.dispatcher.admission.count_waiting(),
             may_have_run=self.progress.may_have_run,
+            **self._describe_request(),
+            **self.dispatcher.describe_share(self.request.workspace),
         )
         if self.channel.is_started:
             self.channel.abort()
@@ -375,6 +378,15 @@
             self.forwarder.pool.forget(target.name)
             self.log.belief("target_avoided", target=target.name)
 
+    def _describe_request(self) -> dict[str, str | float]:
+        waited_s = self.clock.monotonic() - self.request.arrived_at
+        return {
+            "route": self.route.name,
+            "workspace": self.request.workspace,
+            "cost": round(requests.estimate_cost(self.request)),
+            "waited_s": round(waited_s, 3),
+        }
+
     def _record(self, decision: str, **inputs) -> None:
         self.forwarder.metrics.count(f"request.{decision}")
         self.log.request(self.request.name, decision, **inputs)
