Give workspaces far behind their even share room before a flood

Ruled out: stale usage (reports 0 to 40 ms old) and large requests (refused about as often).

BEHIND stands between OWED and EVEN.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -20,6 +20,7 @@
 
 BOUNDS = {
     shares.Standing.OWED: placement_lib.WITHIN_SHARE,
+    shares.Standing.BEHIND: placement_lib.BEHIND,
     shares.Standing.EVEN: placement_lib.BEYOND_SHARE,
     shares.Standing.AHEAD: placement_lib.AHEAD,
 }
@@ -210,7 +211,7 @@
         for workspace, queue in list(self.queues.items()):
             latest_since = -math.inf
             standing = self._find_standing(workspace, now)
-            if standing is not shares.Standing.OWED:
+            if standing in (shares.Standing.EVEN, shares.Standing.AHEAD):
                 latest_since = now - self.settings.beyond_share_wait_s
             over = [
                 waiting
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -38,6 +38,8 @@
 
 WITHIN_SHARE = Bounds(0.9, 0.85, 1.0)
 """For workspaces that have received less than their share."""
+BEHIND = Bounds(0.8, 0.72, 0.9)
+"""For those beyond it that received far less than others who ask as much."""
 BEYOND_SHARE = Bounds(0.7, 0.6, 0.8)
 """For the others: the difference is kept free for those within theirs."""
 AHEAD = Bounds(0.4, 0.4, 0.55)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -23,11 +23,16 @@
 sums are up to a report's age old."""
 
 
+BEHIND_FRACTION = 0.6
+"""The users promise half of the even share; decayed sums lag behind it."""
+
+
 class Standing(enum.Enum):
     """What a workspace has received, compared with its shares."""
 
     OWED = "owed"  # Less than its share of what the users owe.
-    EVEN = "even"  # That, but not more than its share of the yield.
+    BEHIND = "behind"  # That, but far less than its share of the yield.
+    EVEN = "even"  # About its share of the yield.
     AHEAD = "ahead"  # More than its share of the yield.
 
 
@@ -100,6 +105,8 @@
         received = self.total(workspace, now)
         if received < self.owed_level:
             return Standing.OWED
+        if received < self.even_level * BEHIND_FRACTION:
+            return Standing.BEHIND
         if received <= self.even_level * EVEN_SLACK:
             return Standing.EVEN
         return Standing.AHEAD
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -121,3 +121,26 @@
     queue.placer.choose = lambda *given: tried.append(1) or choose(*given)
     decide(queue, 0.01)
     assert len(tried) <= admission.HEAD_WINDOW
+
+
+def test_one_far_behind_its_even_share_waits_for_room_that_a_flood_is_denied():
+    queue = makers.make_admission()
+    queue.owed_per_s = 1000.0
+    for workspace, asked, served in (
+        ("flood", 2_000_000.0, 1_100_000.0),
+        ("second", 600_000.0, 300_000.0),
+    ):
+        queue.usage.ask(workspace, asked, 0.0)
+        queue.usage.charge(workspace, served, 0.0)
+        request = makers.make_request(workspace, SMALL, workspace=workspace)
+        queue.enqueue(request, 0.0)
+    targets = [makers.make_target("a", slots=10)]
+    mostly_taken = messages.TargetLoad("a", 0.0, 9, 0.0, 0.0)
+    queue.placer.loads.hear("peer", (mostly_taken,), 0.0)
+    placed, refused = decide(queue, 0.1, targets)
+    assert placed == []
+    assert [d.request.name for d in refused] == ["flood"]
+    some_room = messages.TargetLoad("a", 0.0, 8, 0.0, 0.0)
+    queue.placer.loads.hear("peer", (some_room,), 0.1)
+    placed, _ = decide(queue, 0.1, targets)
+    assert [d.request.name for d in placed] == ["second"]
--- a/tests/forwarding/test_shares.py
+++ b/tests/forwarding/test_shares.py
@@ -40,7 +40,7 @@
         usage.ask(workspace, 2000.0, 0.0)
         usage.charge(workspace, served, 0.0)
     assert usage.find_standing("loud", 50.0, 0.0) is shares.Standing.AHEAD
-    assert usage.find_standing("louder", 50.0, 0.0) is shares.Standing.EVEN
+    assert usage.find_standing("louder", 50.0, 0.0) is shares.Standing.BEHIND
 
 
 def test_one_that_floods_alone_may_use_what_nobody_else_wants():
@@ -74,3 +74,19 @@
     usage = shares.Usage(4.0)
     usage.charge("w", 1e9, 0.0)
     assert usage.find_standing("w", 0.0, 0.0) is OWED
+
+
+def test_the_second_largest_beside_a_flood_is_behind_until_it_is_even():
+    usage = shares.Usage(4.0)
+    usage.ask("flood", 2_000_000.0, 0.0)
+    usage.charge("flood", 1_100_000.0, 0.0)
+    usage.ask("second", 600_000.0, 0.0)
+    usage.charge("second", 300_000.0, 0.0)
+    owed_per_s = 25_000.0
+    standing = usage.find_standing("second", owed_per_s, 0.0)
+    assert standing is shares.Standing.BEHIND
+    flood = usage.find_standing("flood", owed_per_s, 0.0)
+    assert flood is shares.Standing.AHEAD
+    usage.charge("second", 350_000.0, 0.2)
+    standing = usage.find_standing("second", owed_per_s, 0.2)
+    assert standing is shares.Standing.EVEN
