Weigh a few targets of a large pool, and fetch from any holder

The log shows 36 requests of as many routers sent to one target within 0.1 s, since it looked emptier (4 running) than all others. Ruled out: lost or stale reports (logged ages), slow routers (waited 4 ms), too large a load (0.6 of the slots).

Each router now looks at five targets by chance, five that keep most, and the home. Pools of up to ten targets: unchanged.

Copies of kept parts came from the first holder in the list; now from any that is near, since each sends one copy after another.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(CURDIR)/packages/lentilbeam-core/src:$(CURDIR)/packages/lentilbeam-router/src:$(CURDIR)/packages/lentilbeam-cli/src:$(CURDIR)/platform:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup test lint format demo fleet golden bench bench-path bench-fairness bench-slopes bench-catalogue bench-once
+.PHONY: setup test lint format demo fleet golden bench bench-overload bench-path bench-fairness bench-slopes bench-catalogue bench-once
 
 setup: $(READY)
 
@@ -41,7 +41,10 @@
 fleet: setup
 	$(BIN)/python -m demo.hold
 
-bench: bench-path bench-fairness bench-slopes bench-catalogue bench-once
+bench: bench-overload bench-path bench-fairness bench-slopes bench-catalogue bench-once
+
+bench-overload: setup
+	$(BIN)/python -m bench.overload
 
 bench-path: setup
 	$(BIN)/python -m bench.path
--- /dev/null
+++ b/bench/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Who waits, who is refused and where work goes, in virtual time."""
--- /dev/null
+++ b/bench/overload/__main__.py
@@ -0,0 +1,51 @@
+"""Runs patterns of load under policies; prints a JSON line for each."""
+
+import json
+import sys
+import time
+
+from absl import app
+from absl import flags
+
+from bench.overload import fleet as fleet_lib
+from bench.overload import patterns
+from bench.overload import policies
+from bench.overload import report
+
+_PATTERNS = flags.DEFINE_list("patterns", [], "names; all by default")
+_POLICIES = flags.DEFINE_list("policies", [], "names; all by default")
+_SEED = flags.DEFINE_integer("seed", 1, "of the load and of all choices")
+_ROUTERS = flags.DEFINE_integer("routers", 7, "routers of the fleet")
+_SLOTS = flags.DEFINE_integer("slots", 64, "of each engine")
+_LOAD = flags.DEFINE_float("load", 1.0, "relative to the users' first sites")
+_ENGINES = flags.DEFINE_integer("engines", 6, "engines of the pool")
+
+
+def _select(items, names: list[str]) -> list:
+    return [item for item in items if not names or item.name in names]
+
+
+def main(argv: list[str]) -> None:
+    """Runs what the flags select."""
+    del argv
+    size = fleet_lib.Size(
+        _ROUTERS.value, _ENGINES.value, _SLOTS.value, _LOAD.value
+    )
+    for pattern in _select(patterns.PATTERNS, _PATTERNS.value):
+        for policy in _select(policies.POLICIES, _POLICIES.value):
+            started = time.monotonic()
+            fleet = fleet_lib.Fleet(pattern, policy, size, _SEED.value)
+            outcomes = fleet.run(_SEED.value)
+            line = {
+                "pattern": pattern.name,
+                "policy": policy.name,
+                "seed": _SEED.value,
+                **report.summarise(fleet, outcomes),
+                "run_s": round(time.monotonic() - started, 1),
+            }
+            print(json.dumps(line))
+            sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/bench/overload/engine.py
@@ -0,0 +1,167 @@
+"""A model of an engine: batches, chunked reading, a cache of prompt parts.
+
+Engines take requests in order of arrival and know no priorities. Each step
+makes one token of every running answer and reads a chunk of one prompt.
+"""
+
+import collections
+import dataclasses
+
+from lentilbeam_core.forwarding import prompt_cache
+from lentilbeam_core.forwarding import requests
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Figures of an engine, from the users' sheets.
+
+    Attributes:
+        slots: requests that run at once.
+        cache_tokens: memory for running requests and kept parts.
+        step_s: time of a step without work.
+        step_slot_s: and for each running answer.
+        chunk_tokens: most prompt tokens that a step reads.
+        read_tokens_per_s: pace of reading.
+        event_tokens: output tokens in an event of a stream.
+        fetch_s: time of any transfer of kept parts from another engine.
+        fetch_token_s: and for each token. Transfers from one engine run one
+            after another.
+    """
+
+    slots: int = 64
+    cache_tokens: int = 650_000
+    step_s: float = 0.00323
+    step_slot_s: float = 0.0000483
+    chunk_tokens: int = 4096
+    read_tokens_per_s: float = 112_000.0
+    event_tokens: int = 6
+    fetch_s: float = 0.0027
+    fetch_token_s: float = 1.08e-6
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A request at an engine.
+
+    Attributes:
+        request: what it is.
+        output: tokens of its answer.
+        left_to_read: prompt tokens that it has yet to read.
+        made: tokens of its answer so far.
+        first_at: when its first event came.
+        event_at: when its last event came.
+        longest_gap_s: between two of its events.
+    """
+
+    request: requests.Request
+    output: int
+    left_to_read: int = -1
+    made: int = 0
+    first_at: float | None = None
+    event_at: float = 0.0
+    longest_gap_s: float = 0.0
+
+
+class Engine:
+    """One engine; `step` runs its next step."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.cache = prompt_cache.TargetCache()
+        self.waiting: collections.deque[Job] = collections.deque()
+        self.reading: collections.deque[Job] = collections.deque()
+        self.running: list[Job] = []
+        self.held = 0.0
+        self.read_tokens = 0
+        self.reread_tokens = 0
+        self.seen_parts: set[str] = set()
+        self.busy_s = 0.0
+        self.sending_until = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether a step would do nothing."""
+        return not (self.waiting or self.reading or self.running)
+
+    def submit(self, job: Job) -> None:
+        """Takes in a request."""
+        self.waiting.append(job)
+
+    def lend(self, tokens: int, now: float) -> float:
+        """Sends kept parts to another engine; returns when they are there."""
+        settings = self.settings
+        length_s = settings.fetch_s + tokens * settings.fetch_token_s
+        self.sending_until = max(self.sending_until, now) + length_s
+        return self.sending_until
+
+    def borrow(self, parts: tuple[requests.Part, ...]) -> None:
+        """Keeps parts that came from another engine."""
+        self.cache.use(parts, self._find_room())
+
+    def step(self, now: float) -> tuple[float, list[Job], list[Job]]:
+        """Runs a step from `now` on.
+
+        Returns:
+            Its length, the requests whose first event it made, and those
+            that it ended.
+        """
+        self._admit()
+        settings = self.settings
+        length_s = settings.step_s + settings.step_slot_s * len(self.running)
+        begun = []
+        if self.reading:
+            job = self.reading[0]
+            chunk = min(job.left_to_read, settings.chunk_tokens)
+            job.left_to_read -= chunk
+            self.read_tokens += chunk
+            length_s += chunk / settings.read_tokens_per_s
+            if job.left_to_read == 0:
+                begun.append(self.reading.popleft())
+        at = now + length_s
+        ended = self._decode(at)
+        for job in begun:
+            job.first_at = job.event_at = at
+            job.made = 1
+            self.running.append(job)
+            self.cache.use(job.request.prompt.parts, self._find_room())
+        self.busy_s += length_s
+        return length_s, begun, ended
+
+    def _admit(self) -> None:
+        while self.waiting:
+            taken = len(self.running) + len(self.reading)
+            job = self.waiting[0]
+            memory = requests.estimate_memory(job.request)
+            is_full = self.held + memory > self.settings.cache_tokens
+            if taken >= self.settings.slots or (is_full and taken):
+                return
+            self.waiting.popleft()
+            self.held += memory
+            prompt = job.request.prompt
+            kept = self.cache.count_kept(prompt.parts)
+            job.left_to_read = max(prompt.tokens - kept, 1)
+            for part in prompt.parts[:-1]:
+                if part.name in self.seen_parts and kept <= 0:
+                    self.reread_tokens += part.tokens
+                kept -= part.tokens
+                self.seen_parts.add(part.name)
+            self.reading.append(job)
+
+    def _decode(self, at: float) -> list[Job]:
+        ended = []
+        for job in self.running:
+            job.made += 1
+            is_over = job.made >= job.output
+            if is_over or job.made % self.settings.event_tokens == 0:
+                gap_s = at - job.event_at
+                job.longest_gap_s = max(job.longest_gap_s, gap_s)
+                job.event_at = at
+            if is_over:
+                ended.append(job)
+        for job in ended:
+            self.running.remove(job)
+            self.held -= requests.estimate_memory(job.request)
+        return ended
+
+    def _find_room(self) -> float:
+        return max(self.settings.cache_tokens - self.held, 0.0)
--- /dev/null
+++ b/bench/overload/policies.py
@@ -0,0 +1,129 @@
+"""Ways to place and admit requests, all runnable on the same load."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+from lentilbeam_core import ids
+from lentilbeam_core import rendezvous
+from lentilbeam_core.forwarding import admission
+from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import loads
+from lentilbeam_core.forwarding import placement as placement_lib
+from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import shares
+from lentilbeam_core.forwarding import target_list
+
+WINDOW_S = 4.0
+BOUNDED_LOAD = 1.25
+"""A target by hash is passed over if its load is above this part of the mean,
+as with bounded-load hashing."""
+
+Choose = Callable[
+    [
+        placement_lib.Placer,
+        requests.Request,
+        list[target_list.Entry],
+        float,
+    ],
+    target_list.Entry | None,
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """A way to place and admit.
+
+    Attributes:
+        name: what it is called.
+        choose: names a target; None for the shipped placement.
+        has_shares: whether workspaces are held to their shares.
+        is_one_queue: whether one router sees all requests at once: the limit
+            of what routers with stale reports can reach.
+        placement: settings of the shipped placement.
+    """
+
+    name: str
+    choose: Choose | None = None
+    has_shares: bool = False
+    is_one_queue: bool = False
+    placement: placement_lib.Settings = placement_lib.Settings()
+
+
+def choose_at_random(placer, request, targets, now) -> target_list.Entry:
+    """Returns any target: what callers without a router do."""
+    del request, now
+    return placer.draw.choice(targets)
+
+
+def choose_least_connections(
+    placer, request, targets, now
+) -> target_list.Entry:
+    """Returns the target with the fewest requests, as far as is known."""
+    del request
+    return min(
+        targets,
+        key=lambda t: (
+            placer.loads.total(t.name, now).running,
+            placer.draw.random(),
+        ),
+    )
+
+
+def choose_by_prefix(placer, request, targets, now) -> target_list.Entry:
+    """Returns the target by hash of the shared parts, with bounded load."""
+    running = {t.name: placer.loads.total(t.name, now).running for t in targets}
+    bound = BOUNDED_LOAD * (sum(running.values()) + 1) / len(targets)
+    free = [t for t in targets if running[t.name] <= bound]
+    key = request.prompt.parts[-2].name
+    return max(free, key=lambda t: rendezvous.score(key, t.name))
+
+
+POLICIES = (
+    Policy("random", choose_at_random),
+    Policy("least_connections", choose_least_connections),
+    Policy("prefix_hash", choose_by_prefix),
+    Policy("no_shares"),
+    Policy(
+        "all_targets",
+        has_shares=True,
+        placement=placement_lib.Settings(sampled_targets=1_000_000),
+    ),
+    Policy("shipped", has_shares=True),
+    Policy("one_queue", has_shares=True, is_one_queue=True),
+)
+
+
+def build_admission(
+    policy: Policy,
+    slots: int,
+    cache_tokens: int,
+    owed_per_s: float,
+    draw: random.Random,
+) -> admission.Admission:
+    """Returns the queue of one router."""
+    engine = configuration.Engine(slots=slots, cache_tokens=cache_tokens)
+    placer = placement_lib.Placer(
+        policy.placement,
+        configuration.Pool(ids.PoolId("engines"), 100, engine),
+        loads.Loads(),
+        ids.DataCentreId("east"),
+        draw,
+    )
+    if policy.choose is not None:
+        placer.choose = _place_by(policy.choose, placer)
+    queue = admission.Admission(
+        admission.Settings(), placer, shares.Usage(WINDOW_S), draw
+    )
+    queue.owed_per_s = owed_per_s if policy.has_shares else 0.0
+    return queue
+
+
+def _place_by(choose: Choose, placer: placement_lib.Placer):
+    def place(request, targets, bounds, now) -> placement_lib.Placement | None:
+        del bounds
+        target = choose(placer, request, targets, now)
+        unread = request.prompt.tokens
+        return placement_lib.Placement(target, unread, unread, None)
+
+    return place
--- /dev/null
+++ b/bench/overload/report.py
@@ -0,0 +1,86 @@
+"""Figures of a run, by which policies are compared."""
+
+import collections
+from typing import Any
+
+from hdrh import histogram as hdr
+
+from bench.overload import fleet as fleet_lib
+from lentilbeam_core.forwarding import requests
+
+FAIR_WINDOW_S = 6
+"""The users look at six seconds at a time."""
+LARGEST_US = 60_000_000
+
+
+def summarise(
+    fleet: fleet_lib.Fleet, outcomes: list[fleet_lib.Outcome]
+) -> dict[str, Any]:
+    """Returns the figures of a run."""
+    asked = sum(o.arrival.kind.worth for o in outcomes)
+    first = hdr.HdrHistogram(1, LARGEST_US, 3)
+    for outcome in outcomes:
+        if outcome.first_s is not None:
+            first.record_value(max(round(outcome.first_s * 1e6), 1))
+    engines = fleet.engines.values()
+    return {
+        "requests": len(outcomes),
+        "worth": round(sum(o.worth for o in outcomes) / asked, 3),
+        "on_time": _share(outcomes, lambda o: o.is_on_time),
+        "late": _share(outcomes, lambda o: o.is_whole and not o.is_on_time),
+        "refused": _share(outcomes, lambda o: o.sent_at is None),
+        "late_gap": _share(
+            outcomes,
+            lambda o: o.is_whole and o.gap_s > o.arrival.kind.gap_s,
+        ),
+        "first_s_p50": first.get_value_at_percentile(50) / 1e6,
+        "first_s_p95": first.get_value_at_percentile(95) / 1e6,
+        "read_again": round(
+            sum(e.reread_tokens for e in engines)
+            / max(sum(e.read_tokens for e in engines), 1),
+            3,
+        ),
+        "worst_due": round(find_worst_due(outcomes), 2),
+    }
+
+
+def find_worst_due(outcomes: list[fleet_lib.Outcome]) -> float:
+    """Returns the least part of its due that a workspace got in six seconds.
+
+    Second by second a workspace is due what it asked or what the one served
+    most got, whichever is less. Workspaces count in windows in which each
+    second has a request of theirs that was refused or waited past its goal,
+    and less the three largest of their requests.
+    """
+    asked = collections.defaultdict(collections.Counter)
+    got = collections.defaultdict(collections.Counter)
+    short = collections.defaultdict(set)
+    largest = collections.defaultdict(list)
+    for outcome in outcomes:
+        request = outcome.arrival.request
+        cost = requests.estimate_cost(request)
+        second = int(request.arrived_at)
+        asked[request.workspace][second] += cost
+        largest[request.workspace].append(cost)
+        if outcome.sent_at is not None:
+            got[request.workspace][int(outcome.sent_at)] += cost
+        if outcome.refusals or not outcome.is_on_time:
+            short[request.workspace].add(second)
+    last = max(int(o.arrival.request.arrived_at) for o in outcomes)
+    worst = 1.0
+    for start in range(last - FAIR_WINDOW_S + 2):
+        window = range(start, start + FAIR_WINDOW_S)
+        best = {s: max(g[s] for g in got.values()) for s in window}
+        for workspace, amounts in asked.items():
+            if not short[workspace].issuperset(window):
+                continue
+            due = sum(min(amounts[s], best[s]) for s in window)
+            due -= sum(sorted(largest[workspace])[-3:])
+            served = sum(got[workspace][s] for s in window)
+            if due > 0:
+                worst = min(worst, served / due)
+    return worst
+
+
+def _share(outcomes, is_counted) -> float:
+    return round(sum(map(is_counted, outcomes)) / len(outcomes), 3)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -6,6 +6,7 @@
 them from a target that does, which is far cheaper than reading them again.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import random
 
@@ -61,6 +62,7 @@
             that all routers agree on, while no target holds it.
         distance_s: disadvantage of a target in another data centre.
         crowd_s: disadvantage of a full batch: it slows all streams in it.
+        sampled_targets: weighed of those in a large pool, by chance.
         noise_s: spread of random disadvantages, so that routers with the
             same view don't all choose the same target.
         least_backlog_s: a target with less unread work than this has room
@@ -78,6 +80,7 @@
     away_token_s: float = 1e-5
     distance_s: float = 0.004
     crowd_s: float = 0.1
+    sampled_targets: int = 5
     noise_s: float = 0.01
     least_backlog_s: float = 0.05
     plain_overcommit: float = 1.5
@@ -104,8 +107,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Choice:
+    """A target and what speaks against it, in seconds."""
+
     cost_s: float
     placement: Placement
+    is_fetched: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,14 +121,14 @@
     Attributes:
         tokens: kept by each target, in the order of the targets.
         most: the most of these.
-        holder: the target that keeps most, if any keeps something.
+        holders: the targets that keep that much, if any keeps something.
         shared: length of all parts but the last, which is the request's own.
         home: where shared parts go while no target holds them.
     """
 
     tokens: list[int]
     most: int
-    holder: target_list.Entry | None
+    holders: list[target_list.Entry]
     shared: int
     home: ids.TargetId
 
@@ -161,11 +167,38 @@
             return self._choose_plain(targets, now)
         kept = self._find_kept(request.prompt, targets)
         best = None
-        for index, entry in enumerate(targets):
+        for index in self._sample(targets, kept):
+            entry = targets[index]
             choice = self._weigh(request, entry, kept, index, bounds, now)
             if choice and (best is None or choice.cost_s < best.cost_s):
                 best = choice
-        return best.placement if best is not None else None
+        if best is None:
+            return None
+        if not best.is_fetched:
+            return best.placement
+        source = self._choose_source(best.placement.target, kept.holders)
+        return dataclasses.replace(best.placement, fetch_from=source)
+
+    def _sample(
+        self, targets: list[target_list.Entry], kept: _Kept
+    ) -> Iterable[int]:
+        """Returns the places of the targets that are weighed.
+
+        In a large pool all routers would rush to the one target that looks
+        empty, before they hear of each other. Each therefore looks at a few
+        targets by chance, at a few that keep most, and at the home.
+        """
+        count = self.settings.sampled_targets
+        if len(targets) <= 2 * count:
+            return range(len(targets))
+        places = range(len(targets))
+        chosen = set(self.draw.sample(places, count))
+        holders = [
+            i for i in places if kept.most and kept.tokens[i] == kept.most
+        ]
+        chosen.update(self.draw.sample(holders, min(count, len(holders))))
+        chosen.update(i for i in places if targets[i].name == kept.home)
+        return sorted(chosen)
 
     def note_sent(
         self,
@@ -212,12 +245,16 @@
             for entry in targets
         ]
         most = max(tokens)
-        holder = targets[tokens.index(most)] if most > 0 else None
+        holders = []
+        if most > 0:
+            holders = [
+                t for t, n in zip(targets, tokens, strict=True) if n == most
+            ]
         shared_parts = prompt.parts[:-1]
         key = shared_parts[-1].name if shared_parts else ""
         home = rendezvous.choose(key, (entry.name for entry in targets))
         shared = sum(part.tokens for part in shared_parts)
-        return _Kept(tokens, most, holder, shared, home)
+        return _Kept(tokens, most, holders, shared, home)
 
     def _weigh(
         self,
@@ -261,6 +298,17 @@
             target=entry,
             unread=unread,
             ahead=load.unread + unread,
-            fetch_from=found.holder if is_fetched else None,
+            fetch_from=None,
         )
-        return _Choice(first_s + extra_s, placement)
+        return _Choice(first_s + extra_s, placement, is_fetched)
+
+    def _choose_source(
+        self, target: target_list.Entry, holders: list[target_list.Entry]
+    ) -> target_list.Entry:
+        """Returns one of the holders: each sends one copy after another.
+
+        Those in the target's data centre go first: copies between data
+        centres take longer.
+        """
+        near = [h for h in holders if h.data_centre == target.data_centre]
+        return self.draw.choice(near or holders)
--- a/tests/forwarding/makers.py
+++ b/tests/forwarding/makers.py
@@ -57,6 +57,11 @@
     return dataclasses.replace(entry, **changes)
 
 
+def make_parts(*parts: tuple[str, int]) -> tuple[requests.Part, ...]:
+    """Returns parts of a prompt by name and length."""
+    return tuple(requests.Part(*part) for part in parts)
+
+
 def make_request(
     name: str,
     *parts: tuple[str, int],
@@ -68,7 +73,7 @@
     """Returns a request whose prompt has these parts."""
     prompt = None
     if parts:
-        listed = tuple(requests.Part(*part) for part in parts)
+        listed = make_parts(*parts)
         tokens = sum(part.tokens for part in listed)
         prompt = requests.Prompt(tokens, output, listed)
     route = changes.pop("route", CHAT)
@@ -90,6 +95,7 @@
 
 def make_placer(
     engine: configuration.Engine | None = ENGINE,
+    seed: int = 1,
     **settings,
 ) -> placement.Placer:
     """Returns a placer without random disadvantages."""
@@ -98,7 +104,7 @@
         configuration.Pool(POOL, 300, engine),
         loads.Loads(),
         ids.DataCentreId("east"),
-        random.Random(1),
+        random.Random(seed),
     )
 
 
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -1,5 +1,7 @@
 """Where work goes: least unread ahead, kept parts, room for the others."""
 
+import collections
+
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import placement
 from tests.forwarding import makers
@@ -47,6 +49,25 @@
     assert found.unread == 500
 
 
+def test_fetches_of_a_hot_part_are_spread_over_its_holders_near_by():
+    placer = makers.make_placer()
+    holders = [
+        makers.make_target("far", data_centre="west"),
+        *(makers.make_target(f"near{n}") for n in range(3)),
+    ]
+    for holder in holders:
+        placer.note_sent(holder.name, makers.make_parts(("hot", 5000)), 0.0)
+        load(placer, holder.name, unread=50_000)
+    targets = [*holders, makers.make_target("new")]
+    request = makers.make_request("r", ("hot", 5000), ("own", 500))
+    sources = set()
+    for _ in range(60):
+        found = placer.choose(request, targets, WITHIN, 0.0)
+        assert found.target.name == "new"
+        sources.add(found.fetch_from.name)
+    assert sources == {"near0", "near1", "near2"}
+
+
 def test_routers_agree_on_the_home_of_a_part_that_nobody_holds():
     targets = [makers.make_target(f"t{n}") for n in range(6)]
     request = makers.make_request("r", ("new", 8000), ("own", 50))
@@ -116,3 +137,27 @@
     load(placer, "a", running=9)
     load(placer, "b", running=9)
     assert placer.choose(request, targets, WITHIN, 0.0) is None
+
+
+def test_routers_that_have_not_heard_of_each_other_rush_to_no_target():
+    targets = [makers.make_target(f"t{n}", slots=12) for n in range(56)]
+    request = makers.make_request("r", ("hot", 500), ("own", 500))
+    chosen = collections.Counter()
+    for seed in range(60):
+        placer = makers.make_placer(seed=seed)
+        for target in targets[1:]:
+            load(placer, target.name, running=8, held=30_000)
+        found = placer.choose(request, targets, WITHIN, 0.0)
+        chosen[found.target.name] += 1
+    # No more of them than the empty target has slots.
+    assert chosen["t0"] <= 12
+
+
+def test_the_holder_of_a_long_prompt_is_found_in_a_large_pool():
+    targets = [makers.make_target(f"t{n}") for n in range(56)]
+    request = makers.make_request("r", ("session", 5000), ("own", 500))
+    for seed in range(20):
+        placer = makers.make_placer(seed=seed)
+        placer.note_sent("t7", request.prompt.parts[:1], 0.0)
+        found = placer.choose(request, targets, WITHIN, 0.0)
+        assert found.target.name == "t7"
