--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -254,6 +254,7 @@
     GROUP = 0  # The sender's, and that of the routers that report to it.
     FLEET = 1  # All that the sender knows of; for those that report to it.
     PRESENCE = 2  # Nobody's: a sign of life.
+    PARTS = 3  # Nobody's: only parts of prompts that found no room elsewhere.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -122,6 +122,10 @@
             and not self.is_leaving
         )
 
+    def count_routers(self) -> int:
+        """Returns the number of routers that may be at work."""
+        return self.peers.count_routers()
+
     def list_addresses(self) -> list[addresses.Address]:
         """Returns where callers may connect."""
         found = [entry.front for entry in self.peers.find_serving()]
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/reports.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/reports.py
@@ -46,7 +46,7 @@
 """A member that sends nothing for longer is no part of the sum any more."""
 MAX_PLACED_PARTS = 160
 """Parts of prompts in one report, so that its datagram stays small."""
-MAX_PENDING_PARTS = 640
+MAX_PENDING_PARTS = 1600
 """Parts of prompts that wait for a report; older ones are dropped."""
 KEPT_REPORTS = 64
 """Own reports that are remembered, to be taken off sums that include them."""
@@ -164,14 +164,14 @@
             return self._take_fleet(sender, report, now)
         if report.kind is messages.ReportKind.PRESENCE:
             return None
+        if report.kind is messages.ReportKind.PARTS:
+            return self._take_parts(sender, report)
         if not self.is_direct and not self._is_group_expected(sender, report):
             return None
         self.groups[sender] = _Heard(now, report)
         replaced = ()
         if not self.is_direct:
-            self.placed_down.extend(report.placed)
-            if self._is_member(sender):
-                self.placed_up.extend(report.placed)
+            self._pass_on(sender, report)
             if self.relay is None and self.source is not None:
                 # This router became the relay: its members now tell it all.
                 replaced, self.source = (self.source,), None
@@ -212,6 +212,22 @@
             work_sums.Work(),
         )
 
+    def _take_parts(
+        self, sender: ids.InstanceId, report: messages.LoadReport
+    ) -> Taken | None:
+        if sender not in self.groups and sender != self.source:
+            return None
+        self._pass_on(sender, report)
+        return Taken(report)
+
+    def _pass_on(
+        self, sender: ids.InstanceId, report: messages.LoadReport
+    ) -> None:
+        """Keeps placed parts for those that hear of them by this router."""
+        self.placed_down.extend(report.placed)
+        if sender in self.groups and self._is_member(sender):
+            self.placed_up.extend(report.placed)
+
     def _take_fleet(
         self, sender: ids.InstanceId, report: messages.LoadReport, now: float
     ) -> Taken | None:
@@ -226,7 +242,7 @@
             return None
         others = self._take_off_own(report, now)
         self.source_report = _Heard(now, others)
-        self.placed_down.extend(report.placed)
+        self._pass_on(sender, report)
         return Taken(others, replaced)
 
     def _change_source(
@@ -356,9 +372,11 @@
             self.window_s,
         )
         included = self._list_included(members)
-        above = [self.relay] if self.relay else self._list_relays(relays, now)
+        above = self._find_addresses(
+            [self.relay] if self.relay else self._list_relays(relays, now)
+        )
         report = self._send(
-            self._find_addresses(above),
+            above,
             status,
             messages.ReportKind.GROUP,
             group,
@@ -366,6 +384,7 @@
             included,
         )
         self._remember(report, now)
+        self._send_rest(above, status, self.placed_up)
         if not members:
             self.placed_down.clear()
             return
@@ -373,14 +392,32 @@
         fleet += [self.groups[name].as_term(now) for name in relays]
         if self.relay and self.source_report:
             fleet.append(self.source_report.as_term(now))
+        below = self._find_addresses(members)
         self._send(
-            self._find_addresses(members),
+            below,
             status,
             messages.ReportKind.FLEET,
             work_sums.add_up(fleet, self.window_s),
             _take_some(self.placed_down),
             included,
         )
+        self._send_rest(below, status, self.placed_down)
+
+    def _send_rest(
+        self,
+        receivers: list[addresses.Address],
+        status: Status,
+        pending: collections.deque[messages.PlacedPart],
+    ) -> None:
+        """Sends the placed parts that a report had no room for."""
+        while pending:
+            self._send(
+                receivers,
+                status,
+                messages.ReportKind.PARTS,
+                work_sums.Work(),
+                _take_some(pending),
+            )
 
     def _list_included(
         self, members: list[ids.InstanceId]
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -4,9 +4,11 @@
 import collections
 import json
 
+from lentilbeam_core import clock as clock_lib
 from lentilbeam_platform import followers
 from lentilbeam_platform import store as store_lib
 from lentilbeam_router.forwarding import feeds
+from tests import virtual_time
 from tests.forwarding import test_platform
 
 TARGETS = followers.TARGETS_TOPIC
@@ -20,6 +22,11 @@
         self.log = self
         self.configuration_watch = feeds.FeedWatch(0.3)
         self.targets_watch = feeds.FeedWatch(0.9)
+        self.routers = 7
+
+    def count_routers(self):
+        """Returns the size of the fleet."""
+        return self.routers
 
     def belief(self, change, **inputs):
         """Notes a logged change."""
@@ -147,3 +154,37 @@
     assert asked[:3] == ["newest", (1, followers.LONG_POLL_S), "newest"]
     assert beliefs.targets_watch.lag.own == 5
     assert not beliefs.targets_watch.hear(5, 20.0)
+
+
+def time_retries(routers, wake_after_s=None):
+    """Returns the seconds that three failed reads in a row take."""
+
+    async def play():
+        beliefs = Beliefs()
+        beliefs.routers = routers
+        store = ScriptedStore(page(1), DOWN, DOWN, DOWN)
+        loop = asyncio.get_running_loop()
+        if wake_after_s is not None:
+            wake = beliefs.targets_watch.must_reread.set
+            loop.call_later(wake_after_s, wake)
+        began = loop.time()
+        task = asyncio.create_task(
+            followers.follow(beliefs, store, TARGETS, followers.take_target)
+        )
+        await store.is_done.wait()
+        task.cancel()
+        return loop.time() - began - followers.PAUSE_S[TARGETS]
+
+    clock = clock_lib.ManualClock(virtual_time.START)
+    return virtual_time.run(play(), clock)
+
+
+def test_a_large_fleet_calls_a_lost_store_no_more_often_than_a_small_one():
+    small = min(time_retries(7) for _ in range(5))
+    large = min(time_retries(85) for _ in range(5))
+    assert 0.6 <= small <= 1.2
+    assert large >= 2.4
+
+
+def test_a_peer_that_reads_on_ends_the_pause_of_a_large_fleet():
+    assert time_retries(85, wake_after_s=0.5) < time_retries(85)
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -61,6 +61,19 @@
     assert unaware == []
 
 
+def test_more_placed_parts_than_a_report_holds_reach_every_router():
+    fleet = start(LARGE)
+    for number, router in enumerate(fleet.routers.values()):
+        router.placed = [
+            messages.PlacedPart("t", f"p{number}.{n}", 100) for n in range(30)
+        ]
+    fleet.run(SOON_S)
+    assert {len(r.seen_parts) for r in fleet.routers.values()} <= {
+        30 * LARGE,
+        30 * (LARGE - 1),
+    }
+
+
 def test_a_lost_relay_is_replaced_and_its_work_no_more_counted():
     fleet = start(LARGE)
     for router in fleet.routers.values():
