--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -167,9 +167,10 @@
     def hear(self, peer: ids.InstanceId, report: messages.LoadReport) -> None:
         """Takes in a peer's work."""
         now = self.clock.monotonic()
-        uses = [use for use in report.uses if use.pool == self.pool.name]
-        self.usage.hear(peer, tuple(uses), now)
-        self.loads.hear(peer, report.loads, now)
+        if report.kind is not messages.ReportKind.PARTS:
+            uses = [use for use in report.uses if use.pool == self.pool.name]
+            self.usage.hear(peer, tuple(uses), now)
+            self.loads.hear(peer, report.loads, now)
         self._hear_placed(report.placed, now)
 
     def drop_peer(self, peer: ids.InstanceId) -> None:
--- a/tests/forwarding/report_fleet.py
+++ b/tests/forwarding/report_fleet.py
@@ -98,8 +98,9 @@
             self.loads.drop(peer)
             self.usage.drop(peer)
         now = self.fleet.clock.monotonic()
-        self.loads.hear(sender, taken.report.loads, now)
-        self.usage.hear(sender, taken.report.uses, now)
+        if taken.report.kind is not messages.ReportKind.PARTS:
+            self.loads.hear(sender, taken.report.loads, now)
+            self.usage.hear(sender, taken.report.uses, now)
         self.seen_parts |= {part.prefix for part in taken.report.placed}
 
     def count_others(self) -> int:
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -3,6 +3,8 @@
 import pytest
 
 from lentilbeam_core import messages
+from tests.forwarding import makers
+from tests.forwarding import path as path_lib
 from tests.forwarding import report_fleet
 
 LARGE = 30
@@ -160,3 +162,14 @@
     sent = sum(router.sent for router in fleet.routers.values()) - before
     # Direct reports every 40 ms would take 725 a second and router.
     assert sent / 2.0 / LARGE < 100
+
+
+def test_parts_that_come_by_themselves_leave_a_peers_work_as_it_was():
+    path = path_lib.Path([makers.make_target("t")])
+    kinds = messages.ReportKind
+    load = messages.TargetLoad("t", 100.0, 2, 0.0, 0.0)
+    for kind, loads in ((kinds.GROUP, (load,)), (kinds.PARTS, ())):
+        report = messages.LoadReport(1, 1, 1, 1, False, True, kind, loads)
+        path.dispatcher.hear("peer", report)
+    now = path.dispatcher.clock.monotonic()
+    assert path.dispatcher.loads.total("t", now).running == 2
