--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -18,6 +18,11 @@
 """Sums over peers are made anew after this time, to drop the silent."""
 RECENT_S = 0.5
 """Time after which prompt tokens sent to a target count 1/e."""
+OUTCOME_S = 3.0
+"""Time after which requests that ended at a target count 1/e: a failing
+target has some tens of requests in it, and is tried again after it."""
+LEAST_OUTCOMES = 0.1
+"""Outcomes that count less are not reported."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,12 +34,16 @@
         running: requests sent there that have not ended.
         held: tokens that these take in the target's memory, at most.
         recent: prompt tokens sent there lately; older ones count less.
+        outcomes: requests that ended there lately, likewise.
+        failures: those of them that failed.
     """
 
     unread: float = 0.0
     running: int = 0
     held: float = 0.0
     recent: float = 0.0
+    outcomes: float = 0.0
+    failures: float = 0.0
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or takes it off if `sign` is -1."""
@@ -42,6 +51,8 @@
         self.running += sign * other.running
         self.held += sign * other.held
         self.recent += sign * other.recent
+        self.outcomes += sign * other.outcomes
+        self.failures += sign * other.failures
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +78,8 @@
         self.own: dict[ids.TargetId, Load] = collections.defaultdict(Load)
         self.sent: dict[str, Sent] = {}
         self.recent: dict[ids.TargetId, decayed.Decayed] = {}
+        self.outcomes: dict[ids.TargetId, decayed.Decayed] = {}
+        self.failures: dict[ids.TargetId, decayed.Decayed] = {}
         self.peers: dict[ids.InstanceId, Heard] = {}
         self.peer_sums: dict[ids.TargetId, Load] = {}
         self.summed_at = -math.inf
@@ -99,6 +112,14 @@
         if sent is not None:
             self.own[sent.target].add(sent.load, -1)
 
+    def note_outcome(
+        self, target: ids.TargetId, is_failure: bool, now: float
+    ) -> None:
+        """Notes whether a request failed at its target."""
+        for sums, amount in ((self.outcomes, 1.0), (self.failures, is_failure)):
+            outcomes = sums.setdefault(target, decayed.Decayed())
+            outcomes.add(amount, now, OUTCOME_S)
+
     def hear(
         self,
         peer: ids.InstanceId,
@@ -122,22 +143,32 @@
         peers = self.peer_sums.get(target)
         if peers is not None:
             total.add(peers)
-            total.recent *= math.exp((self.summed_at - now) / RECENT_S)
-        own = self.own.get(target)
-        if own is not None:
-            total.add(own)
-            total.recent += self.recent[target].read(now, RECENT_S)
+            age_s = now - self.summed_at
+            total.recent *= math.exp(-age_s / RECENT_S)
+            total.outcomes *= math.exp(-age_s / OUTCOME_S)
+            total.failures *= math.exp(-age_s / OUTCOME_S)
+        total.add(self._read_own(target, now))
         return total
 
     def export(self, now: float) -> list[messages.TargetLoad]:
         """Returns this router's own work for its peers."""
         exported = []
-        for target, load in self.own.items():
-            recent = self.recent[target].read(now, RECENT_S)
-            if load.running or recent >= 1.0:
+        for target in self.own.keys() | self.outcomes.keys():
+            load = self._read_own(target, now)
+            if (
+                load.running
+                or load.recent >= 1.0
+                or load.outcomes >= LEAST_OUTCOMES
+            ):
                 exported.append(
                     messages.TargetLoad(
-                        target, load.unread, load.running, load.held, recent
+                        target,
+                        load.unread,
+                        load.running,
+                        load.held,
+                        load.recent,
+                        load.outcomes,
+                        load.failures,
                     )
                 )
         return exported
@@ -146,8 +177,21 @@
         """Drops the entry of a target that is gone and has no work here."""
         own = self.own.get(target)
         if own is not None and own.running == 0:
-            del self.own[target]
-            del self.recent[target]
+            for kept in (self.own, self.recent, self.outcomes, self.failures):
+                kept.pop(target, None)
+
+    def _read_own(self, target: ids.TargetId, now: float) -> Load:
+        load = Load()
+        if target in self.own:
+            load.add(self.own[target])
+        for sums, window_s, name in (
+            (self.recent, RECENT_S, "recent"),
+            (self.outcomes, OUTCOME_S, "outcomes"),
+            (self.failures, OUTCOME_S, "failures"),
+        ):
+            if target in sums:
+                setattr(load, name, sums[target].read(now, window_s))
+        return load
 
     def _sum_peers(self, now: float) -> None:
         """Sums all reports: there are far fewer items than pairs."""
@@ -158,9 +202,12 @@
             if age_s >= PEER_REPORT_AGE_S:
                 continue
             remains = math.exp(-age_s / RECENT_S)
+            outcomes_remain = math.exp(-age_s / OUTCOME_S)
             for item in heard.reported:
                 load = self.peer_sums.setdefault(item.target, Load())
                 load.unread += item.unread
                 load.running += item.running
                 load.held += item.held
                 load.recent += item.recent * remains
+                load.outcomes += item.outcomes * outcomes_remain
+                load.failures += item.failures * outcomes_remain
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
@@ -42,18 +42,21 @@
         terms: to be added.
         window_s: time after which a workspace's usage counts 1/e.
     """
-    loads: dict[ids.TargetId, list[float]] = {}
+    loads: dict[ids.TargetId, loads_lib.Load] = {}
     uses: dict[tuple[ids.PoolId, ids.WorkspaceId], list[float]] = {}
     for term in terms:
         sign = term.sign
         recent_sign = sign * math.exp(-term.age_s / loads_lib.RECENT_S)
         use_sign = sign * math.exp(-term.age_s / window_s)
-        for load in term.work.loads:
-            sums = loads.setdefault(load.target, [0.0, 0.0, 0.0, 0.0])
-            sums[0] += load.unread * sign
-            sums[1] += load.running * sign
-            sums[2] += load.held * sign
-            sums[3] += load.recent * recent_sign
+        outcome_sign = sign * math.exp(-term.age_s / loads_lib.OUTCOME_S)
+        for item in term.work.loads:
+            load = loads.setdefault(item.target, loads_lib.Load())
+            load.unread += item.unread * sign
+            load.running += item.running * sign
+            load.held += item.held * sign
+            load.recent += item.recent * recent_sign
+            load.outcomes += item.outcomes * outcome_sign
+            load.failures += item.failures * outcome_sign
         for use in term.work.uses:
             amounts = uses.setdefault((use.pool, use.workspace), [0.0, 0.0])
             amounts[0] += use.cost * use_sign
@@ -62,18 +65,23 @@
 
 
 def _list_loads(
-    sums: dict[ids.TargetId, list[float]],
+    sums: dict[ids.TargetId, loads_lib.Load],
 ) -> tuple[messages.TargetLoad, ...]:
-    listed = []
-    for target, amounts in sums.items():
-        unread, running, held, recent = (max(a, 0.0) for a in amounts)
-        if running or recent >= 1.0:
-            listed.append(
-                messages.TargetLoad(
-                    target, unread, round(running), held, recent
-                )
-            )
-    return tuple(listed)
+    return tuple(
+        messages.TargetLoad(
+            target,
+            max(load.unread, 0.0),
+            max(load.running, 0),
+            max(load.held, 0.0),
+            max(load.recent, 0.0),
+            max(load.outcomes, 0.0),
+            max(load.failures, 0.0),
+        )
+        for target, load in sums.items()
+        if load.running > 0
+        or load.recent >= 1.0
+        or load.outcomes >= loads_lib.LEAST_OUTCOMES
+    )
 
 
 def _list_uses(
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -207,6 +207,8 @@
         running: requests sent there that have not ended.
         held: tokens of these in the target's memory, at most.
         recent: prompt tokens sent there lately; older ones count less.
+        outcomes: requests that ended there lately, likewise.
+        failures: those of them that failed.
     """
 
     target: ids.TargetId
@@ -214,6 +216,8 @@
     running: int
     held: float
     recent: float
+    outcomes: float = 0.0
+    failures: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -12,12 +12,16 @@
 from lentilbeam_core.forwarding import admission
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import loads as loads_lib
+from lentilbeam_core.forwarding import outliers
 from lentilbeam_core.forwarding import placement
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
 
+OUTLIERS_AGE_S = 0.05
+"""Failing targets are looked for at most this often; reports of peers come
+about as often."""
 LEAST_WAIT_S = 0.02
 """Least time between two looks at a queue in which nothing changes."""
 
@@ -53,6 +57,8 @@
         self.waiters: dict[str, asyncio.Future[admission.Decision]] = {}
         self.placed: list[messages.PlacedPart] = []
         self.timer: asyncio.TimerHandle | None = None
+        self.avoided: set[ids.TargetId] = set()
+        self.avoided_at = -math.inf
         self.is_changed = False
         self.change_configuration(current)
 
@@ -103,13 +109,23 @@
         self.is_changed = True
         self.decide()
 
-    def note_failure(self, target: ids.TargetId) -> bool:
-        """Counts a failure against a target; tells if it is now avoided."""
+    def note_failure(self, target: ids.TargetId, is_fault: bool) -> bool:
+        """Counts a failure against a target; tells if it is now ejected.
+
+        Args:
+            target: where a request failed.
+            is_fault: whether the target is at fault, rather than full.
+        """
+        now = self.clock.monotonic()
+        if is_fault:
+            self.loads.note_outcome(target, True, now)
+            self.is_changed = True
         listed = {t.name: t for t in self.targets.find_usable(self.pool.name)}
-        return self.ejector.fail(target, 1, listed, self.clock.monotonic())
+        return self.ejector.fail(target, 1, listed, now)
 
     def note_success(self, target: ids.TargetId) -> None:
         """Counts a whole answer for a target."""
+        self.loads.note_outcome(target, False, self.clock.monotonic())
         self.ejector.succeed(target)
 
     def decide(self) -> None:
@@ -117,7 +133,7 @@
         if not self.admission.queues:
             return
         now = self.clock.monotonic()
-        for decision in self.admission.decide(self._find_usable(now), now):
+        for decision in self.admission.decide(self.find_usable(), now):
             if isinstance(decision, admission.Placed):
                 self._note_placed(decision)
             future = self.waiters.get(decision.request.name)
@@ -159,7 +175,7 @@
             "own_running": len(self.loads.sent),
             "fleet_running": sum(load.running for load in totals),
             "fleet_unread_tokens": sum(load.unread for load in totals),
-            "targets_usable": len(self._find_usable(now)),
+            "targets_usable": len(self.find_usable()),
             "workspaces_asking": len(self.usage.asked),
             "repeats_in_window": len(self.budget.repeats),
         }
@@ -191,10 +207,16 @@
             if entry is not None and entry.pool == self.pool.name:
                 self.placer.note_sent(target, tuple(parts), now)
 
-    def _find_usable(self, now: float) -> list[target_list.Entry]:
+    def find_usable(self) -> list[target_list.Entry]:
+        """Returns the targets that may get a request now."""
+        now = self.clock.monotonic()
         usable = []
-        for entry in self.targets.find_usable(self.pool.name):
-            if self.ejector.is_ejected(entry.name, now):
+        listed = self.targets.find_usable(self.pool.name)
+        if now - self.avoided_at >= OUTLIERS_AGE_S:
+            self._refresh_avoided(listed, now)
+        for entry in listed:
+            is_ejected = self.ejector.is_ejected(entry.name, now)
+            if is_ejected or entry.name in self.avoided:
                 continue
             own = self.loads.own.get(entry.name)
             is_busy = own is not None and own.running > 0
@@ -203,6 +225,16 @@
             usable.append(entry)
         return usable
 
+    def _refresh_avoided(
+        self, listed: list[target_list.Entry], now: float
+    ) -> None:
+        self.avoided_at = now
+        totals = {e.name: self.loads.total(e.name, now) for e in listed}
+        slots = {entry.name: entry.slots for entry in listed}
+        self.avoided = outliers.find_outliers(
+            totals, slots, outliers.Settings()
+        )
+
     def _note_placed(self, decision: admission.Placed) -> None:
         self.is_changed = True
         prompt = decision.request.prompt
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -125,7 +125,7 @@
             )
         except connection_lib.ConnectFailedError as error:
             self.dispatcher.note_end(self.request.name)
-            self._note_failure(target)
+            self._note_failure(target, is_fault=True)
             self.progress.tried.add(target.name)
             return progress_lib.Sent(
                 progress_lib.SendResult.NOT_RUN, f"connect: {error}"
@@ -173,7 +173,7 @@
         else:
             connection.close()
             self._record("send_failed", target=target.name, detail=sent.detail)
-            self._note_failure(target)
+            self._note_failure(target, not sent.is_full)
         return sent
 
     def _write_request(self, placement: placement_lib.Placement) -> bytes:
@@ -217,7 +217,9 @@
             )
         if answer.is_not_run:
             return progress_lib.Sent(
-                progress_lib.SendResult.NOT_RUN, f"status {answer.status}"
+                progress_lib.SendResult.NOT_RUN,
+                f"status {answer.status}",
+                is_full=True,
             )
         if answer.request != self.call.name:
             return progress_lib.Sent(
@@ -373,10 +375,10 @@
             self.progress.first_event_s = elapsed_s
         self.forwarder.metrics.time("first_event", elapsed_s)
 
-    def _note_failure(self, target: target_list.Entry) -> None:
-        if self.dispatcher.note_failure(target.name):
+    def _note_failure(self, target: target_list.Entry, is_fault: bool) -> None:
+        if self.dispatcher.note_failure(target.name, is_fault):
             self.forwarder.pool.forget(target.name)
-            self.log.belief("target_avoided", target=target.name)
+            self.log.belief("target_ejected", target=target.name)
 
     def _describe_request(self) -> dict[str, str | float]:
         waited_s = self.clock.monotonic() - self.request.arrived_at
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -89,6 +89,7 @@
         self.targets = target_list.TargetList()
         self.has_targets = False
         self.is_leaving = False
+        self.avoided: set[ids.TargetId] = set()
         self.configuration_watch = feeds.FeedWatch(CONFIGURATION_PATIENCE_S)
         self.targets_watch = feeds.FeedWatch(TARGETS_PATIENCE_S)
         self.stop = asyncio.Event()
@@ -334,8 +335,28 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self.pool.sweep()
             self._expire_targets()
+            self._log_avoided()
             self._decide_all()
 
+    def _log_avoided(self) -> None:
+        """Logs which failing targets are avoided now, and which no more."""
+        now = self.clock.monotonic()
+        avoided = set()
+        for dispatcher in self.dispatchers.values():
+            dispatcher.find_usable()
+            avoided |= dispatcher.avoided
+            for name in sorted(dispatcher.avoided - self.avoided):
+                load = dispatcher.loads.total(name, now)
+                self.log.belief(
+                    "target_avoided",
+                    target=name,
+                    failures=round(load.failures, 1),
+                    outcomes=round(load.outcomes, 1),
+                )
+        for name in sorted(self.avoided - avoided):
+            self.log.belief("target_used_again", target=name)
+        self.avoided = avoided
+
     def _expire_targets(self) -> None:
         for name in self.targets.expire(self.clock.monotonic()):
             self.log.belief("target_gone", target=name)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/progress.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/progress.py
@@ -19,12 +19,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Sent:
-    """What is known after sending to one target."""
+    """What is known after sending to one target.
+
+    Attributes:
+        result: how it ended.
+        detail: what was wrong, for the log.
+        answer: what a target that failed has answered.
+        body: of that answer.
+        is_full: whether the target ran nothing for want of room or time.
+    """
 
     result: SendResult
     detail: str
     answer: wire_lib.Answer | None = None
     body: bytes = b""
+    is_full: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -97,6 +97,8 @@
   unread @2 :UInt32;
   held @3 :UInt32;
   recent @4 :UInt32;
+  outcomes @5 :Float32;
+  failures @6 :Float32;
 }
 
 struct WorkspaceUse {
--- a/tests/forwarding/test_loads.py
+++ b/tests/forwarding/test_loads.py
@@ -23,3 +23,16 @@
     loads.hear("p", (messages.TargetLoad("t", 50.0, 2, 70.0, 10.0),), 1.0)
     assert loads.total("t", 2.0).running == 2
     assert loads.total("t", 3.0).running == 0
+
+
+def test_outcomes_at_all_routers_are_summed_and_fade():
+    loads = loads_lib.Loads()
+    loads.note_outcome("t", True, 1.0)
+    loads.note_outcome("t", False, 1.0)
+    heard = messages.TargetLoad("t", 0.0, 0, 0.0, 0.0, 4.0, 3.0)
+    loads.hear("p", (heard,), 1.0)
+    total = loads.total("t", 1.0)
+    assert (total.outcomes, total.failures) == (6.0, 4.0)
+    assert loads.total("t", 2.0).failures < 4.0
+    (exported,) = loads.export(1.0)
+    assert (exported.outcomes, exported.failures) == (2.0, 1.0)
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -18,6 +18,8 @@
     "targets_offset": 64,
     "running": 16,
 }
+SINGLES = {"outcomes", "failures"}
+"""Fields of single precision."""
 ITEMS = {
     "workspaces": messages.WorkspaceDemand,
     "slots": messages.SlotUse,
@@ -42,6 +44,8 @@
     if field.name in ITEMS:
         items = strategies.lists(any_of(ITEMS[field.name]), max_size=5)
         return items.map(tuple)
+    if field.name in SINGLES:
+        return strategies.floats(0.0, width=32, allow_infinity=False)
     if field.type is float:
         return strategies.integers(0, 2**32 - 1).map(float)
     if field.type is bool:
