--- a/packages/lentilbeam-cli/src/lentilbeam_cli/commands/explain.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/commands/explain.py
@@ -18,6 +18,7 @@
         "store_lost",
         "store_returned",
         "target_avoided",
+        "target_ejected",
         "target_gone",
         "target_listed",
         "target_unlisted",
