--- /dev/null
+++ b/soak/disturbances.py
@@ -0,0 +1,78 @@
+"""When which part of the world was disturbed, for checks that need calm."""
+
+import dataclasses
+import enum
+import math
+
+
+class Kind(enum.Enum):
+    """What was done."""
+
+    KILL = "kill"
+    PAUSE = "pause"
+    TERMINATE = "terminate"
+    HANG_UP = "hang_up"
+    LINK = "link"
+    RESET = "reset"
+    STORE = "store"
+    PUBLISH = "publish"
+    DRAIN = "drain"
+
+
+PLANNED = {Kind.TERMINATE, Kind.HANG_UP, Kind.PUBLISH, Kind.DRAIN}
+"""Work of operators, which cuts nothing."""
+SETTLING_S = 4.0
+"""The users' bounds hold once things were calm for so long."""
+
+
+@dataclasses.dataclass(slots=True)
+class Disturbance:
+    """One fault or planned change.
+
+    Attributes:
+        kind: what was done.
+        where: a router, a target, "store", or "a>b" for a link.
+        start: monotonic seconds.
+        end: when it was over; infinite while it lasts.
+    """
+
+    kind: Kind
+    where: str
+    start: float
+    end: float = math.inf
+
+    def touches(self, name: str) -> bool:
+        """Whether it is about `name` or one of its links."""
+        return name in self.where.split(">")
+
+
+class Diary:
+    """All disturbances of a run."""
+
+    def __init__(self):
+        self.entries: list[Disturbance] = []
+
+    def begin(self, kind: Kind, where: str, now: float) -> Disturbance:
+        """Notes the start of a disturbance."""
+        entry = Disturbance(kind, where, now)
+        self.entries.append(entry)
+        return entry
+
+    def is_calm(
+        self,
+        names: tuple[str, ...],
+        start: float,
+        end: float,
+        allowed: frozenset[Kind] = frozenset(),
+    ) -> bool:
+        """Whether nothing but `allowed` disturbed `names` in a time.
+
+        The time begins `SETTLING_S` before `start`.
+        """
+        return not any(
+            entry.start <= end
+            and entry.end >= start - SETTLING_S
+            and entry.kind not in allowed
+            and any(entry.touches(name) for name in names)
+            for entry in self.entries
+        )
--- a/tests/forwarding/platform_world.py
+++ b/tests/forwarding/platform_world.py
@@ -61,7 +61,7 @@
         for number in range(1, targets + 1):
             await self.add_target(f"t{number}")
         for number in range(1, routers + 1):
-            self.add_router(f"router-{number}", f"127.0.0.{number + 1}")
+            await self.add_router(f"router-{number}", f"127.0.0.{number + 1}")
         await self._wait(self.are_all_ready)
 
     async def stop(self) -> None:
@@ -118,14 +118,23 @@
         """Writes a target's entry."""
         entry = {
             "service": "pool",
-            "address": self.targets[name],
+            "address": await self.find_target(name),
             "zone": "east",
             "slots": 30,
             "state": state,
         }
         await self.write("keyed.servers", name, json.dumps(entry).encode())
 
-    def add_router(self, name: str, ip: str) -> None:
+    async def find_store(self, router: str) -> str:
+        """Returns the address at which a router finds the store."""
+        del router
+        return self.store
+
+    async def find_target(self, name: str) -> str:
+        """Returns the address under which a target is listed."""
+        return self.targets[name]
+
+    async def add_router(self, name: str, ip: str) -> None:
         """Starts a router with an address of its own."""
         ports = {
             role: f"{ip}:{_find_port(ip)}"
@@ -139,7 +148,7 @@
             "zone": "east",
             "listen": ports,
             "inner_ports": [inner, inner],
-            "platform": {"address": self.store},
+            "platform": {"address": await self.find_store(name)},
             "bounds": {"grace_s": 8, "budget_extra": 54},
         }
         (self.folder / f"{name}.json").write_text(json.dumps(settings))
@@ -171,6 +180,15 @@
         except httpx.HTTPError:
             return False
 
+    async def is_listening(self, name: str) -> bool:
+        """Whether a router answers at all, ready or not."""
+        try:
+            url = f"http://{self.routers[name]['ready']}/v1/ready"
+            await self.http.get(url)
+        except httpx.HTTPError:
+            return False
+        return True
+
     async def resolve(self, name: str) -> list[str]:
         """Returns the addresses that a router gives to callers."""
         try:
--- a/tests/standins/opaque_target.py
+++ b/tests/standins/opaque_target.py
@@ -2,12 +2,14 @@
 
 Run as `python -m tests.standins.opaque_target HOST PORT NAME`. Paths below
 `/chat/` are answered by a stream of 20 events, 50 ms apart; all others by a
-short body. `GET /runs` returns the ids of all requests that ran.
+short body. `GET /runs` returns the ids of all requests that ran; each is also
+written to standard output before its work, with the monotonic time.
 """
 
 import asyncio
 import json
 import sys
+import time
 
 import uvicorn
 
@@ -34,7 +36,10 @@
         if headers.get(b"expected-instance") != self.name.encode():
             await self.answer(send, 421, [], b"")
             return
-        self.runs.append(headers[b"request-id"].decode())
+        name = headers[b"request-id"].decode()
+        self.runs.append(name)
+        run = {"run": name, "at": time.monotonic()}
+        print(json.dumps(run), flush=True)
         proof = [
             (b"request-id", headers[b"request-id"]),
             (b"response-seal", self.name.encode()),
