--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/outliers.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/outliers.py
@@ -24,9 +24,9 @@
         floor: part of the pool's slots that stay in use whatever fails.
     """
 
-    least_failures: float = 3.0
-    least_share: float = 0.5
-    least_excess: float = 2.0
+    least_failures: float = 4.0
+    least_share: float = 0.3
+    least_excess: float = 3.0
     floor: float = 0.5
 
 
