--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -1,8 +1,10 @@
 """When which part of the world was disturbed, for checks that need calm."""
 
+import asyncio
 import dataclasses
 import enum
 import math
+import time
 
 
 class Kind(enum.Enum):
@@ -17,12 +19,18 @@
     STORE = "store"
     PUBLISH = "publish"
     DRAIN = "drain"
+    HOST = "host"  # The machine that the soak runs on had no time for it.
 
 
 PLANNED = {Kind.TERMINATE, Kind.HANG_UP, Kind.PUBLISH, Kind.DRAIN}
 """Work of operators, which cuts nothing."""
 SETTLING_S = 4.0
 """The users' bounds hold once things were calm for so long."""
+EVERYWHERE = "*"
+BEAT_S = 0.05
+LATE_BEAT_S = 0.25
+"""A timer that is later than this shows that the host is too busy for bounds
+of some seconds."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,7 +39,7 @@
 
     Attributes:
         kind: what was done.
-        where: a router, a target, "store", or "a>b" for a link.
+        where: a router, a target, "store", "a>b" for a link, or everywhere.
         start: monotonic seconds.
         end: when it was over; infinite while it lasts.
     """
@@ -43,7 +51,7 @@
 
     def touches(self, name: str) -> bool:
         """Whether it is about `name` or one of its links."""
-        return name in self.where.split(">")
+        return self.where == EVERYWHERE or name in self.where.split(">")
 
 
 class Diary:
@@ -76,3 +84,14 @@
             and any(entry.touches(name) for name in names)
             for entry in self.entries
         )
+
+
+async def watch_host(diary: Diary) -> None:
+    """Notes for ever when the host was too busy to wake this task in time."""
+    while True:
+        slept_at = time.monotonic()
+        await asyncio.sleep(BEAT_S)
+        woken_at = time.monotonic()
+        if woken_at - slept_at > BEAT_S + LATE_BEAT_S:
+            entry = diary.begin(Kind.HOST, EVERYWHERE, slept_at)
+            entry.end = woken_at
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -125,7 +125,10 @@
             if code != 0:
                 self.unexpected.append(f"{name} stopped with {code}")
         except subprocess.TimeoutExpired:
-            self.unexpected.append(f"{name} outlived its grace time")
+            now = world_lib.read_time()
+            planned = frozenset(disturbances.PLANNED)
+            if self.diary.is_calm((name,), entry.start, now, planned):
+                self.unexpected.append(f"{name} outlived its grace time")
         self.world.kill(name)
         await self._start_again(name)
         entry.end = world_lib.read_time()
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 
 from soak import callers as callers_lib
 from soak import checks
+from soak import disturbances
 from soak import faults as faults_lib
 from soak import world as world_lib
 
@@ -61,11 +62,13 @@
         callers = callers_lib.Callers(world, draw, settings.callers)
         faults = faults_lib.Faults(world, callers, draw)
         calling = asyncio.create_task(callers.run())
+        watching = asyncio.create_task(disturbances.watch_host(faults.diary))
         await faults.run(settings.length_s)
         await asyncio.sleep(SETTLED_S)
         calling.cancel()
-        await asyncio.gather(calling, return_exceptions=True)
-        unserved = await _find_unserved(world, callers)
+        unserved = await _find_unserved(world, callers, faults.diary)
+        watching.cancel()
+        await asyncio.gather(calling, watching, return_exceptions=True)
         await asyncio.sleep(checks.RUNS_WITHIN_S)
         evidence = checks.Evidence(callers.seen, world.read_runs(), faults)
         broken = checks.find_broken(evidence) + unserved
@@ -79,12 +82,15 @@
 
 
 async def _find_unserved(
-    world: world_lib.SoakWorld, callers: callers_lib.Callers
+    world: world_lib.SoakWorld,
+    callers: callers_lib.Callers,
+    diary: disturbances.Diary,
 ) -> list[str]:
     """Returns a line for each request that is not served after all faults."""
     async with httpx.AsyncClient(
         trust_env=False, timeout=callers_lib.DEADLINE_S
     ) as http:
+        began = world_lib.read_time()
         seen = await asyncio.gather(
             *(
                 callers.call(http, router, path)
@@ -92,6 +98,9 @@
                 for path in callers_lib.PATHS * LAST_ROUNDS
             )
         )
+    ended = world_lib.read_time()
+    if not diary.is_calm(tuple(world.routers), began, ended):
+        return []
     return [
         f"not served after all: {item.router} {item.status or item.end.value}"
         for item in seen
