--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -13,8 +13,14 @@
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import feeds
 
+INTERVAL_FOR_EACH_PEER_S = 0.01
+"""Reports to all peers are further apart in a larger fleet, and take a bounded
+part of a router's time."""
 SILENT_AFTER_S = 2.0
 """A router that is not heard for longer is taken to be down."""
+SILENT_AFTER_REPORTS = 2.5
+"""The same in reports, for a fleet in which these are far apart: one of them
+may be lost."""
 PROBE_SILENT_S = 1.0
 """Silent routers get a report this often, so that they can return."""
 
@@ -87,12 +93,22 @@
             if self.is_serving(entry.name, now)
         ]
 
+    @property
+    def least_interval_s(self) -> float:
+        """Least time between two reports to all peers."""
+        return INTERVAL_FOR_EACH_PEER_S * len(self.listed)
+
+    @property
+    def silent_after_s(self) -> float:
+        """Time after which a router that is not heard is taken to be down."""
+        return max(SILENT_AFTER_S, SILENT_AFTER_REPORTS * self.least_interval_s)
+
     def is_serving(self, name: ids.InstanceId, now: float) -> bool:
         """Whether callers may be sent to a peer."""
         heard = self.heard.get(name)
         if heard is None or not heard.is_serving:
             return False
-        return now - heard.at < SILENT_AFTER_S
+        return now - heard.at < self.silent_after_s
 
     def list_receivers(self, now: float) -> list[addresses.Address]:
         """Returns where to send what all peers should hear."""
@@ -102,7 +118,9 @@
         receivers = []
         for entry in self.listed.values():
             heard = self.heard.get(entry.name)
-            is_alive = heard is not None and now - heard.at < SILENT_AFTER_S
+            is_alive = (
+                heard is not None and now - heard.at < self.silent_after_s
+            )
             if heard and not is_alive and entry.name not in self.silent:
                 self.silent.add(entry.name)
                 age_s = round(now - heard.at, 2)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/reports.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/reports.py
@@ -29,11 +29,9 @@
 DIRECT_ROUTERS = 16
 """In a larger fleet routers report to relays: the messages of direct reports
 grow with the square of the routers."""
-INTERVAL_FOR_EACH_PEER_S = 0.01
-"""Reports to all peers are further apart in a larger fleet, and take a bounded
-part of a router's time."""
 INTERVAL_FOR_EACH_MEMBER_S = 0.003
-"""The same for reports to and from a relay: it takes in some 300 a second."""
+"""Reports to and from a relay are further apart in a larger data centre: it
+takes in some 300 a second."""
 IDLE_INTERVAL_S = 0.5
 """Longest time between two reports to all peers."""
 RELAY_IDLE_INTERVAL_S = 0.2
@@ -338,7 +336,7 @@
         return rendezvous.choose(f"relay of {data_centre}", candidates)
 
     def _find_direct_interval(self, is_changed: bool) -> float:
-        least_s = INTERVAL_FOR_EACH_PEER_S * len(self.peers.listed)
+        least_s = self.peers.least_interval_s
         return max(TICK_S if is_changed else IDLE_INTERVAL_S, least_s)
 
     def _find_relay_interval(self, is_changed: bool) -> float:
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -1,5 +1,7 @@
 """Every router knows the fleet's work soon, however many routers there are."""
 
+import dataclasses
+
 import pytest
 
 from lentilbeam_core import messages
@@ -173,3 +175,20 @@
         path.dispatcher.hear("peer", report)
     now = path.dispatcher.clock.monotonic()
     assert path.dispatcher.loads.total("t", now).running == 2
+
+
+def test_in_a_large_fleet_a_router_is_not_silent_between_two_reports():
+    fleet = report_fleet.Fleet(1)
+    router = fleet.routers["r0"]
+    for number in range(260):
+        entry = dataclasses.replace(router.entry, name=f"x{number}")
+        router.peers.put(entry)
+    presence = messages.LoadReport(
+        1, 1, 1, 1, False, True, messages.ReportKind.PRESENCE
+    )
+    router.peers.hear("x7", presence)
+    fleet.clock.advance(router.peers.least_interval_s * 1.5)
+    serving = [entry.name for entry in router.peers.find_serving()]
+    assert serving == ["x7"]
+    fleet.clock.advance(router.peers.least_interval_s * 1.5)
+    assert router.peers.find_serving() == []
