--- a/bench/overload/policies.py
+++ b/bench/overload/policies.py
@@ -14,7 +14,8 @@
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
 
-WINDOW_S = 4.0
+WINDOW_S = 4.0 * shares.FADES_IN
+"""The users' window is four seconds."""
 BOUNDED_LOAD = 1.25
 """A target by hash is passed over if its load is above this part of the mean,
 as with bounded-load hashing."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -13,6 +13,10 @@
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import decayed
 
+FADES_IN = 0.25
+"""Part of the users' window after which usage counts 1/e: they judge shares by
+the second, and what a workspace received before a burst must not hold it back
+in it."""
 PEER_USAGE_AGE_S = 3.0
 """Usage reported by a peer that is silent for longer counts no more."""
 LEVEL_AGE_S = 0.1
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -12,6 +12,7 @@
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import configuration as configuration_lib
 from lentilbeam_core.forwarding import retry_budget
+from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_core.forwarding import work_sums
 from lentilbeam_router import addresses
@@ -66,6 +67,11 @@
     address_ttl_s: float
     grace_s: float
 
+    @property
+    def usage_fades_s(self) -> float:
+        """Time after which usage counts 1/e."""
+        return self.usage_window_s * shares.FADES_IN
+
 
 class Gateway:
     """One forwarding router; takes in what the platform's store says."""
@@ -102,7 +108,7 @@
             settings.instance,
             self.incarnation,
             settings.data_centre,
-            settings.usage_window_s,
+            settings.usage_fades_s,
             self.peers,
             self.link,
             clock,
@@ -143,7 +149,7 @@
                 self.targets,
                 self.settings.budget,
                 self.settings.data_centre,
-                self.settings.usage_window_s,
+                self.settings.usage_fades_s,
                 self.clock,
                 self.draw,
             )
@@ -241,8 +247,8 @@
         )
         for dispatcher in self.dispatchers.values():
             dispatcher.budget.settings = settings.budget
-            dispatcher.usage.window_s = settings.usage_window_s
-        self.reports.window_s = settings.usage_window_s
+            dispatcher.usage.window_s = settings.usage_fades_s
+        self.reports.window_s = settings.usage_fades_s
         self.log.belief("settings_changed")
 
     async def run(
