--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/decision_log.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/decision_log.py
@@ -10,8 +10,9 @@
 
 from lentilbeam_core import clock as clock_lib
 
-MAX_LINES_PER_S = 400.0
-BURST_LINES = 400.0
+MAX_BYTES_PER_S = 64_000.0
+"""What collectors take of a router for long; some 260 lines."""
+BURST_BYTES = 64_000.0
 
 
 class DecisionLog:
@@ -26,7 +27,7 @@
         self.clock = clock
         self.instance = instance
         self.output = output
-        self.allowance = BURST_LINES
+        self.allowance = BURST_BYTES
         self.filled_at = clock.monotonic()
         self.dropped = 0
         self.dropped_in_all = 0
@@ -42,19 +43,20 @@
 
     def _write(self, line: dict[str, Any]) -> None:
         now = self.clock.monotonic()
-        earned = (now - self.filled_at) * MAX_LINES_PER_S
-        self.allowance = min(self.allowance + earned, BURST_LINES)
+        earned = (now - self.filled_at) * MAX_BYTES_PER_S
+        self.allowance = min(self.allowance + earned, BURST_BYTES)
         self.filled_at = now
-        if self.allowance < 1.0:
-            self._drop()
-            return
-        self.allowance -= 1.0
         stamp = self.clock.now().isoformat(timespec="milliseconds")
         line = {"at": stamp, "instance": self.instance, **line}
         if self.dropped:
             line["dropped"] = self.dropped
+        data = msgspec.json.encode(line) + b"\n"
+        if len(data) > self.allowance:
+            self._drop()
+            return
+        self.allowance -= len(data)
         try:
-            os.write(self.output, msgspec.json.encode(line) + b"\n")
+            os.write(self.output, data)
             self.dropped = 0
         except OSError:
             # A full or closed pipe: the line is counted with the dropped.
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -304,6 +304,7 @@
                 progress_lib.SendResult.FAILED, detail, answer, body
             )
         await self._pass(answer, body)
+        self._record("completed", status=answer.status)
         return progress_lib.Sent(progress_lib.SendResult.DONE, "")
 
     async def _pass(self, answer: wire_lib.Answer, body: bytes) -> None:
@@ -311,7 +312,6 @@
         if body:
             await self.channel.write(body)
         await self.channel.finish()
-        self._record("completed", status=answer.status)
 
     def _may_send_again(self, sent: progress_lib.Sent) -> bool:
         if self.progress.sent >= self.route.attempts:
