--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/reports.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/reports.py
@@ -11,18 +11,17 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core import messages
-from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import work_sums
 from lentilbeam_router import addresses
 from lentilbeam_router import peer_link
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import peers as peers_lib
+from lentilbeam_router.forwarding import relays as relays_lib
 
 TICK_S = 0.04
 """Least time between two reports while work changes."""
@@ -36,10 +35,6 @@
 """Longest time between two reports to all peers."""
 RELAY_IDLE_INTERVAL_S = 0.2
 """Longest time between two reports of a relay."""
-RELAY_SILENT_S = 0.5
-"""A relay that sends nothing for longer is replaced."""
-RELAY_AVOIDED_S = 6.0
-"""Time until a relay that fell silent is tried again."""
 MEMBER_SILENT_S = 1.5
 """A member that sends nothing for longer is no part of the sum any more."""
 MAX_PLACED_PARTS = 160
@@ -90,6 +85,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Heard:
+    """A report and when it came or was sent."""
+
     at: float
     report: messages.LoadReport
 
@@ -102,9 +99,8 @@
     """The exchange of reports with the other routers.
 
     Attributes:
-        relay: who sums the work of this data centre; None if this router
-            does, or if there are no relays.
-        source: whose sums are in use; follows `relay` once it is heard.
+        relays: who sums the work of each data centre.
+        source: whose sums are in use; follows the relay once it is heard.
         groups: last reports of those that report to this router, and of
             other relays.
     """
@@ -122,21 +118,16 @@
     ):
         self.me = me
         self.incarnation = incarnation
-        self.data_centre = data_centre
         self.window_s = window_s
         self.peers = peers
+        self.relays = relays_lib.Relays(me, data_centre, peers, clock, log)
         self.link = link
         self.clock = clock
-        self.log = log
         self.sequence = 0
         self.reported_at = 0.0
         self.present_at = 0.0
-        self.relay: ids.InstanceId | None = None
-        self.relay_since = clock.monotonic()
-        self.relay_heard_at = 0.0
         self.source: ids.InstanceId | None = None
         self.source_report: _Heard | None = None
-        self.avoided: dict[ids.InstanceId, float] = {}
         self.groups: dict[ids.InstanceId, _Heard] = {}
         self.sent: collections.OrderedDict[int, _Heard] = (
             collections.OrderedDict()
@@ -170,7 +161,7 @@
         replaced = ()
         if not self.is_direct:
             self._pass_on(sender, report)
-            if self.relay is None and self.source is not None:
+            if self.relays.current is None and self.source is not None:
                 # This router became the relay: its members now tell it all.
                 replaced, self.source = (self.source,), None
         return Taken(report, replaced)
@@ -193,7 +184,8 @@
             if now - self.reported_at >= self._find_direct_interval(is_changed):
                 self._send_directly(status, collect(), now)
             return
-        self._follow_relay(now)
+        has_members = any(map(self.relays.is_member, self.groups))
+        self.relays.follow(has_members, now)
         if now - self.present_at >= self._find_direct_interval(False):
             self.announce(status)
         if now - self.reported_at >= self._find_relay_interval(is_changed):
@@ -223,17 +215,17 @@
     ) -> None:
         """Keeps placed parts for those that hear of them by this router."""
         self.placed_down.extend(report.placed)
-        if sender in self.groups and self._is_member(sender):
+        if sender in self.groups and self.relays.is_member(sender):
             self.placed_up.extend(report.placed)
 
     def _take_fleet(
         self, sender: ids.InstanceId, report: messages.LoadReport, now: float
     ) -> Taken | None:
-        if self.is_direct or sender not in (self.relay, self.source):
+        if self.is_direct or sender not in (self.relays.current, self.source):
             return None
         replaced = ()
-        if sender == self.relay:
-            self.relay_heard_at = now
+        if sender == self.relays.current:
+            self.relays.heard_at = now
             if self.source != sender:
                 replaced = self._change_source(sender)
         if sender != self.source:
@@ -247,7 +239,7 @@
         self, source: ids.InstanceId
     ) -> tuple[ids.InstanceId, ...]:
         """Returns the peers whose work the new source includes."""
-        replaced = [n for n in self.groups if not self._is_member(n)]
+        replaced = [n for n in self.groups if not self.relays.is_member(n)]
         for name in replaced:
             del self.groups[name]
         if self.source is not None:
@@ -274,74 +266,17 @@
         """Whether a sum belongs here; else it comes by the relay as well."""
         if any(included.router == self.me for included in report.included):
             return False
-        if self._is_member(sender):
-            return sender != self.relay or not self._is_above(sender)
-        return self.relay is None
-
-    def _is_member(self, sender: ids.InstanceId) -> bool:
-        entry = self.peers.listed.get(sender)
-        return entry is not None and entry.data_centre == self.data_centre
-
-    def _follow_relay(self, now: float) -> None:
-        """Turns to another relay if there is a better one or none is heard."""
-        if self.relay and now - self.relay_heard_at > RELAY_SILENT_S:
-            self.avoided[self.relay] = now + RELAY_AVOIDED_S
-        found = self._choose_relay(self.data_centre, now)
-        relay = None if found == self.me else found
-        if relay == self.relay:
-            return
-        self.log.belief("relay", relay=found, before=self.relay or self.me)
-        self.relay = relay
-        self.relay_since = now
-        self.relay_heard_at = now
-
-    def _choose_relay(
-        self, data_centre: ids.DataCentreId, now: float
-    ) -> ids.InstanceId | None:
-        """Returns the relay of a data centre, as far as this router can tell.
-
-        This router is one if no better is heard. If nobody reports to it, the
-        others hear a better one: it joins them by way of the next.
-        """
-        candidates = [
-            entry.name
-            for entry in self.peers.listed.values()
-            if entry.data_centre == data_centre
-            and self.peers.is_serving(entry.name, now)
-            and self.avoided.get(entry.name, 0.0) <= now
-        ]
-        is_own = data_centre == self.data_centre
-        if is_own and not (candidates and self._is_alone(now)):
-            candidates.append(self.me)
-        return self._rank(data_centre, candidates)
-
-    def _is_alone(self, now: float) -> bool:
-        """Whether nobody reports here, though this router is a relay."""
-        if any(map(self._is_member, self.groups)):
-            return False
-        if self.relay is None:
-            return now - self.relay_since > MEMBER_SILENT_S
-        return not self._is_above(self.relay)
-
-    def _is_above(self, other: ids.InstanceId) -> bool:
-        """Whether another router of this data centre goes before this one."""
-        names = (self.me, other)
-        return self._rank(self.data_centre, names) == other
-
-    def _rank(
-        self,
-        data_centre: ids.DataCentreId,
-        candidates: Iterable[ids.InstanceId],
-    ) -> ids.InstanceId | None:
-        return rendezvous.choose(f"relay of {data_centre}", candidates)
+        if self.relays.is_member(sender):
+            is_relay = sender == self.relays.current
+            return not is_relay or not self.relays.is_above(sender)
+        return self.relays.current is None
 
     def _find_direct_interval(self, is_changed: bool) -> float:
         least_s = self.peers.least_interval_s
         return max(TICK_S if is_changed else IDLE_INTERVAL_S, least_s)
 
     def _find_relay_interval(self, is_changed: bool) -> float:
-        members = sum(map(self._is_member, self.peers.listed))
-        least_s = INTERVAL_FOR_EACH_MEMBER_S * members
+        least_s = INTERVAL_FOR_EACH_MEMBER_S * self.relays.count_members()
         is_changed = is_changed or bool(self.groups)
         return max(TICK_S if is_changed else RELAY_IDLE_INTERVAL_S, least_s)
 
@@ -360,8 +295,8 @@
         self.placed_up.extend(own.placed)
         self.placed_down.extend(own.placed)
         self._drop_silent(now)
-        members = [name for name in self.groups if self._is_member(name)]
-        relays = [name for name in self.groups if not self._is_member(name)]
+        members = list(filter(self.relays.is_member, self.groups))
+        relays = [name for name in self.groups if name not in members]
         group = work_sums.add_up(
             [
                 work_sums.Term(own.work),
@@ -370,11 +305,30 @@
             self.window_s,
         )
         included = self._list_included(members)
-        above = self._find_addresses(
-            [self.relay] if self.relay else self._list_relays(relays, now)
-        )
+        self._send_up(status, group, included, relays, now)
+        if members:
+            self._send_down(status, group, included, members, relays, now)
+        else:
+            self.placed_down.clear()
+
+    def _send_up(
+        self,
+        status: Status,
+        group: work_sums.Work,
+        included: tuple[messages.Included, ...],
+        relays: list[ids.InstanceId],
+        now: float,
+    ) -> None:
+        """Sends this router's and its members' work to its relay.
+
+        If it is the relay itself, to those of other data centres.
+        """
+        above = self.relays.list_others(relays, now)
+        if self.relays.current is not None:
+            above = [self.relays.current]
+        receivers = self._find_addresses(above)
         report = self._send(
-            above,
+            receivers,
             status,
             messages.ReportKind.GROUP,
             group,
@@ -382,24 +336,32 @@
             included,
         )
         self._remember(report, now)
-        self._send_rest(above, status, self.placed_up)
-        if not members:
-            self.placed_down.clear()
-            return
-        fleet = [work_sums.Term(group)]
-        fleet += [self.groups[name].as_term(now) for name in relays]
-        if self.relay and self.source_report:
-            fleet.append(self.source_report.as_term(now))
-        below = self._find_addresses(members)
+        self._send_rest(receivers, status, self.placed_up)
+
+    def _send_down(
+        self,
+        status: Status,
+        group: work_sums.Work,
+        included: tuple[messages.Included, ...],
+        members: list[ids.InstanceId],
+        relays: list[ids.InstanceId],
+        now: float,
+    ) -> None:
+        """Sends all that is known to those that report here."""
+        terms = [work_sums.Term(group)]
+        terms += [self.groups[name].as_term(now) for name in relays]
+        if self.relays.current is not None and self.source_report is not None:
+            terms.append(self.source_report.as_term(now))
+        receivers = self._find_addresses(members)
         self._send(
-            below,
+            receivers,
             status,
             messages.ReportKind.FLEET,
-            work_sums.add_up(fleet, self.window_s),
+            work_sums.add_up(terms, self.window_s),
             _take_some(self.placed_down),
             included,
         )
-        self._send_rest(below, status, self.placed_down)
+        self._send_rest(receivers, status, self.placed_down)
 
     def _send_rest(
         self,
@@ -430,22 +392,9 @@
 
     def _drop_silent(self, now: float) -> None:
         for name, heard in list(self.groups.items()):
-            if now - heard.at > MEMBER_SILENT_S or name == self.relay:
+            if now - heard.at > MEMBER_SILENT_S or name == self.relays.current:
                 del self.groups[name]
 
-    def _list_relays(
-        self, heard: list[ids.InstanceId], now: float
-    ) -> list[ids.InstanceId]:
-        """Returns the relays of other data centres: the chosen and the heard.
-
-        A relay that others chose may not be the one that this router would.
-        """
-        data_centres = {
-            entry.data_centre for entry in self.peers.listed.values()
-        } - {self.data_centre}
-        found = {self._choose_relay(name, now) for name in data_centres}
-        return sorted({*found, *heard} - {None})
-
     def _find_addresses(
         self, names: list[ids.InstanceId]
     ) -> list[addresses.Address]:
--- a/tests/forwarding/report_fleet.py
+++ b/tests/forwarding/report_fleet.py
@@ -168,7 +168,7 @@
     def find_relay(self, data_centre: str) -> Router:
         """Returns the router to which those of a data centre report."""
         names = {
-            router.reports.relay
+            router.reports.relays.current
             for router in self.routers.values()
             if router.entry.data_centre == data_centre and not router.is_frozen
         } - {None}
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -136,7 +136,7 @@
     for router in fleet.routers.values():
         router.running = 2
     fleet.run(SETTLED_S)
-    assert member.reports.relay not in (None, relay.entry.name)
+    assert member.reports.relays.current not in (None, relay.entry.name)
     assert fleet.find_wrong() == {}
 
 
