--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,9 @@
 """Draws faults and planned work, and carries them out on the world."""
 
 import asyncio
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 import random
 import signal
 import subprocess
@@ -81,6 +84,20 @@
         self.busy.add(name)
         return name
 
+    @contextlib.contextmanager
+    def _disturb(
+        self, kind: Kind, names: Iterable[str]
+    ) -> Iterator[str | None]:
+        """Takes one of the names that nothing else disturbs, for a time."""
+        name = self._take(names)
+        entry = self._begin(kind, name) if name is not None else None
+        try:
+            yield name
+        finally:
+            if entry is not None:
+                entry.end = world_lib.read_time()
+                self.busy.discard(name)
+
     async def _last(self) -> None:
         await asyncio.sleep(self.draw.uniform(*FAULT_S))
 
@@ -92,32 +109,35 @@
         await self.world.wait_until(lambda: self.world.is_listening(name))
 
     async def _kill_router(self) -> None:
-        name = self._take(self.world.routers)
-        if name is None:
-            return
-        entry = self._begin(Kind.KILL, name)
-        self.world.kill(name)
-        await self._last()
-        await self._start_again(name)
-        entry.end = world_lib.read_time()
-        self.busy.discard(name)
+        with self._disturb(Kind.KILL, self.world.routers) as name:
+            if name is not None:
+                self.world.kill(name)
+                await self._last()
+                await self._start_again(name)
 
     async def _pause_router(self) -> None:
-        name = self._take(self.world.routers)
-        if name is None:
-            return
-        entry = self._begin(Kind.PAUSE, name)
-        self.world.send_signal(name, signal.SIGSTOP)
-        await self._last()
-        self.world.send_signal(name, signal.SIGCONT)
-        entry.end = world_lib.read_time()
-        self.busy.discard(name)
+        with self._disturb(Kind.PAUSE, self.world.routers) as name:
+            await self._pause(name)
+
+    async def _pause_target(self) -> None:
+        with self._disturb(Kind.PAUSE, self._list_targets()) as name:
+            await self._pause(name)
+
+    async def _pause(self, name: str | None) -> None:
+        if name is not None:
+            self.world.send_signal(name, signal.SIGSTOP)
+            await self._last()
+            self.world.send_signal(name, signal.SIGCONT)
 
     async def _terminate_router(self) -> None:
-        name = self._take(self.world.routers)
-        if name is None:
-            return
-        entry = self._begin(Kind.TERMINATE, name)
+        with self._disturb(Kind.TERMINATE, self.world.routers) as name:
+            if name is not None:
+                await self._stop(name)
+                await self._start_again(name)
+
+    async def _stop(self, name: str) -> None:
+        """Stops a router as planned; notes if it doesn't end as it should."""
+        told_at = world_lib.read_time()
         self.world.send_signal(name, signal.SIGTERM)
         process = self.world.processes[name]
         try:
@@ -127,21 +147,14 @@
         except subprocess.TimeoutExpired:
             now = world_lib.read_time()
             planned = frozenset(disturbances.PLANNED)
-            if self.diary.is_calm((name,), entry.start, now, planned):
+            if self.diary.is_calm((name,), told_at, now, planned):
                 self.unexpected.append(f"{name} outlived its grace time")
-        self.world.kill(name)
-        await self._start_again(name)
-        entry.end = world_lib.read_time()
-        self.busy.discard(name)
+            self.world.kill(name)
 
     async def _hang_up_router(self) -> None:
-        name = self._take(self.world.routers)
-        if name is None:
-            return
-        entry = self._begin(Kind.HANG_UP, name)
-        self.world.send_signal(name, signal.SIGHUP)
-        entry.end = world_lib.read_time()
-        self.busy.discard(name)
+        with self._disturb(Kind.HANG_UP, self.world.routers) as name:
+            if name is not None:
+                self.world.send_signal(name, signal.SIGHUP)
 
     async def _kill_target(self) -> None:
         name = self._take(self._list_targets())
@@ -153,17 +166,6 @@
         await self.world.write("keyed.servers", name, b"")
         await self._replace_target()
 
-    async def _pause_target(self) -> None:
-        name = self._take(self._list_targets())
-        if name is None:
-            return
-        entry = self._begin(Kind.PAUSE, name)
-        self.world.send_signal(name, signal.SIGSTOP)
-        await self._last()
-        self.world.send_signal(name, signal.SIGCONT)
-        entry.end = world_lib.read_time()
-        self.busy.discard(name)
-
     async def _drain_target(self) -> None:
         name = self._take(self._list_targets())
         if name is None:
@@ -189,45 +191,32 @@
         return free[:-1]
 
     async def _disturb_link(self) -> None:
-        name = self._take(self.world.links)
-        if name is None:
-            return
-        states = [s for s in proxy_lib.LinkState if s.value != "open"]
-        entry = self._begin(Kind.LINK, name)
-        self.world.links[name].set_state(self.draw.choice(states))
-        await self._last()
-        self.world.links[name].set_state(proxy_lib.LinkState.OPEN)
-        entry.end = world_lib.read_time()
-        self.busy.discard(name)
+        with self._disturb(Kind.LINK, self.world.links) as name:
+            if name is not None:
+                states = [s for s in proxy_lib.LinkState if s.value != "open"]
+                link = self.world.links[name]
+                link.set_state(self.draw.choice(states))
+                await self._last()
+                link.set_state(proxy_lib.LinkState.OPEN)
 
     async def _reset_link(self) -> None:
-        name = self._take(self.world.links)
-        if name is None:
-            return
-        entry = self._begin(Kind.RESET, name)
-        self.world.links[name].reset()
-        entry.end = world_lib.read_time()
-        self.busy.discard(name)
+        with self._disturb(Kind.RESET, self.world.links) as name:
+            if name is not None:
+                self.world.links[name].reset()
 
     async def _disturb_store(self) -> None:
-        if self._take([world_lib.STORE]) is None:
-            return
-        entry = self._begin(Kind.STORE, world_lib.STORE)
-        fault = self.draw.choice(("is_down", "is_silent", "forget"))
-        await self.world.set_faults(**{fault: True})
-        await self._last()
-        await self.world.set_faults()
-        entry.end = world_lib.read_time()
-        self.busy.discard(world_lib.STORE)
+        with self._disturb(Kind.STORE, [world_lib.STORE]) as name:
+            if name is not None:
+                fault = self.draw.choice(("is_down", "is_silent", "forget"))
+                await self.world.set_faults(**{fault: True})
+                await self._last()
+                await self.world.set_faults()
 
     async def _publish(self) -> None:
-        if self._take([world_lib.STORE]) is None:
-            return
-        prefix = f"/v{self.world.version + 1}/"
-        entry = self._begin(Kind.PUBLISH, world_lib.STORE)
-        prefixes = [path for _, path in self.published]
-        await self.world.publish(*prefixes, prefix)
-        entry.end = world_lib.read_time()
-        self.published.append((entry.end, prefix))
-        self.callers.newest_path = f"{prefix}x"
-        self.busy.discard(world_lib.STORE)
+        with self._disturb(Kind.PUBLISH, [world_lib.STORE]) as name:
+            if name is not None:
+                prefix = f"/v{self.world.version + 1}/"
+                prefixes = [path for _, path in self.published]
+                await self.world.publish(*prefixes, prefix)
+                self.published.append((world_lib.read_time(), prefix))
+                self.callers.newest_path = f"{prefix}x"
