--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -289,11 +289,7 @@
             self._schedule(now + LOOK_S, self._look, index)
 
     def _lose(self, name: ids.TargetId, now: float) -> None:
-        del now
         self.lost.add(name)
         engine = self.engines[name]
         for job in (*engine.waiting, *engine.reading, *engine.running):
-            self._schedule(self.pattern.length_s / 3, self._release_lost, job)
-
-    def _release_lost(self, job: engine_lib.Job, now: float) -> None:
-        self._release(job.request.name, now)
+            self._schedule(now, self._release, job.request.name)
