--- a/soak/faults.py
+++ b/soak/faults.py
@@ -40,7 +40,7 @@
         self.leaving: dict[str, float] = {}
         self.unexpected: list[str] = []
         self.busy: set[str] = set()
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks: list[asyncio.Task] = []
         self.actions = (
             self._kill_router,
             self._pause_router,
@@ -62,9 +62,7 @@
             await asyncio.sleep(self.draw.uniform(*PAUSE_S))
             self._note_ends()
             action = self.draw.choice(self.actions)
-            task = asyncio.create_task(action())
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.tasks.append(asyncio.create_task(action()))
         await asyncio.gather(*self.tasks)
         self._note_ends()
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,14 +1,19 @@
 """The platform on loopback, with a proxy before the store and each target."""
 
+import asyncio
 import json
 import pathlib
 import signal
 import time
 
+import httpx
+
 from soak import proxy as proxy_lib
 from tests.forwarding import platform_world
 
 STORE = "store"
+WRITE_AGAIN_S = 0.2
+"""Pause after a write that the store did not accept."""
 
 
 class SoakWorld(platform_world.PlatformWorld):
@@ -29,6 +34,16 @@
         """Returns the address of the proxy before a target."""
         return await self._link(f"*>{name}", self.targets[name])
 
+    async def write(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a record; tries until the store accepts it, as targets do."""
+        while True:
+            try:
+                await super().write(topic, key, value)
+            except httpx.HTTPError:
+                await asyncio.sleep(WRITE_AGAIN_S)
+            else:
+                return
+
     async def stop(self) -> None:
         """Ends processes and proxies."""
         await super().stop()
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -9,6 +9,7 @@
 from soak import checks
 from soak import disturbances
 from soak import run as run_lib
+from soak import world as world_lib
 
 BODY = "".join(f"id: {n}\ndata: word{n}\n\n" for n in range(1, 21)).encode()
 CI_SEED = 1
@@ -98,3 +99,22 @@
     result = asyncio.run(run_lib.play(settings, tmp_path))
     assert result.broken == []
     assert result.ends["200"] > 0
+
+
+def test_a_write_goes_through_once_the_store_is_back(tmp_path):
+    async def scenario():
+        world = world_lib.SoakWorld(tmp_path)
+        try:
+            await world.start(routers=0, targets=0)
+            await world.set_faults(is_down=True)
+            writing = asyncio.create_task(
+                world.write("keyed.servers", "t", b"{}")
+            )
+            await asyncio.sleep(world_lib.WRITE_AGAIN_S)
+            assert not writing.done()
+            await world.set_faults()
+            await writing
+        finally:
+            await world.stop()
+
+    asyncio.run(scenario())
