Give each test process loopback addresses of its own

Routers listen for metrics at one fixed port of their address, and every world of processes used 127.0.0.2 to 4. The same stopped three soaks that were begun together. Addresses now follow from the process's id.

--- a/tests/forwarding/platform_world.py
+++ b/tests/forwarding/platform_world.py
@@ -28,6 +28,15 @@
         return sock.getsockname()[1]
 
 
+def _find_ip(number: int) -> str:
+    """Returns a loopback address that no other test process uses.
+
+    The port for metrics is the same at all routers.
+    """
+    process = os.getpid()
+    return f"127.{16 + process // 250 % 100}.{process % 250}.{number + 1}"
+
+
 def _frame(key: str, value: bytes) -> bytes:
     record = bytes([len(key)]) + key.encode() + value
     return len(record).to_bytes(4, "big") + record
@@ -62,7 +71,7 @@
         for number in range(1, targets + 1):
             await self.add_target(f"t{number}")
         for number in range(1, routers + 1):
-            await self.add_router(f"router-{number}", f"127.0.0.{number + 1}")
+            await self.add_router(f"router-{number}", _find_ip(number))
         await self._wait(self.are_all_ready)
 
     async def stop(self) -> None:
