--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -416,7 +416,7 @@
                 dispatcher.drop_peer(peer)
             dispatcher.hear(sender, taken.report)
         # A relay hears some hundred members' reports a second: what waits is
-        # looked at every few ms anyway.
+        # looked at every 20 ms anyway.
         is_group = message.kind is messages.ReportKind.GROUP
         if self.reports.is_direct or not is_group:
             self._decide_all()
