--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -162,10 +162,9 @@
     async def play():
         beliefs = Beliefs()
         beliefs.routers = routers
-        store = ScriptedStore(page(1), DOWN, DOWN, DOWN)
+        store = ScriptedStore(DOWN, DOWN, DOWN, page(1))
         if is_behind:
             beliefs.targets_watch.must_reread.set()
-            store.answers.extendleft([DOWN])
         loop = asyncio.get_running_loop()
         began = loop.time()
         task = asyncio.create_task(
