--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -54,6 +54,34 @@
         self.outcomes += sign * other.outcomes
         self.failures += sign * other.failures
 
+    def add_reported(
+        self, item: messages.TargetLoad, age_s: float, sign: int = 1
+    ) -> None:
+        """Adds what a router reported `age_s` ago, or takes it off."""
+        remains = sign * math.exp(-age_s / RECENT_S)
+        outcomes_remain = sign * math.exp(-age_s / OUTCOME_S)
+        self.unread += item.unread * sign
+        self.running += item.running * sign
+        self.held += item.held * sign
+        self.recent += item.recent * remains
+        self.outcomes += item.outcomes * outcomes_remain
+        self.failures += item.failures * outcomes_remain
+
+    def report(self, target: ids.TargetId) -> messages.TargetLoad | None:
+        """Returns this for other routers; None if it says nothing."""
+        is_busy = self.running > 0 or self.recent >= 1.0
+        if not is_busy and self.outcomes < LEAST_OUTCOMES:
+            return None
+        return messages.TargetLoad(
+            target,
+            max(self.unread, 0.0),
+            max(self.running, 0),
+            max(self.held, 0.0),
+            max(self.recent, 0.0),
+            max(self.outcomes, 0.0),
+            max(self.failures, 0.0),
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heard:
@@ -152,26 +180,9 @@
 
     def export(self, now: float) -> list[messages.TargetLoad]:
         """Returns this router's own work for its peers."""
-        exported = []
-        for target in self.own.keys() | self.outcomes.keys():
-            load = self._read_own(target, now)
-            if (
-                load.running
-                or load.recent >= 1.0
-                or load.outcomes >= LEAST_OUTCOMES
-            ):
-                exported.append(
-                    messages.TargetLoad(
-                        target,
-                        load.unread,
-                        load.running,
-                        load.held,
-                        load.recent,
-                        load.outcomes,
-                        load.failures,
-                    )
-                )
-        return exported
+        targets = self.own.keys() | self.outcomes.keys()
+        reports = (self._read_own(t, now).report(t) for t in targets)
+        return [report for report in reports if report is not None]
 
     def forget(self, target: ids.TargetId) -> None:
         """Drops the entry of a target that is gone and has no work here."""
@@ -201,13 +212,6 @@
             age_s = now - heard.at
             if age_s >= PEER_REPORT_AGE_S:
                 continue
-            remains = math.exp(-age_s / RECENT_S)
-            outcomes_remain = math.exp(-age_s / OUTCOME_S)
             for item in heard.reported:
                 load = self.peer_sums.setdefault(item.target, Load())
-                load.unread += item.unread
-                load.running += item.running
-                load.held += item.held
-                load.recent += item.recent * remains
-                load.outcomes += item.outcomes * outcomes_remain
-                load.failures += item.failures * outcomes_remain
+                load.add_reported(item, age_s)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -121,14 +121,14 @@
     Attributes:
         tokens: kept by each target, in the order of the targets.
         most: the most of these.
-        holders: the targets that keep that much, if any keeps something.
+        holders: places of the targets that keep that much, if any does.
         shared: length of all parts but the last, which is the request's own.
         home: where shared parts go while no target holds them.
     """
 
     tokens: list[int]
     most: int
-    holders: list[target_list.Entry]
+    holders: list[int]
     shared: int
     home: ids.TargetId
 
@@ -183,7 +183,8 @@
             return None
         if not best.is_fetched:
             return best.placement
-        source = self._choose_source(best.placement.target, kept.holders)
+        holders = [targets[place] for place in kept.holders]
+        source = self._choose_source(best.placement.target, holders)
         return dataclasses.replace(best.placement, fetch_from=source)
 
     def _sample(
@@ -200,10 +201,8 @@
             return range(len(targets))
         places = range(len(targets))
         chosen = set(self.draw.sample(places, count))
-        holders = [
-            i for i in places if kept.most and kept.tokens[i] == kept.most
-        ]
-        chosen.update(self.draw.sample(holders, min(count, len(holders))))
+        few = min(count, len(kept.holders))
+        chosen.update(self.draw.sample(kept.holders, few))
         chosen.update(i for i in places if targets[i].name == kept.home)
         return sorted(chosen)
 
@@ -254,9 +253,7 @@
         most = max(tokens)
         holders = []
         if most > 0:
-            holders = [
-                t for t, n in zip(targets, tokens, strict=True) if n == most
-            ]
+            holders = [i for i, count in enumerate(tokens) if count == most]
         shared_parts = prompt.parts[:-1]
         key = shared_parts[-1].name if shared_parts else ""
         home = rendezvous.choose(key, (entry.name for entry in targets))
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
@@ -45,43 +45,17 @@
     loads: dict[ids.TargetId, loads_lib.Load] = {}
     uses: dict[tuple[ids.PoolId, ids.WorkspaceId], list[float]] = {}
     for term in terms:
-        sign = term.sign
-        recent_sign = sign * math.exp(-term.age_s / loads_lib.RECENT_S)
-        use_sign = sign * math.exp(-term.age_s / window_s)
-        outcome_sign = sign * math.exp(-term.age_s / loads_lib.OUTCOME_S)
+        use_sign = term.sign * math.exp(-term.age_s / window_s)
         for item in term.work.loads:
             load = loads.setdefault(item.target, loads_lib.Load())
-            load.unread += item.unread * sign
-            load.running += item.running * sign
-            load.held += item.held * sign
-            load.recent += item.recent * recent_sign
-            load.outcomes += item.outcomes * outcome_sign
-            load.failures += item.failures * outcome_sign
+            load.add_reported(item, term.age_s, term.sign)
         for use in term.work.uses:
             amounts = uses.setdefault((use.pool, use.workspace), [0.0, 0.0])
             amounts[0] += use.cost * use_sign
             amounts[1] += use.asked * use_sign
-    return Work(_list_loads(loads), _list_uses(uses))
-
-
-def _list_loads(
-    sums: dict[ids.TargetId, loads_lib.Load],
-) -> tuple[messages.TargetLoad, ...]:
-    return tuple(
-        messages.TargetLoad(
-            target,
-            max(load.unread, 0.0),
-            max(load.running, 0),
-            max(load.held, 0.0),
-            max(load.recent, 0.0),
-            max(load.outcomes, 0.0),
-            max(load.failures, 0.0),
-        )
-        for target, load in sums.items()
-        if load.running > 0
-        or load.recent >= 1.0
-        or load.outcomes >= loads_lib.LEAST_OUTCOMES
-    )
+    reports = (load.report(target) for target, load in loads.items())
+    listed = tuple(report for report in reports if report is not None)
+    return Work(listed, _list_uses(uses))
 
 
 def _list_uses(
