Tests: make six unsteady process tests steady

Causes: ports that were found free and released were taken by other runs; the test client and the servers both kept an idle connection for 5 s; callers used up their 40 attempts within 2 s while routers restarted; bookings could end between the look that saw them run and the pause of their router. Changes: a run owns a block of ports below those of outgoing connections; the client closes idle connections after 2 s; only time limits retries; the stand-in holds bookings until the router is paused.

--- a/bench/once_processes.py
+++ b/bench/once_processes.py
@@ -249,4 +249,4 @@
             return all(are_met)
         finally:
             fleet.processes.kill_remaining()
-            await fleet.http.aclose()
+            await fleet.release()
--- a/bench/path.py
+++ b/bench/path.py
@@ -288,7 +288,7 @@
             await fleet.processes.stop([ROUTER])
         finally:
             fleet.processes.kill_remaining()
-            await fleet.http.aclose()
+            await fleet.release()
 
 
 def choose_settings() -> fleet_lib.Settings:
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -15,10 +15,15 @@
 
 from demo import addresses
 from demo import catalogue
+from demo import ports
 from demo import processes
 
 APPLY_TIMEOUT_S = 40.0
 """Time limit for publishing the catalogue."""
+HTTP_LIMITS = httpx.Limits(keepalive_expiry=2.0)
+"""Lets the client close a connection that was idle for 2 s, before a server
+does after 5 s. A request that is sent while its server closes the connection
+fails."""
 LOG = "log"
 """Process name of the log service."""
 INSTANCES = "instances"
@@ -91,6 +96,7 @@
         instances: the routers' entries on the instance list, by router.
         engines: the model engines.
         bookings: the bookings services.
+        port_block: source of `ports`.
         ports: free ports that are still to be used.
         target_url_overrides: by target, the URL that the catalogue gets
             instead of the target's own, for instance that of a proxy.
@@ -104,9 +110,10 @@
         self.instances: dict[str, InstanceEntry] = {}
         self.engines: list[catalogue.TargetSpec] = []
         self.bookings: list[catalogue.TargetSpec] = []
+        self.port_block = ports.PortBlock()
         self.ports: list[int] = []
         self.target_url_overrides: dict[str, str] = {}
-        self.http = httpx.AsyncClient(trust_env=False)
+        self.http = httpx.AsyncClient(trust_env=False, limits=HTTP_LIMITS)
 
     async def start(self, workspaces: list[catalogue.WorkspaceSpec]) -> None:
         """Starts all processes and waits until all routers are ready.
@@ -117,12 +124,13 @@
         Raises:
             StartError: a process was not ready in time or exited, or the
                 catalogue couldn't be published.
+            NoFreePortError: the fleet needs more ports than are free.
             httpx.HTTPError: the instance list did not accept a router.
         """
         settings = self.settings
         stand_in_count = 2 + settings.engines + settings.bookings
         port_count = stand_in_count + 2 * settings.routers
-        self.ports = processes.find_free_ports(port_count)
+        self.ports = self.port_block.take(port_count)
         await self._start_stand_ins()
         await self._start_routers()
         await self._publish_catalogue(workspaces)
@@ -135,7 +143,12 @@
         others = [name for name in all_names if name not in self.instances]
         await self.processes.stop(routers)
         await self.processes.stop(others)
+        await self.release()
+
+    async def release(self) -> None:
+        """Closes the HTTP client and gives the ports up."""
         await self.http.aclose()
+        self.port_block.close()
 
     def list_addresses(self) -> list[addresses.Address]:
         """Returns the addresses of all routers."""
@@ -195,12 +208,12 @@
     def _start_stand_in(self, name: str, module: str, *flags: str) -> str:
         """Starts a module of `tests.standins` and returns its URL."""
         port = self.ports.pop()
-        url = f"http://{processes.HOST}:{port}"
+        url = f"http://{ports.HOST}:{port}"
         self.processes.start(
             name,
             url,
             f"tests.standins.{module}",
-            f"--host={processes.HOST}",
+            f"--host={ports.HOST}",
             f"--port={port}",
             *flags,
         )
@@ -283,15 +296,15 @@
             name=name,
             data_centre=data_centre,
             state="live",
-            url=f"http://{processes.HOST}:{http}",
-            peer_host=processes.HOST,
+            url=f"http://{ports.HOST}:{http}",
+            peer_host=ports.HOST,
             peer_port=peer,
         )
         return {
             "instance": name,
             "data_centre": data_centre,
-            "http": {"host": processes.HOST, "port": http},
-            "peer": {"host": processes.HOST, "port": peer},
+            "http": {"host": ports.HOST, "port": http},
+            "peer": {"host": ports.HOST, "port": peer},
             "platform": {
                 "log_url": self._url(LOG),
                 "instance_list_url": self._url(INSTANCES),
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -5,13 +5,11 @@
 import dataclasses
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
 import httpx
 
-HOST = "127.0.0.1"
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.05
 STOP_TIMEOUT_S = 20.0
@@ -29,21 +27,6 @@
     """
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Returns different free ports.
-
-    They are bound at the same time, so that none is found twice. Another
-    program may take one before it is used.
-    """
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind((HOST, 0))
-            ports.append(sock.getsockname()[1])
-        return ports
-
-
 @dataclasses.dataclass(slots=True)
 class Process:
     """A process and how it ended.
--- a/tests/forwarding/platform_world.py
+++ b/tests/forwarding/platform_world.py
@@ -9,13 +9,15 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 
 import httpx
 
+from demo import fleet as fleet_lib
+from demo import ports
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "studio.example"
 API_KEY = "key-1"
@@ -26,12 +28,6 @@
 _REQUEST_NUMBERS = itertools.count(1)
 
 
-def _find_free_port(ip: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
-
-
 def _compute_loopback_ip(number: int) -> str:
     """Returns a loopback address that differs for each process and number.
 
@@ -53,6 +49,7 @@
     Attributes:
         folder: directory of the log and settings files of the processes.
         http: client for requests to all processes.
+        port_block: ports of all processes.
         processes: the processes started, by name; "store" is the store.
         routers: addresses that each router listens on, by name of the router
             and then by role: "front", "ready" or "directory".
@@ -64,11 +61,14 @@
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
-        self.http = httpx.AsyncClient(trust_env=False, timeout=10.0)
+        self.http = httpx.AsyncClient(
+            trust_env=False, timeout=10.0, limits=fleet_lib.HTTP_LIMITS
+        )
+        self.port_block = ports.PortBlock()
         self.processes: dict[str, subprocess.Popen] = {}
         self.routers: dict[str, dict[str, str]] = {}
         self.targets: dict[str, str] = {}
-        self.store_address = f"127.0.0.1:{_find_free_port('127.0.0.1')}"
+        self.store_address = f"{ports.HOST}:{self._take_port()}"
         self.version = 0
         self.python_path = os.pathsep.join(
             str(ROOT / part)
@@ -109,6 +109,11 @@
                 process.kill()
             process.wait()
         await self.http.aclose()
+        self.port_block.close()
+
+    def _take_port(self) -> int:
+        (port,) = self.port_block.take(1)
+        return port
 
     async def publish(self, *prefixes: str) -> None:
         """Writes a new version of the configuration to the store.
@@ -157,10 +162,10 @@
 
     async def add_target(self, name: str) -> None:
         """Starts a target and registers it in the store as ready."""
-        port = _find_free_port("127.0.0.1")
-        self.targets[name] = f"127.0.0.1:{port}"
+        port = self._take_port()
+        self.targets[name] = f"{ports.HOST}:{port}"
         module = "tests.standins.opaque_target"
-        self._spawn(name, "-m", module, "127.0.0.1", str(port), name)
+        self._spawn(name, "-m", module, ports.HOST, str(port), name)
         await self.write_target_entry(name, "ready")
 
     async def write_target_entry(self, name: str, state: str) -> None:
@@ -191,11 +196,11 @@
             ip: loopback address that only this router uses.
         """
         listen = {
-            role: f"{ip}:{_find_free_port(ip)}"
+            role: f"{ip}:{self._take_port()}"
             for role in ("front", "ready", "directory")
         }
         self.routers[name] = listen
-        inner_port = _find_free_port(ip)
+        inner_port = self._take_port()
         settings = {
             "node": name,
             "ip": ip,
--- a/tests/processes/disturbances.py
+++ b/tests/processes/disturbances.py
@@ -26,7 +26,12 @@
 
 
 async def pause_router(world: World) -> ScenarioRecord:
-    """Pauses router-1 while it runs bookings, until all callers are done."""
+    """Pauses router-1 while it runs bookings, until all callers are done.
+
+    The bookings are held until the router is paused: it then has the claims of
+    bookings that run, whatever the speed of the machine.
+    """
+    await world.set_faults("bookings-1", hold=True)
     tasks = world.send(
         world.make_bookings(BOOKING_COUNT, SHORT_DEADLINE_MS),
         world.list_addresses("router-1"),
@@ -35,6 +40,7 @@
     )
     await world.wait_until_busy("bookings-1", MIN_BUSY_REQUESTS)
     world.send_signal("router-1", signal.SIGSTOP)
+    await world.set_faults("bookings-1")
     await asyncio.wait(tasks)
     world.send_signal("router-1", signal.SIGCONT)
     return await world.conclude(tasks)
--- a/tests/processes/relay.py
+++ b/tests/processes/relay.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 import contextlib
 
-from demo import processes
+from demo import ports
 
 CHUNK_BYTES = 65536
 
@@ -31,11 +31,9 @@
 
     async def start(self) -> str:
         """Starts listening; returns the URL of the relay."""
-        self.server = await asyncio.start_server(
-            self._accept, processes.HOST, 0
-        )
+        self.server = await asyncio.start_server(self._accept, ports.HOST, 0)
         port = self.server.sockets[0].getsockname()[1]
-        return f"http://{processes.HOST}:{port}"
+        return f"http://{ports.HOST}:{port}"
 
     def freeze(self) -> None:
         """Stops forwarding on all open connections, but not on new ones."""
@@ -71,7 +69,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         upstream_reader, upstream_writer = await asyncio.open_connection(
-            processes.HOST, self.get_port()
+            ports.HOST, self.get_port()
         )
         try:
             async with asyncio.TaskGroup() as task_group:
--- a/tests/processes/test_cold_start.py
+++ b/tests/processes/test_cold_start.py
@@ -10,7 +10,6 @@
 
 from demo import caller as caller_lib
 from demo import fleet as fleet_lib
-from demo import processes
 from lentilbeam_core import outcome as outcome_lib
 from tests.processes import linked_fleet
 from tests.processes import links
@@ -102,7 +101,7 @@
         fleet = self.fleet
         relay = await links.open_peer_relay(name, fleet.rules)
         fleet.peer_relays[name] = relay
-        fleet.ports += processes.find_free_ports(2)
+        fleet.ports += fleet.port_block.take(2)
         await fleet.start_router(name)
 
     async def _call_router_with_peers(self) -> None:
--- a/tests/processes/test_process_failures.py
+++ b/tests/processes/test_process_failures.py
@@ -155,7 +155,7 @@
         )
     finally:
         fleet.processes.kill_remaining()
-        await fleet.http.aclose()
+        await fleet.release()
 
 
 async def read_run_counts(fleet: fleet_lib.Fleet) -> dict[str, int]:
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -35,7 +35,9 @@
 WORKSPACES = catalogue.list_workspaces()[:2]
 MAX_TOKENS = 80
 DEADLINE_MS = 20000
-MANY_ATTEMPTS = caller_lib.Settings(max_attempts=40, retry_limit_s=30.0)
+MANY_ATTEMPTS = caller_lib.Settings(max_attempts=1000, retry_limit_s=30.0)
+"""Callers that only the time limit stops. Refused connections fail at once, so
+a caller makes some 20 attempts a second while the routers restart."""
 POLL_INTERVAL_S = 0.02
 
 
@@ -82,7 +84,7 @@
         self.fleet.processes.kill_remaining()
         for relay in self.relays.values():
             await relay.stop()
-        await self.fleet.http.aclose()
+        await self.fleet.release()
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process."""
--- a/tests/standins/bookings.py
+++ b/tests/standins/bookings.py
@@ -91,6 +91,7 @@
         async with slots.hold():
             counts[f"{data.workspace}/{data.request_id}"] += 1
             await asyncio.sleep(busy_ms / 1000)
+            await faults.wait_while_held()
         if faults.consume("lose_answers"):
             await server.drop_connection(request)
         return _apply_answer_faults(_build_answer(name, data, busy_ms), faults)
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -22,6 +22,7 @@
 )
 SHUTDOWN_GRACE_S = 1
 DROP_PAUSE_S = 0.01
+HOLD_POLL_S = 0.01
 
 
 class TargetFaults(msgspec.Struct):
@@ -39,6 +40,8 @@
         lose_answers: how many of the next calls run, but get their connection
             closed without a response.
         draining: refuse new requests with 503.
+        hold: keep calls running, and their slots in use, until the fault is
+            removed.
     """
 
     fail_fast: bool = False
@@ -47,6 +50,14 @@
     truncate: int = 0
     lose_answers: int = 0
     draining: bool = False
+    hold: bool = False
+
+    async def wait_while_held(self) -> None:
+        """Waits until the fault `hold` is removed."""
+        while True:
+            if not self.hold:
+                return
+            await asyncio.sleep(HOLD_POLL_S)
 
     def consume(self, name: str) -> bool:
         """Decrements a counted fault; returns whether it was injected.
