Bound the work of a pass over the queue

Cause: with 45 full engines and 30 workspaces waiting, a pass over the queue took 16.7 ms on an idle core: it weighed three requests of each workspace at each engine, and hashed all names of the pool for each. Change: a pass skips share statuses for which no target has a free slot, ends after 16 requests tried in vain and begins the next time with those it left out, remembers home targets and sums of loads, and finds holders of prompt parts by an index. Passes take a quarter of a router's time at most. A request whose deadline has passed is not placed any more.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -8,10 +8,11 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import enum
+import heapq
 import itertools
-import math
 import random
 
 from lentilbeam_core import ids
@@ -27,6 +28,11 @@
     shares.ShareStatus.ABOVE_FAIR_SHARE: placement_lib.ABOVE_FAIR_SHARE_BOUNDS,
 }
 
+MAX_FAILED_CHOICES = 16
+"""Number of requests that a pass tries in vain before it ends.
+
+The next pass begins with the workspaces that this one left out, so that a pass
+takes about as long with a thousand waiting requests as with a dozen."""
 MAX_HEAD_CANDIDATES = 3
 """Number of requests at the head of a workspace's queue that are tried each
 time it is the workspace's turn.
@@ -124,6 +130,8 @@
             same value applies to each engine pool. 0 if unknown; then no
             workspace counts as above its guarantee.
         queues: queued requests of each workspace, in arrival order.
+        left_out: workspaces that the last pass did not get to.
+        failed_choices: requests that the current pass has tried in vain.
     """
 
     def __init__(
@@ -141,6 +149,8 @@
         self.queues: dict[
             ids.WorkspaceId, collections.deque[QueuedRequest]
         ] = {}
+        self.left_out: set[ids.WorkspaceId] = set()
+        self.failed_choices = 0
 
     def enqueue(
         self,
@@ -208,35 +218,62 @@
             A `Placed` for each request to send, and a `Refused` for each
             request that has expired.
         """
-        decisions: list[Decision] = []
-        order = sorted(
-            self.queues,
-            key=lambda name: (self.usage.total_served(name, now), name),
+        decisions = self._refuse_where(
+            lambda queued: queued.request.deadline_at <= now, targets, now
         )
-        while order:
-            workspace = order.pop(0)
-            placed = self._place_one(workspace, targets, now)
+        # Refreshes the sums that `Placer.has_room` uses.
+        for entry in targets[:1]:
+            self.placer.loads.total(entry.name, now)
+        full_bounds: set[placement_lib.Bounds] = set()
+        order = [
+            (
+                name not in self.left_out,
+                self.usage.total_served(name, now),
+                name,
+            )
+            for name in self.queues
+        ]
+        heapq.heapify(order)
+        self.failed_choices = 0
+        while order and self.failed_choices < MAX_FAILED_CHOICES:
+            _, _, workspace = heapq.heappop(order)
+            bounds = BOUNDS_BY_SHARE_STATUS[
+                self._find_share_status(workspace, now)
+            ]
+            # A placement takes room, so full bounds stay full in this pass.
+            if bounds in full_bounds:
+                continue
+            if not self.placer.has_room(targets, bounds):
+                full_bounds.add(bounds)
+                continue
+            placed = self._place_one(workspace, targets, bounds, now)
             if placed is None:
                 continue
             decisions.append(placed)
             if workspace in self.queues:
-                order.append(workspace)
-                order.sort(key=lambda n: (self.usage.total_served(n, now), n))
+                served = self.usage.total_served(workspace, now)
+                heapq.heappush(order, (True, served, workspace))
+        remaining = {workspace for _, _, workspace in order}
+        # Those left out twice go first before the others get another turn.
+        self.left_out = (remaining & self.left_out) or remaining
         return decisions + self._refuse_expired(targets, now)
 
     def _place_one(
         self,
         workspace: ids.WorkspaceId,
         targets: list[target_list.Entry],
+        bounds: placement_lib.Bounds,
         now: float,
     ) -> Placed | None:
         queue = self.queues[workspace]
-        bounds = BOUNDS_BY_SHARE_STATUS[self._find_share_status(workspace, now)]
         for queued in itertools.islice(queue, MAX_HEAD_CANDIDATES):
-            usable = [t for t in targets if t.name not in queued.excluded]
+            usable = targets
+            if queued.excluded:
+                usable = [t for t in targets if t.name not in queued.excluded]
             placement = self.placer.choose(queued.request, usable, bounds, now)
             if placement is not None:
                 break
+            self.failed_choices += 1
         else:
             return None
         queue.remove(queued)
@@ -256,29 +293,47 @@
     def _refuse_expired(
         self, targets: list[target_list.Entry], now: float
     ) -> list[Decision]:
-        refused = []
-        for workspace, queue in list(self.queues.items()):
-            latest_queued_at = -math.inf
-            status = self._find_share_status(workspace, now)
-            if status in (
+        latest_queued_at = now - self.settings.at_fair_share_wait_s
+        waits_briefly = {
+            workspace: self._find_share_status(workspace, now)
+            in (
                 shares.ShareStatus.AT_FAIR_SHARE,
                 shares.ShareStatus.ABOVE_FAIR_SHARE,
-            ):
-                latest_queued_at = now - self.settings.at_fair_share_wait_s
-            expired = [
-                queued
-                for queued in queue
-                if queued.refuse_at <= now
-                or queued.queued_at <= latest_queued_at
-            ]
-            for queued in expired:
-                queue.remove(queued)
-                reason = RefusalReason.NO_ROOM
-                if not targets:
-                    reason = RefusalReason.NO_TARGET
-                refused.append(self.refuse(queued.request, reason, now))
-            if not queue:
+            )
+            for workspace in self.queues
+        }
+        return self._refuse_where(
+            lambda queued: (
+                queued.refuse_at <= now
+                or (
+                    queued.queued_at <= latest_queued_at
+                    and waits_briefly[queued.request.workspace]
+                )
+            ),
+            targets,
+            now,
+        )
+
+    def _refuse_where(
+        self,
+        is_refused: Callable[[QueuedRequest], bool],
+        targets: list[target_list.Entry],
+        now: float,
+    ) -> list[Decision]:
+        """Removes the requests for which `is_refused` returns True."""
+        reason = RefusalReason.NO_ROOM if targets else RefusalReason.NO_TARGET
+        refused: list[Decision] = []
+        for workspace, queue in list(self.queues.items()):
+            kept = collections.deque()
+            for queued in queue:
+                if is_refused(queued):
+                    refused.append(self.refuse(queued.request, reason, now))
+                else:
+                    kept.append(queued)
+            if not kept:
                 del self.queues[workspace]
+            elif len(kept) < len(queue):
+                self.queues[workspace] = kept
         return refused
 
     def _find_share_status(
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -143,6 +143,9 @@
         peers: the last report of each peer.
         peer_sums: load from all peers as of `summed_at`, by target.
         summed_at: when `peer_sums` was computed, monotonic seconds.
+        totals: results of `total` as of `totals_at`, by target; a scheduling
+            pass asks for the same ones many times.
+        totals_at: monotonic seconds.
     """
 
     def __init__(self):
@@ -154,6 +157,8 @@
         self.peers: dict[ids.InstanceId, PeerReport] = {}
         self.peer_sums: dict[ids.TargetId, Load] = {}
         self.summed_at = -math.inf
+        self.totals: dict[ids.TargetId, Load] = {}
+        self.totals_at = -math.inf
 
     def start_request(
         self,
@@ -177,6 +182,7 @@
         load = Load(unread, 1, held)
         self.own_loads[target].add(load)
         self.placed_requests[request_id] = PlacedRequest(target, load)
+        self.totals.pop(target, None)
 
     def note_prefill_done(self, request_id: str) -> None:
         """Records that a target has processed a request's prompt.
@@ -187,12 +193,14 @@
         if placed is not None:
             self.own_loads[placed.target].unread -= placed.load.unread
             placed.load.unread = 0.0
+            self.totals.pop(placed.target, None)
 
     def end_request(self, request_id: str) -> None:
         """Records that a request has ended or was given up."""
         placed = self.placed_requests.pop(request_id, None)
         if placed is not None:
             self.own_loads[placed.target].add(placed.load, -1)
+            self.totals.pop(placed.target, None)
 
     def note_outcome(
         self, target: ids.TargetId, is_failure: bool, now: float
@@ -207,6 +215,7 @@
         for sums, amount in ((self.outcomes, 1.0), (self.failures, is_failure)):
             outcomes = sums.setdefault(target, decayed.DecayingSum())
             outcomes.add(amount, now, OUTCOME_DECAY_S)
+        self.totals.pop(target, None)
 
     def apply_report(
         self,
@@ -230,9 +239,20 @@
         self.summed_at = -math.inf
 
     def total(self, target: ids.TargetId, now: float) -> Load:
-        """Returns the load of `target` from this router and its known peers."""
+        """Returns the load of `target` from this router and its known peers.
+
+        The result must not be changed.
+        """
         if now - self.summed_at > PEER_SUMS_MAX_AGE_S:
             self._sum_peers(now)
+        if now != self.totals_at:
+            self.totals_at = now
+            self.totals.clear()
+        if target not in self.totals:
+            self.totals[target] = self._sum(target, now)
+        return self.totals[target]
+
+    def _sum(self, target: ids.TargetId, now: float) -> Load:
         total = Load()
         peers = self.peer_sums.get(target)
         if peers is not None:
@@ -244,6 +264,12 @@
         total.add(self._read_own(target, now))
         return total
 
+    def count_running(self, target: ids.TargetId) -> int:
+        """Returns the requests that run at `target`, as of the last `total`."""
+        own = self.own_loads.get(target)
+        peers = self.peer_sums.get(target)
+        return (own.running if own else 0) + (peers.running if peers else 0)
+
     def export(self, now: float) -> list[messages.TargetLoad]:
         """Returns this router's own loads as messages to its peers."""
         targets = self.own_loads.keys() | self.outcomes.keys()
@@ -261,6 +287,7 @@
                 self.failures,
             ):
                 table.pop(target, None)
+            self.totals.pop(target, None)
 
     def _read_own(self, target: ids.TargetId, now: float) -> Load:
         load = Load()
@@ -283,6 +310,7 @@
         """
         self.summed_at = now
         self.peer_sums = {}
+        self.totals.clear()
         for report in self.peers.values():
             age_s = now - report.received_at
             if age_s >= PEER_REPORT_MAX_AGE_S:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -56,6 +56,10 @@
 """For workspaces that received more service than their fair share."""
 
 
+MAX_KNOWN_HOMES = 10_000
+"""Number of keys whose home target is remembered."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """Settings of placement.
@@ -178,6 +182,8 @@
         rng: random number generator.
         caches: estimated cache contents of the pool's targets.
         rates: estimated prefill rates of the pool's targets.
+        homes: home targets among `home_candidates`, by the hashed key.
+        home_candidates: targets of the last placement.
     """
 
     def __init__(
@@ -196,6 +202,8 @@
         self.caches = prompt_cache.PromptCaches(0)
         self.update_pool(pool)
         self.rates = prefill_rates.PrefillRates(prefill_rates.Settings())
+        self.homes: dict[str, ids.TargetId] = {}
+        self.home_candidates: tuple[ids.TargetId, ...] = ()
 
     def update_pool(self, pool: configuration.Pool) -> None:
         """Applies a new configuration of the pool."""
@@ -204,6 +212,25 @@
             pool.engine.cache_tokens if pool.engine else 0
         )
 
+    def has_room(
+        self, targets: list[target_list.Entry], bounds: Bounds
+    ) -> bool:
+        """Returns whether any target has a free slot within the bounds.
+
+        If not, `choose` finds no placement for any request.
+
+        Args:
+            targets: targets that may get a request.
+            bounds: limits on the load of a target.
+        """
+        fraction = self.settings.plain_overcommit
+        if self.pool.engine is not None:
+            fraction = bounds.slots_fraction
+        return any(
+            self.loads.count_running(entry.name) < entry.slots * fraction
+            for entry in targets
+        )
+
     def choose(
         self,
         request: requests.Request,
@@ -317,10 +344,8 @@
     def _find_cached(
         self, prompt: requests.Prompt, targets: list[target_list.Entry]
     ) -> _CachedPrefix:
-        tokens = [
-            self.caches.count_cached(entry.name, prompt.parts)
-            for entry in targets
-        ]
+        counts = self.caches.count_cached_by_target(prompt.parts)
+        tokens = [counts.get(entry.name, 0) for entry in targets]
         max_cached_tokens = max(tokens)
         holders = []
         if max_cached_tokens > 0:
@@ -331,12 +356,29 @@
             ]
         shared_parts = prompt.parts[:-1]
         key = shared_parts[-1].name if shared_parts else ""
-        home_target = rendezvous.choose(key, (entry.name for entry in targets))
+        home_target = self._find_home(key, targets)
         shared_tokens = sum(part.tokens for part in shared_parts)
         return _CachedPrefix(
             tokens, max_cached_tokens, holders, shared_tokens, home_target
         )
 
+    def _find_home(
+        self, key: str, targets: list[target_list.Entry]
+    ) -> ids.TargetId:
+        """Returns the home target of a key among the targets.
+
+        The home targets of the last list of targets are remembered, since
+        hashing the names of a whole pool takes longer than the rest of a
+        placement.
+        """
+        names = tuple(entry.name for entry in targets)
+        if names != self.home_candidates or len(self.homes) >= MAX_KNOWN_HOMES:
+            self.home_candidates = names
+            self.homes = {}
+        if key not in self.homes:
+            self.homes[key] = rendezvous.choose(key, names)
+        return self.homes[key]
+
     def _evaluate(
         self,
         request: requests.Request,
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/prompt_cache.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/prompt_cache.py
@@ -34,7 +34,7 @@
 
     def add_parts(
         self, parts: Iterable[requests.Part], capacity: float
-    ) -> None:
+    ) -> list[str]:
         """Adds the parts of a prompt that the target processes.
 
         Args:
@@ -42,6 +42,9 @@
             capacity: number of tokens that the target's KV cache can hold
                 besides running requests; least recently used parts beyond it
                 are evicted.
+
+        Returns:
+            Names of the evicted parts.
         """
         # The first parts are shared by the most requests. They are moved to the
         # end last, so that they are evicted after the others.
@@ -50,9 +53,12 @@
                 self.parts[part.name] = part.tokens
                 self.tokens += part.tokens
             self.parts.move_to_end(part.name)
+        evicted = []
         while self.tokens > capacity and len(self.parts) > 1:
-            _, tokens = self.parts.popitem(last=False)
+            name, tokens = self.parts.popitem(last=False)
             self.tokens -= tokens
+            evicted.append(name)
+        return evicted
 
     def count_cached(self, parts: Iterable[requests.Part]) -> int:
         """Returns how many leading tokens of a prompt are cached."""
@@ -70,11 +76,14 @@
     Attributes:
         cache_tokens: size of each target's KV cache, in tokens.
         targets: cache contents by target.
+        holders: targets that have cached a part, by the name of the part. A
+            look-up then costs the same in a pool of any size.
     """
 
     def __init__(self, cache_tokens: int):
         self.cache_tokens = cache_tokens
         self.targets: dict[ids.TargetId, TargetCache] = {}
+        self.holders: dict[str, set[ids.TargetId]] = {}
 
     def add_parts(
         self,
@@ -92,15 +101,42 @@
         if target not in self.targets:
             self.targets[target] = TargetCache()
         capacity = max(self.cache_tokens - held, 0.0) * CAPACITY_SAFETY_FACTOR
-        self.targets[target].add_parts(parts, capacity)
+        parts = tuple(parts)
+        for part in parts:
+            self.holders.setdefault(part.name, set()).add(target)
+        evicted = self.targets[target].add_parts(parts, capacity)
+        self._remove_holder(evicted, target)
 
-    def count_cached(
-        self, target: ids.TargetId, parts: Iterable[requests.Part]
-    ) -> int:
-        """Returns how many leading tokens of a prompt `target` has cached."""
-        cache = self.targets.get(target)
-        return cache.count_cached(parts) if cache is not None else 0
+    def count_cached_by_target(
+        self, parts: Iterable[requests.Part]
+    ) -> dict[ids.TargetId, int]:
+        """Returns how many leading tokens of a prompt each target has cached.
+
+        Targets that have cached none are left out.
+        """
+        counts: dict[ids.TargetId, int] = {}
+        holders: set[ids.TargetId] | None = None
+        tokens = 0
+        for part in parts:
+            with_part = self.holders.get(part.name, set())
+            holders = with_part if holders is None else holders & with_part
+            if not holders:
+                break
+            tokens += part.tokens
+            counts.update(dict.fromkeys(holders, tokens))
+        return counts
 
     def forget(self, target: ids.TargetId) -> None:
         """Removes a target that has restarted or is no longer listed."""
-        self.targets.pop(target, None)
+        cache = self.targets.pop(target, None)
+        if cache is not None:
+            self._remove_holder(cache.parts, target)
+
+    def _remove_holder(
+        self, parts: Iterable[str], target: ids.TargetId
+    ) -> None:
+        for name in parts:
+            holders = self.holders[name]
+            holders.discard(target)
+            if not holders:
+                del self.holders[name]
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -24,6 +24,10 @@
 of peers arrive about as often."""
 MIN_DECIDE_INTERVAL_S = 0.02
 """Shortest time, in seconds, until the timer processes the queue again."""
+MAX_PASS_TIME_FRACTION = 0.25
+"""Largest fraction of a router's time that passes over the queue may take. On a
+slow or busy instance, passes become rarer instead of delaying everything
+else."""
 
 
 class Dispatcher:
@@ -43,6 +47,8 @@
         placed: prompt parts of each request placed since the last report.
         timer: next call of `decide`; None if no request waits.
         avoided: targets that fail more often than the rest of the pool.
+        next_pass_at: earliest time of the next pass over the queue, monotonic
+            seconds.
         avoided_checked_at: when `avoided` was computed, monotonic seconds.
         is_changed: whether the work changed since the last report.
     """
@@ -75,6 +81,7 @@
         self.waiters: dict[str, asyncio.Future[admission.Decision]] = {}
         self.placed: list[tuple[messages.PlacedPart, ...]] = []
         self.timer: asyncio.TimerHandle | None = None
+        self.next_pass_at = -math.inf
         self.avoided: set[ids.TargetId] = set()
         self.avoided_checked_at = -math.inf
         self.is_changed = False
@@ -164,17 +171,33 @@
         self.ejector.record_success(target)
 
     def decide(self) -> None:
-        """Processes the queue: places or refuses requests, wakes waiters."""
+        """Processes the queue: places or refuses requests, wakes waiters.
+
+        If the last pass ended only a moment ago, a timer does it later.
+        """
         if not self.admission.queues:
             return
         now = self.clock.monotonic()
+        if now < self.next_pass_at:
+            self._set_timer(self.next_pass_at, now)
+            return
         for decision in self.admission.decide(self.find_usable(), now):
             if isinstance(decision, admission.Placed):
                 self._note_placed(decision)
             future = self.waiters.get(decision.request.request_id)
             if future is not None and not future.done():
                 future.set_result(decision)
-        self._schedule(now)
+        ended_at = self.clock.monotonic()
+        self.next_pass_at = ended_at + (ended_at - now) * (
+            1 / MAX_PASS_TIME_FRACTION - 1
+        )
+        refusal_at = self.admission.next_refusal_at()
+        if refusal_at is not None:
+            next_at = max(refusal_at, now + MIN_DECIDE_INTERVAL_S)
+            self._set_timer(next_at, ended_at)
+        elif self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
 
     def take_placed(
         self, include_last: bool
@@ -315,16 +338,13 @@
         if future.done() and not future.cancelled():
             self.note_end(request.request_id)
 
-    def _schedule(self, now: float) -> None:
+    def _set_timer(self, at: float, now: float) -> None:
+        """Makes the timer process the queue at `at`, in monotonic seconds."""
         if self.timer is not None:
             self.timer.cancel()
-            self.timer = None
-        deadline = self.admission.next_refusal_at()
-        if deadline is not None:
-            loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(
-                max(deadline - now, MIN_DECIDE_INTERVAL_S), self.decide
-            )
+        self.timer = asyncio.get_running_loop().call_later(
+            max(at - now, 0.0), self.decide
+        )
 
 
 def _round_level(level: float) -> int | None:
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -192,5 +192,5 @@
     parts = makers.make_parts(("a", 600), ("b", 600))
     for part in parts:
         placer.note_prompt_placed("t", (part,), 0.0)
-    assert placer.caches.count_cached("t", parts[:1]) == 0
-    assert placer.caches.count_cached("t", parts[1:]) == 600
+    assert placer.caches.count_cached_by_target(parts[:1]) == {}
+    assert placer.caches.count_cached_by_target(parts[1:]) == {"t": 600}
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -212,7 +212,8 @@
 
 def test_last_part_of_a_prompt_is_reported_only_if_requested():
     router = in_process_router.InProcessRouter([makers.make_target("t")])
-    request = makers.make_request("r", ("shared", 500), ("own", 100))
+    now = router.dispatcher.clock.monotonic()
+    request = makers.make_request("r", ("shared", 500), ("own", 100), now=now)
 
     async def place():
         await router.dispatcher.place(request)
