Serve a store that comes back older, and targets that leave or ask for quiet

Store-Era: every response of the store is checked. When the era rises, each follower drops what it waits for and reads anew, so no offset of an older era is used in the new one; a response of an earlier era is an error. Server-Leaving: the target gets no new request from then on; the notice is bound to the start of its process and travels in load reports. Retry-After with 503: the target gets no request from this router for the time. If all targets are quiet, requests that can't wait are refused with the time left. Headers that are invalid or given twice are logged once and ignored.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -206,13 +206,19 @@
         return min(times, default=None)
 
     def decide(
-        self, targets: list[target_list.Entry], now: float
+        self,
+        targets: list[target_list.Entry],
+        now: float,
+        usable_at: float | None = None,
     ) -> list[Decision]:
         """Removes from the queue all requests that can be sent or have expired.
 
         Args:
             targets: targets of the pool that may get a request now.
             now: monotonic seconds.
+            usable_at: if there is no target, when the first one will take
+                requests again, monotonic seconds; None if this is unknown. A
+                request that can't wait for it is refused at once.
 
         Returns:
             A `Placed` for each request to send, and a `Refused` for each
@@ -256,6 +262,8 @@
         remaining = {workspace for _, _, workspace in order}
         # Those left out twice go first before the others get another turn.
         self.left_out = (remaining & self.left_out) or remaining
+        if not targets and usable_at is not None:
+            decisions += self._refuse_until(usable_at, now)
         return decisions + self._refuse_expired(targets, now)
 
     def _place_one(
@@ -314,6 +322,25 @@
             now,
         )
 
+    def _refuse_until(self, usable_at: float, now: float) -> list[Decision]:
+        """Refuses the requests that can't wait until `usable_at`.
+
+        The retry delay is the time until then. It is spread like that of other
+        refusals, since all callers would return at once.
+        """
+        refused = self._refuse_where(
+            lambda queued: queued.refuse_at < usable_at, [], now
+        )
+        wait_s = usable_at - now
+        return [
+            dataclasses.replace(
+                decision,
+                retry_after_s=wait_s
+                + self.rng.uniform(0, self.settings.retry_after_range_s[0]),
+            )
+            for decision in refused
+        ]
+
     def _refuse_where(
         self,
         is_refused: Callable[[QueuedRequest], bool],
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -45,6 +46,8 @@
         outcomes: number of requests that ended at the target, decayed with
             `OUTCOME_DECAY_S`.
         failures: number of those that failed, decayed likewise.
+        leaving_start_ms: start of the process that is leaving, see
+            `messages.TargetLoad`.
     """
 
     unread: float = 0.0
@@ -53,6 +56,7 @@
     recent: float = 0.0
     outcomes: float = 0.0
     failures: float = 0.0
+    leaving_start_ms: int = 0
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or subtracts it if `sign` is -1."""
@@ -81,14 +85,21 @@
         self.recent += item.recent * recent_decay
         self.outcomes += item.outcomes * outcome_decay
         self.failures += item.failures * outcome_decay
+        # A fact, not an amount: it stays true when a report is subtracted.
+        self.leaving_start_ms = max(
+            self.leaving_start_ms, item.leaving_start_ms
+        )
 
     def report(self, target: ids.TargetId) -> messages.TargetLoad | None:
         """Returns the load as a message to peers.
 
-        None if nothing is running, less than 1 prompt token was sent recently
-        and fewer than `MIN_REPORTED_OUTCOMES` requests ended recently.
+        None if the target isn't known to be leaving, nothing is running, less
+        than 1 prompt token was sent recently and fewer than
+        `MIN_REPORTED_OUTCOMES` requests ended recently.
         """
-        is_busy = self.running > 0 or self.recent >= 1.0
+        is_busy = (
+            self.running > 0 or self.recent >= 1.0 or self.leaving_start_ms > 0
+        )
         if not is_busy and self.outcomes < MIN_REPORTED_OUTCOMES:
             return None
         return messages.TargetLoad(
@@ -99,6 +110,7 @@
             max(self.recent, 0.0),
             max(self.outcomes, 0.0),
             max(self.failures, 0.0),
+            self.leaving_start_ms,
         )
 
 
@@ -270,10 +282,22 @@
         peers = self.peer_sums.get(target)
         return (own.running if own else 0) + (peers.running if peers else 0)
 
-    def export(self, now: float) -> list[messages.TargetLoad]:
-        """Returns this router's own loads as messages to its peers."""
-        targets = self.own_loads.keys() | self.outcomes.keys()
-        reports = (self._read_own(t, now).report(t) for t in targets)
+    def export(
+        self, now: float, leaving: Mapping[ids.TargetId, int]
+    ) -> list[messages.TargetLoad]:
+        """Returns this router's own loads as messages to its peers.
+
+        Args:
+            now: monotonic seconds.
+            leaving: start of the leaving process of each target of the pool
+                that is leaving, Unix milliseconds.
+        """
+        targets = self.own_loads.keys() | self.outcomes.keys() | leaving.keys()
+        reports = []
+        for target in targets:
+            load = self._read_own(target, now)
+            load.leaving_start_ms = leaving.get(target, 0)
+            reports.append(load.report(target))
         return [report for report in reports if report is not None]
 
     def forget(self, target: ids.TargetId) -> None:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -4,6 +4,13 @@
 store may remove them. Entries removed shortly after the store is available
 again therefore stay in use for a grace period, in which a running target
 registers itself again.
+
+The store may come back from an older copy. Its entries then don't tell what has
+happened since: a target that left or was removed may be listed as ready again.
+What this router has read before goes first.
+
+A target may also give notice in its responses that it is leaving, or that it
+wants no requests from this router for a while.
 """
 
 import dataclasses
@@ -16,6 +23,16 @@
 again, as documented by the platform."""
 
 
+MAX_QUIET_S = 60.0
+"""Longest time, in seconds, for which a target can ask for no requests. What it
+asks beyond that is taken for a mistake."""
+REMEMBER_REMOVED_S = 60.0
+"""Time, in seconds, for which removed targets are remembered. The copy from
+which the store comes back is some seconds old."""
+UNKNOWN_START_MS = 1
+"""Stands for the start of a target whose entry doesn't tell it."""
+
+
 class TargetState(enum.Enum):
     """State of a target, as given in its entry."""
 
@@ -48,6 +65,24 @@
     state: TargetState
     started_at_ms: int = 0
 
+    @property
+    def start_ms(self) -> int:
+        """`started_at_ms`, or `UNKNOWN_START_MS` if it is unknown."""
+        return self.started_at_ms or UNKNOWN_START_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemovedTarget:
+    """A target that was removed from the list.
+
+    Attributes:
+        start_ms: start of its process, see `Entry.start_ms`.
+        removed_at: monotonic seconds.
+    """
+
+    start_ms: int
+    removed_at: float
+
 
 class TargetList:
     """All listed targets of all pools.
@@ -58,12 +93,21 @@
             period will be dropped, by name, monotonic seconds.
         store_returned_at: when the store was last found available again,
             monotonic seconds; None if it has never been unavailable.
+        leaving: start of the process that is leaving (`Entry.start_ms`), for
+            each target that its entry, a response or a peer has called
+            leaving. A target that restarts under the same name isn't.
+        quiet_until: until when each target has asked this router for no
+            requests, monotonic seconds.
+        removed: targets that were removed lately, by name.
     """
 
     def __init__(self):
         self.entries: dict[ids.TargetId, Entry] = {}
         self.pending_removals: dict[ids.TargetId, float] = {}
         self.store_returned_at: float | None = None
+        self.leaving: dict[ids.TargetId, int] = {}
+        self.quiet_until: dict[ids.TargetId, float] = {}
+        self.removed: dict[ids.TargetId, RemovedTarget] = {}
 
     def note_store_returned(self, now: float) -> None:
         """Starts a grace period: the store is available again."""
@@ -73,9 +117,85 @@
         """Adds or replaces an entry; returns the previous one, or None."""
         previous = self.entries.get(entry.name)
         self.pending_removals.pop(entry.name, None)
+        self.removed.pop(entry.name, None)
         self.entries[entry.name] = entry
+        if entry.state is TargetState.LEAVING:
+            self.note_leaving(entry.name, entry.start_ms)
+        elif previous and previous.start_ms != entry.start_ms:
+            self.leaving.pop(entry.name, None)
+            self.quiet_until.pop(entry.name, None)
         return previous
 
+    def is_known_as_removed(self, entry: Entry) -> bool:
+        """Whether this process of a target was removed from the list lately."""
+        removed = self.removed.get(entry.name)
+        return removed is not None and removed.start_ms == entry.start_ms
+
+    def note_leaving(self, name: ids.TargetId, start_ms: int) -> bool:
+        """Records that a process of a target is leaving.
+
+        Args:
+            name: name of the target.
+            start_ms: start of the process, see `Entry.start_ms`.
+
+        Returns:
+            Whether this is new. It isn't if another process of the target is
+            listed.
+        """
+        entry = self.entries.get(name)
+        if entry is None or entry.start_ms != start_ms or name in self.leaving:
+            return False
+        self.leaving[name] = start_ms
+        return True
+
+    def note_quiet(
+        self, name: ids.TargetId, quiet_s: float, now: float
+    ) -> float:
+        """Records that a target wants no requests from this router.
+
+        Args:
+            name: name of the target.
+            quiet_s: time for which it wants none, in seconds; at most
+                `MAX_QUIET_S` count.
+            now: monotonic seconds.
+
+        Returns:
+            When the time ends, monotonic seconds.
+        """
+        until = now + min(max(quiet_s, 0.0), MAX_QUIET_S)
+        self.quiet_until[name] = max(until, self.quiet_until.get(name, until))
+        return self.quiet_until[name]
+
+    def is_quiet(self, name: ids.TargetId, now: float) -> bool:
+        """Whether a target wants no requests from this router."""
+        return now < self.quiet_until.get(name, now)
+
+    def find_leaving(self, pool: ids.PoolId) -> dict[ids.TargetId, int]:
+        """Returns the targets of a pool that leave but are listed as ready.
+
+        Returns:
+            Start of the process (`Entry.start_ms`) by name of the target.
+        """
+        return {
+            name: start_ms
+            for name, start_ms in self.leaving.items()
+            if self.entries[name].pool == pool
+            and self.entries[name].state is TargetState.READY
+        }
+
+    def find_quiet_end(self, pool: ids.PoolId, now: float) -> float | None:
+        """Returns when the first quiet target of a pool takes requests again.
+
+        Returns:
+            Monotonic seconds; None if no ready target is quiet.
+        """
+        ends = [
+            self.quiet_until[entry.name]
+            for entry in self.find_ready(pool)
+            if self.is_quiet(entry.name, now)
+        ]
+        return min(ends, default=None)
+
     def remove(self, name: ids.TargetId, now: float) -> bool:
         """Removes an entry, at the end of the grace period if there is one.
 
@@ -93,7 +213,7 @@
                 name, self.store_returned_at + REMOVAL_GRACE_S
             )
             return False
-        del self.entries[name]
+        self._drop(name, now)
         return True
 
     def expire(self, now: float) -> list[ids.TargetId]:
@@ -103,9 +223,20 @@
         ]
         for name in expired:
             del self.pending_removals[name]
-            self.entries.pop(name, None)
+            self._drop(name, now)
         return expired
 
+    def _drop(self, name: ids.TargetId, now: float) -> None:
+        """Drops an entry with all notices of its target."""
+        entry = self.entries.pop(name, None)
+        self.leaving.pop(name, None)
+        self.quiet_until.pop(name, None)
+        for other, removed in list(self.removed.items()):
+            if now - removed.removed_at > REMEMBER_REMOVED_S:
+                del self.removed[other]
+        if entry is not None:
+            self.removed[name] = RemovedTarget(entry.start_ms, now)
+
     def is_in_grace_period(self, now: float) -> bool:
         """Returns whether the grace period lasts.
 
@@ -117,9 +248,11 @@
         return now < self.store_returned_at + REMOVAL_GRACE_S
 
     def find_ready(self, pool: ids.PoolId) -> list[Entry]:
-        """Returns the targets of a pool whose entry has the state READY."""
+        """Returns the targets of a pool that are ready and not leaving."""
         return [
             entry
             for entry in self.entries.values()
-            if entry.pool == pool and entry.state is TargetState.READY
+            if entry.pool == pool
+            and entry.state is TargetState.READY
+            and entry.name not in self.leaving
         ]
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -228,6 +228,9 @@
         recent: prompt tokens sent recently, decayed with age.
         outcomes: requests that ended recently, decayed with age.
         failures: those of `outcomes` that failed, decayed with age.
+        leaving_start_ms: start of the target's process, if that process said
+            that it is leaving, as Unix milliseconds or as
+            `target_list.UNKNOWN_START_MS`; else 0.
     """
 
     target: ids.TargetId
@@ -237,6 +240,7 @@
     recent: float
     outcomes: float = 0.0
     failures: float = 0.0
+    leaving_start_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -181,7 +181,11 @@
         if now < self.next_pass_at:
             self._set_timer(self.next_pass_at, now)
             return
-        for decision in self.admission.decide(self.find_usable(), now):
+        usable = self.find_usable()
+        usable_at = None
+        if not usable:
+            usable_at = self.targets.find_quiet_end(self.pool.name, now)
+        for decision in self.admission.decide(usable, now, usable_at):
             if isinstance(decision, admission.Placed):
                 self._note_placed(decision)
             future = self.waiters.get(decision.request.request_id)
@@ -287,9 +291,9 @@
         """Returns the targets that may be sent a request now.
 
         These are the ready targets (`TargetList.find_ready`) except those that
-        are ejected or avoided, and those that need a probe after an ejection
-        and already run a request of this router. Also refreshes `avoided`, at
-        most once per `OUTLIER_CHECK_INTERVAL_S`.
+        are ejected, avoided or quiet, and those that need a probe after an
+        ejection and already run a request of this router. Also refreshes
+        `avoided`, at most once per `OUTLIER_CHECK_INTERVAL_S`.
         """
         now = self.clock.monotonic()
         usable = []
@@ -300,6 +304,8 @@
             is_ejected = self.ejector.is_ejected(entry.name, now)
             if is_ejected or entry.name in self.avoided:
                 continue
+            if self.targets.is_quiet(entry.name, now):
+                continue
             own = self.loads.own_loads.get(entry.name)
             is_busy = own is not None and own.running > 0
             if is_busy and self.ejector.needs_probe(entry.name):
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import ids
 from lentilbeam_core.forwarding import admission
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import event_stream
@@ -29,7 +30,16 @@
 
 
 class Forwarder:
-    """Forwards requests to the targets of their pools."""
+    """Forwards requests to the targets of their pools.
+
+    Attributes:
+        codec: decodes and encodes HTTP heads.
+        connections: idle connections to targets.
+        clock: source of monotonic time.
+        metrics: counts events of requests.
+        log: log of decisions.
+        bad_notices: target and header of each invalid notice that was logged.
+    """
 
     def __init__(
         self,
@@ -44,6 +54,14 @@
         self.clock = clock
         self.metrics = metrics
         self.log = log
+        self.bad_notices: set[tuple[ids.TargetId, str]] = set()
+
+    def log_bad_notice(self, target: ids.TargetId, notice: str) -> None:
+        """Logs a header that can't be read, once for each target and name."""
+        key = (target, notice.partition(":")[0])
+        if key not in self.bad_notices:
+            self.bad_notices.add(key)
+            self.log.write_event("bad_notice", target=target, header=notice)
 
     async def run(
         self,
@@ -228,6 +246,7 @@
         response = self.forwarder.codec.decode_response(
             head.status, head.headers
         )
+        self._apply_notices(placement.target, response)
         invalid = self._check_head(response)
         if invalid is not None:
             return invalid
@@ -240,6 +259,32 @@
             )
         return await self._pass_on_non_stream(connection, response)
 
+    def _apply_notices(
+        self, target: target_list.Entry, response: wire_lib.Response
+    ) -> None:
+        """Records what a response says about the target itself."""
+        if response.is_other_instance:
+            return
+        targets = self.dispatcher.targets
+        if response.is_leaving and targets.note_leaving(
+            target.name, target.start_ms
+        ):
+            self.dispatcher.is_changed = True
+            self.log.write_event(
+                "target_leaving", target=target.name, source="response"
+            )
+        if response.quiet_s is not None:
+            now = self.clock.monotonic()
+            until = targets.note_quiet(target.name, response.quiet_s, now)
+            self.log.write_event(
+                "target_quiet",
+                target=target.name,
+                asked_s=response.quiet_s,
+                quiet_s=round(until - now, 3),
+            )
+        for notice in response.bad_notices:
+            self.forwarder.log_bad_notice(target.name, notice)
+
     def _check_head(
         self, response: wire_lib.Response
     ) -> progress_lib.SendOutcome | None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -454,7 +454,8 @@
             placed.extend(
                 dispatcher.take_placed(self.report_exchange.is_direct)
             )
-            loads.extend(dispatcher.loads.export(now))
+            leaving = self.targets.find_leaving(dispatcher.pool.name)
+            loads.extend(dispatcher.loads.export(now, leaving))
         work = work_sums.Work(tuple(loads), tuple(uses))
         return report_exchange_lib.OwnWork(work, tuple(placed))
 
@@ -471,6 +472,13 @@
         accepted = self.report_exchange.accept_report(sender, message)
         if accepted is None:
             return
+        for item in accepted.report.loads:
+            if item.leaving_start_ms and self.targets.note_leaving(
+                item.target, item.leaving_start_ms
+            ):
+                self.log.write_event(
+                    "target_leaving", target=item.target, source=sender
+                )
         for dispatcher in self.dispatchers.values():
             for peer in accepted.replaced:
                 dispatcher.forget_peer(peer)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
@@ -86,6 +86,10 @@
         is_other_instance: whether another instance than the expected one
             responded.
         is_encoded: whether the body has a content encoding.
+        is_leaving: whether the target states that it is leaving.
+        quiet_s: time for which the target wants no requests from this router,
+            in seconds; None if it names none.
+        bad_notices: headers about the target itself that can't be read.
     """
 
     status: int
@@ -95,6 +99,9 @@
     is_not_run: bool
     is_other_instance: bool
     is_encoded: bool
+    is_leaving: bool = False
+    quiet_s: float | None = None
+    bad_notices: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -101,6 +101,7 @@
   recent @4 :UInt32;
   outcomes @5 :Float32;
   failures @6 :Float32;
+  leavingStartMs @7 :UInt64;
 }
 
 struct WorkspaceUse {
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -53,12 +53,16 @@
         reads: "newest" for each read of the newest records; offset and wait
             time in seconds of each other read.
         is_done: set once a read blocks.
+        era: era of the store.
+        era_rise: set when the era rises.
     """
 
     def __init__(self, *results):
         self.results = collections.deque(results)
         self.reads = []
         self.is_done = asyncio.Event()
+        self.era = 0
+        self.era_rise = asyncio.Event()
 
     async def read_newest(self, topic):
         """Returns or raises the next result."""
@@ -105,10 +109,10 @@
     return asyncio.run(run_follower())
 
 
-def make_page(offset, **records):
+def make_page(offset, era=0, **records):
     """Returns a page of records by key; `offset` is that of the next read."""
     page_records = tuple(store_lib.Record(k, v) for k, v in records.items())
-    return store_lib.Page(page_records, offset)
+    return store_lib.Page(page_records, offset, era)
 
 
 def get_names(calls):
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -148,7 +148,7 @@
     with contextlib.suppress(node_file.NodeFileError):
         node_file.decode_node_file(data)
     with contextlib.suppress(store.StoreError):
-        store.decode_page(data, 0)
+        store.decode_page(data, 0, 1)
 
 
 def test_node_file_is_decoded():
@@ -179,14 +179,14 @@
     data = (9).to_bytes(8, "big") + (0).to_bytes(8, "big")
     for record in (good, tombstone):
         data += len(record).to_bytes(4, "big") + record
-    page = store.decode_page(data, 7)
+    page = store.decode_page(data, 7, 1)
     assert page.next_offset == 9
     assert page.records == (
         store.Record("a", b"value"),
         store.Record("b", None),
     )
     with pytest.raises(store.StoreError):
-        store.decode_page(data[:-1], 7)
+        store.decode_page(data[:-1], 7, 1)
 
 
 def make_scope(**headers):
--- a/tests/standins/keyed_store.py
+++ b/tests/standins/keyed_store.py
@@ -5,6 +5,9 @@
 
 * `{"is_down": true}`: answer 503 to all calls.
 * `{"is_silent": true}`: don't answer any call until the fault is removed.
+* `{"lose": N}`: come back from an older copy, which lacks the newest N records
+  of each topic. The header `Store-Era` then rises by one, offsets are given out
+  again, and a read from an offset that the store doesn't have gets 410.
 * `{"forget": true}`: make all present records unreadable by offset; the
   newest value of each key stays available.
 """
@@ -51,6 +54,13 @@
         self.changed = asyncio.Event()
         return first
 
+    def lose(self, count: int) -> None:
+        """Drops the newest records, and wakes the reads that wait for more."""
+        del self.records[max(len(self.records) - count, 0) :]
+        self.forgotten = min(self.forgotten, len(self.records))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def read_newest(self) -> dict[str, bytes]:
         """Returns the newest value by key.
 
@@ -69,12 +79,14 @@
     Attributes:
         topics: topics by name, created on first use.
         faults: injected faults, by name.
+        era: number of returns from an older copy, plus one.
         not_silent: cleared while calls are left unanswered.
     """
 
     def __init__(self):
         self.topics: dict[str, Topic] = {}
-        self.faults: dict[str, bool] = {}
+        self.faults: dict[str, bool | int] = {}
+        self.era = 1
         self.not_silent = asyncio.Event()
         self.not_silent.set()
 
@@ -95,7 +107,10 @@
             {
                 "type": "http.response.start",
                 "status": status,
-                "headers": [(b"content-length", str(len(answer)).encode())],
+                "headers": [
+                    (b"content-length", str(len(answer)).encode()),
+                    (b"store-era", str(self.era).encode()),
+                ],
             }
         )
         await send({"type": "http.response.body", "body": answer})
@@ -105,14 +120,7 @@
     ) -> tuple[int, bytes]:
         """Returns the status and the body of the response to a call."""
         if path == "/faults":
-            self.faults = json.loads(body)
-            if self.faults.get("is_silent"):
-                self.not_silent.clear()
-            else:
-                self.not_silent.set()
-            if self.faults.pop("forget", False):
-                for topic in self.topics.values():
-                    topic.forgotten = len(topic.records)
+            self.set_faults(json.loads(body))
             return 200, b""
         await self.not_silent.wait()
         if self.faults.get("is_down"):
@@ -128,6 +136,22 @@
             return await self.read(topic, query)
         return 404, b""
 
+    def set_faults(self, faults: dict[str, bool | int]) -> None:
+        """Replaces the injected faults."""
+        self.faults = faults
+        if faults.get("is_silent"):
+            self.not_silent.clear()
+        else:
+            self.not_silent.set()
+        lost = faults.pop("lose", 0)
+        if lost:
+            self.era += 1
+            for topic in self.topics.values():
+                topic.lose(lost)
+        if faults.pop("forget", False):
+            for topic in self.topics.values():
+                topic.forgotten = len(topic.records)
+
     def encode_newest(self, topic: Topic) -> bytes:
         """Returns the JSON page with the newest value of each key."""
         items = [
@@ -147,7 +171,7 @@
         The status is 410 if the offset can no longer be read.
         """
         start = int(query["from"])
-        if start < topic.forgotten:
+        if start < topic.forgotten or start > len(topic.records):
             gone = {"first_offset": topic.forgotten}
             return 410, json.dumps(gone).encode()
         if start >= len(topic.records):
@@ -156,6 +180,8 @@
                 await asyncio.wait_for(topic.changed.wait(), wait_s)
             if self.faults.get("is_down"):
                 return 503, b""
+            if start > len(topic.records):
+                return 410, json.dumps({"first_offset": 0}).encode()
         parts = [BOUNDS.pack(len(topic.records), topic.forgotten)]
         for record in topic.records[start:]:
             parts += [RECORD_LENGTH.pack(len(record)), record]
