Keep long requests in their data centre while they meet their goal

A request of 18 KB went to whichever target promised its first event 4 ms sooner, although users only gain if it misses its goal elsewhere. Change: each byte of a body weighs 10 us of waiting against a remote target. The bounds still decide first, so a request goes elsewhere rather than miss its goal.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -82,6 +82,9 @@
         off_home_token_penalty_s: penalty for each shared token that no target
             has cached, unless the target is the prompt's home target.
         remote_penalty_s: penalty for a target in another data centre.
+        remote_byte_penalty_s: additional penalty for each byte of the request
+            that travels there. Within its goal a request is worth as much
+            near as far, but bytes between data centres are paid for.
         batch_penalty_s: penalty for a target whose slots are all in use, in
             proportion if some are; a large batch slows down all its streams.
         sampled_targets: number of targets sampled at random in a pool that has
@@ -105,6 +108,7 @@
     recompute_token_penalty_s: float = 4e-5
     off_home_token_penalty_s: float = 1e-5
     remote_penalty_s: float = 0.004
+    remote_byte_penalty_s: float = 1e-5
     batch_penalty_s: float = 0.1
     sampled_targets: int = 5
     noise_s: float = 0.01
@@ -424,7 +428,10 @@
         ):
             return None
         if entry.data_centre != self.data_centre:
-            penalty_s += settings.remote_penalty_s
+            penalty_s += (
+                settings.remote_penalty_s
+                + request.body_bytes * settings.remote_byte_penalty_s
+            )
         penalty_s += settings.batch_penalty_s * load.running / entry.slots
         penalty_s += settings.noise_s * self.rng.random()
         placement = Placement(
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -52,6 +52,7 @@
         prompt: size of the prompt; None for plain services.
         configuration_version: version of the configuration in force when it
             arrived.
+        body_bytes: size of its body.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     deadline_at: float
     prompt: Prompt | None
     configuration_version: int
+    body_bytes: int = 0
 
     @property
     def goal_at(self) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -88,13 +88,16 @@
         except BodyTooLargeError:
             await self._deny(channel, 413, "body")
             return
-        request = await self._build_request(request_head, channel, arrived_at)
+        request = await self._build_request(
+            request_head, len(body), channel, arrived_at
+        )
         if request is not None:
             await self._forward(request_head, body, request, channel, receive)
 
     async def _build_request(
         self,
         request_head: wire_lib.RequestHead,
+        body_bytes: int,
         channel: caller_channel.CallerChannel,
         arrived_at: float,
     ) -> requests.Request | None:
@@ -133,6 +136,7 @@
             deadline_at=arrived_at + timeout_s,
             prompt=request_head.prompt,
             configuration_version=current.version,
+            body_bytes=body_bytes,
         )
 
     async def _forward(
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -194,3 +194,28 @@
         placer.note_prompt_placed("t", (part,), 0.0)
     assert placer.caches.count_cached_by_target(parts[:1]) == {}
     assert placer.caches.count_cached_by_target(parts[1:]) == {"t": 600}
+
+
+def choose_with_backlogs(near_s, far_s, body_bytes):
+    """Returns the target of a request, given backlogs in seconds."""
+    placer = makers.make_placer()
+    near = makers.make_target("near")
+    far = makers.make_target("far", data_centre="west")
+    rate = placer.rates.read("near")
+    loads = tuple(
+        messages.TargetLoad(name, backlog_s * rate, 1, 0.0, 0.0)
+        for name, backlog_s in (("near", near_s), ("far", far_s))
+    )
+    placer.loads.apply_report("peer", loads, 0.0)
+    request = makers.make_request("r", ("own", 1000), body_bytes=body_bytes)
+    bounds = placement.BELOW_GUARANTEE_BOUNDS
+    return placer.choose(request, [near, far], bounds, 0.0).target.name
+
+
+def test_long_body_stays_in_its_data_centre_while_the_goal_is_met():
+    assert choose_with_backlogs(0.1, 0.0, body_bytes=18_000) == "near"
+    assert choose_with_backlogs(0.1, 0.0, body_bytes=1_000) == "far"
+
+
+def test_long_body_goes_elsewhere_rather_than_miss_its_goal():
+    assert choose_with_backlogs(0.6, 0.0, body_bytes=100_000) == "far"
