Call the store less often in a large fleet, and close refused connections

Causes: 66 routers made 1,404 calls to the store in 28 s, 21 each: targets that register one by one cost a read each at every router. Routers of a flooded data centre had 3,613 files open, since refused callers retry on a new connection and leave the old one idle. Changes: pauses between reads grow with the fleet (to 1.6 s for targets and 4 s for routers at 64 and more), the same factor that already spread retries; the lag that makes a router read anew grows along. A refusal closes its connection, so the caller's next request goes to any router.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
@@ -6,6 +6,9 @@
 
 from lentilbeam_router.forwarding import wire as wire_lib
 
+REFUSED = 503
+"""Status of a response that refuses a request as not run."""
+
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 BuildOwnHeaders = Callable[[str, float | None], wire_lib.RawHeaders]
 
@@ -79,11 +82,18 @@
     ) -> None:
         """Sends a whole response with an empty body.
 
+        A refusal also asks the caller to close its connection: the next one
+        goes to any router, which spreads a flood that comes over few
+        connections, and connections that callers have left don't pile up.
+
         Args:
             status: HTTP status.
             retry_after_s: seconds after which the caller may retry; None to
                 send no `Retry-After` header.
         """
         headers = self.build_own_headers(self.request_id, retry_after_s)
-        await self.start(status, (*headers, (b"content-length", b"0")))
+        headers = (*headers, (b"content-length", b"0"))
+        if status == REFUSED and not self.should_close():
+            headers = (*headers, (b"connection", b"close"))
+        await self.start(status, headers)
         await self.finish()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -44,8 +44,16 @@
 reads it again on a new connection. The store responds within some 10 ms; a
 peer's report takes up to 0.5 s, which only delays the comparison."""
 MAX_TARGETS_LAG_S = 0.9
-"""The same for the target list. This router pauses for up to 0.4 s between two
-reads of the list, so it may be behind a peer for longer."""
+"""The same for the target list and a `Gateway.read_pace` of 1. This router
+pauses for up to 0.4 s between two reads of the list, so it may be behind a peer
+for longer."""
+ROUTERS_AT_MIN_PACE = 16
+"""Largest number of routers that read the store at full speed. In larger
+fleets, pauses between reads grow in proportion, so that the rate of calls
+doesn't."""
+MAX_READ_PACE = 4.0
+"""Upper limit of `Gateway.read_pace`. With it, a target that leaves is noticed
+within 1.6 s, and the store's return within 2 s."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,6 +167,12 @@
         """Returns the number of routers in the fleet, this one included."""
         return self.peers.count_routers()
 
+    @property
+    def read_pace(self) -> float:
+        """Factor of pauses between reads of the store; 1 in a small fleet."""
+        pace = self.count_routers() / ROUTERS_AT_MIN_PACE
+        return min(max(pace, 1.0), MAX_READ_PACE)
+
     def list_addresses(self) -> list[addresses.Address]:
         """Returns the addresses of all routers that take requests."""
         found = [entry.front for entry in self.peers.find_serving()]
@@ -236,6 +250,7 @@
     def put_router(self, entry: feeds.RouterEntry) -> None:
         """Adds or replaces a peer."""
         self.peers.put(entry)
+        self.targets_watch.lag.max_lag_s = MAX_TARGETS_LAG_S * self.read_pace
 
     def store_lost(self, topic: str, detail: str) -> None:
         """Writes the log line for failing reads of a topic.
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -8,6 +8,7 @@
 from lentilbeam_platform import followers
 from lentilbeam_platform import store as store_lib
 from lentilbeam_router.forwarding import feeds
+from lentilbeam_router.forwarding import gateway as gateway_lib
 from tests import virtual_time
 from tests.forwarding import test_platform
 
@@ -33,6 +34,11 @@
         self.targets_watch = feeds.FeedWatch(0.9)
         self.routers = 7
 
+    @property
+    def read_pace(self):
+        """Returns the factor of pauses of a fleet of this size."""
+        return gateway_lib.Gateway.read_pace.fget(self)
+
     def count_routers(self):
         """Returns the number of routers in the fleet."""
         return self.routers
@@ -221,6 +227,29 @@
     assert large_fleet_s >= 2.4
 
 
+def test_large_fleet_reads_a_busy_topic_less_often():
+    """Targets that register one after the other cost few calls a router."""
+
+    def count_reads(routers):
+        async def run_follower():
+            gateway = RecordingGateway()
+            gateway.routers = routers
+            store = ScriptedStore(*(make_page(n) for n in range(100)))
+            task = asyncio.create_task(
+                followers.follow(
+                    gateway, store, TARGETS, followers.apply_target
+                )
+            )
+            await asyncio.sleep(8.0)
+            task.cancel()
+            return len(store.reads)
+
+        clock = clock_lib.ManualClock(virtual_time.START)
+        return virtual_time.run(run_follower(), clock)
+
+    assert count_reads(195) <= count_reads(7) / 3
+
+
 def test_lag_behind_peers_does_not_shorten_the_retry_interval():
     assert (
         min(measure_retry_time(7, is_behind_peers=True) for _ in range(5))
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -84,6 +84,12 @@
     assert response.headers[b"response-seal"] == b"s"
 
 
+def test_refusal_asks_the_caller_to_connect_anew():
+    response, _ = call()
+    assert response.status == 503
+    assert response.headers[b"connection"] == b"close"
+
+
 def test_target_receives_the_request_with_the_headers_of_the_router():
     response, (target,) = call(
         fake_target.make_script(fake_target.make_response(b"")),
