Start routers without TLS, and soak the new contracts

Cause: httpx sets up TLS and loads certificates for a store that speaks plain HTTP: 0.18 to 0.27 s of processor time and 5 MB at each start (machine at load 20), beside imports of 0.35 s. After a kill that is time in which a router serves nobody. Change: the store's client uses httpcore, the transport of httpx, alone. httpx is no longer deployed. The soak lets the store lose records, targets say that they are leaving (half of them only so) or turn requests away for a while, and checks that no router sends to a target that told it so.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -65,6 +65,7 @@
         check_at_most_once,
         check_planned_changes,
         check_draining_targets,
+        check_leaving_targets,
         check_configuration,
         check_reverts,
     )
@@ -172,6 +173,34 @@
                 )
 
 
+def check_leaving_targets(observations: Observations) -> Iterator[str]:
+    """Checks that a router leaves a target alone that said it is leaving.
+
+    The limit runs from the first response with that notice that the router
+    passed on. A restart or a pause of the router since then excuses it.
+    """
+    told_at: dict[tuple[str, str], float] = {}
+    for record in sorted(observations.records, key=lambda r: r.ended_at):
+        if "server-leaving" in record.headers:
+            key = (record.router, record.headers.get("response-seal", ""))
+            told_at.setdefault(key, record.ended_at)
+    for request_id, runs in observations.runs.items():
+        record = observations.records_by_id.get(request_id)
+        for target, at in runs:
+            since = told_at.get((record.router, target)) if record else None
+            if since is None or record.sent_at <= since + DRAINING_LIMIT_S:
+                continue
+            excused = observations.disturbance_log.entries
+            if not any(
+                entry.affects(record.router)
+                and entry.kind in (Kind.KILL, Kind.TERMINATE, Kind.PAUSE)
+                and since <= entry.end
+                and entry.start <= at
+                for entry in excused
+            ):
+                yield f"{request_id} sent to {target}, which is leaving"
+
+
 def check_configuration(observations: Observations) -> Iterator[str]:
     """Checks that routers apply a published configuration within the limit.
 
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -22,10 +22,17 @@
     STORE = "store"
     PUBLISH = "publish"
     DRAIN = "drain"
+    QUIET = "quiet"  # A target turns requests away for a while.
     HOST = "host"  # The machine that runs the soak test was overloaded.
 
 
-PLANNED = {Kind.TERMINATE, Kind.RELOAD, Kind.PUBLISH, Kind.DRAIN}
+PLANNED = {
+    Kind.TERMINATE,
+    Kind.RELOAD,
+    Kind.PUBLISH,
+    Kind.DRAIN,
+    Kind.QUIET,
+}
 """Planned changes by an operator, which must not abort any request."""
 RECOVERY_S = 4.0
 """The guarantees apply again this long after the last disturbance."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,9 @@
 It is shorter than the duration of most faults, so that faults overlap.
 """
 
+MAX_LOST = 4
+"""Largest number of records of a topic that the store loses."""
+
 Kind = disturbances.Kind
 
 
@@ -82,9 +85,11 @@
             self._kill_target,
             self._pause_target,
             self._drain_target,
+            self._quieten_target,
             self._disturb_link,
             self._reset_link,
             self._disturb_store,
+            self._lose_records,
             self._publish,
         )
 
@@ -238,13 +243,36 @@
             return
         await self._add_target()
         self._add_disturbance(Kind.DRAIN, name)
-        await self.world.write_target_entry(name, "draining")
-        self.draining_since[name] = world_lib.read_time()
+        await self.world.set_notices(name, leaving=True)
+        if self.rng.random() < 0.5:
+            # Some targets say that they are leaving only in their responses.
+            await self.world.write_target_entry(name, "draining")
+            self.draining_since[name] = world_lib.read_time()
         await asyncio.sleep(DRAINING_S)
         await self.world.write("keyed.servers", name, b"")
         await asyncio.sleep(callers_lib.CLIENT_TIMEOUT_S)
         self.world.kill(name)
 
+    async def _quieten_target(self) -> None:
+        """Makes a target turn requests away for a while."""
+        with self._disturb(
+            Kind.QUIET, self._list_disturbable_targets()
+        ) as name:
+            if name is not None:
+                quiet_s = self.rng.uniform(*FAULT_DURATION_S)
+                await self.world.set_notices(name, quiet_s=quiet_s)
+                await asyncio.sleep(quiet_s)
+
+    async def _lose_records(self) -> None:
+        """Lets the store come back from a copy; its writers write again."""
+        with self._disturb(Kind.STORE, [world_lib.STORE]) as name:
+            if name is None:
+                return
+            await self.world.set_faults(is_down=True)
+            await self._wait_fault_duration()
+            await self.world.set_faults(lose=self.rng.randint(1, MAX_LOST))
+            await self.world.write_again()
+
     async def _add_target(self) -> None:
         """Adds a target; reserves it until it has started."""
         name = f"t{len(self.world.targets) + 1}"
--- a/soak/world.py
+++ b/soak/world.py
@@ -25,14 +25,14 @@
     Attributes:
         links: proxies by the name of their link: "router>store" or "*>target".
         proxy_addresses: "host:port" of each proxy, by the name of its link.
+        written: newest value of each record, by topic and key.
     """
 
     def __init__(self, folder: pathlib.Path):
         super().__init__(folder)
         self.links: dict[str, proxy_lib.Proxy] = {}
         self.proxy_addresses: dict[str, str] = {}
-        self.expected_exits: dict[str, int | None] = {}
-        self.exits: list[str] = []
+        self.written: dict[tuple[str, str], bytes] = {}
 
     async def get_store_address(self, router: str) -> str:
         """Returns the address of the router's proxy in front of the store."""
@@ -49,6 +49,7 @@
 
         Retries until the store accepts it, as real targets do.
         """
+        self.written[topic, key] = value
         while True:
             try:
                 await super().write(topic, key, value)
@@ -57,6 +58,11 @@
             else:
                 return
 
+    async def write_again(self) -> None:
+        """Writes what operator and targets wrote last, as they do."""
+        for (topic, key), value in list(self.written.items()):
+            await self.write(topic, key, value)
+
     async def stop(self) -> None:
         """Kills the processes and stops the proxies."""
         await super().stop()
--- a/tests/forwarding/platform_world.py
+++ b/tests/forwarding/platform_world.py
@@ -179,6 +179,16 @@
         }
         await self.write("keyed.servers", name, json.dumps(entry).encode())
 
+    async def set_notices(self, name: str, **notices: bool | float) -> None:
+        """Makes a target say something of itself; replaces earlier notices.
+
+        See `tests.standins.opaque_target` for the names.
+        """
+        response = await self.http.put(
+            f"http://{self.targets[name]}/notices", json=notices
+        )
+        response.raise_for_status()
+
     async def get_store_address(self, router: str) -> str:
         """Returns the address at which a router reaches the store."""
         del router
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -9,6 +9,7 @@
 import json
 import os
 
+import httpcore
 import httpx
 import hypothesis
 from hypothesis import stateful
@@ -31,6 +32,25 @@
 """Time after which the platform removes entries that are not renewed."""
 
 
+class HttpxPool:
+    """Connection pool whose requests an httpx transport answers."""
+
+    def __init__(self, transport: httpx.AsyncBaseTransport):
+        self.http = httpx.AsyncClient(transport=transport)
+
+    async def request(self, method, url, content, extensions):
+        """Returns the response of the transport."""
+        del extensions
+        response = await self.http.request(method, url, content=content)
+        result = httpcore.Response(
+            response.status_code,
+            headers=response.headers.raw,
+            content=response.content,
+        )
+        await result.aread()
+        return result
+
+
 def make_client(respond):
     """Returns a client of a store, and the list of the events that it logs.
 
@@ -41,7 +61,7 @@
     client = store_lib.StoreClient(
         ADDRESS, lambda event, **fields: events.append((event, fields))
     )
-    client.http = httpx.AsyncClient(transport=httpx.MockTransport(respond))
+    client.pool = HttpxPool(httpx.MockTransport(respond))
     return client, events
 
 
@@ -198,8 +218,7 @@
             self.output,
         )
         client = store_lib.StoreClient(ADDRESS, gateway.log.write_event)
-        transport = httpx.ASGITransport(self.store)
-        client.http = httpx.AsyncClient(transport=transport)
+        client.pool = HttpxPool(httpx.ASGITransport(self.store))
         jobs = followers.build_jobs(gateway, client)
         self.routers[name] = gateway
         self.tasks[name] = [self.loop.create_task(job) for job in jobs]
--- a/tests/standins/opaque_target.py
+++ b/tests/standins/opaque_target.py
@@ -4,6 +4,9 @@
 paths below `/chat/` are answered with a stream of 20 events, 50 ms apart, all
 others with a short body. A request for another instance is refused with 421.
 
+`PUT /notices` with `{"leaving": true}` makes all responses say that the target
+is leaving; with `{"quiet_s": 0.5}` requests are turned away for that time.
+
 `GET /runs` returns the ids of all requests that ran. Before a request runs,
 its id and the monotonic time in seconds are printed as a line of JSON.
 """
@@ -26,11 +29,15 @@
     Attributes:
         name: name of this instance.
         runs: ids of the requests that ran, in the order of their start.
+        is_leaving: whether responses say that the target is leaving.
+        quiet_until: until when requests are turned away, monotonic seconds.
     """
 
     def __init__(self, name: str):
         self.name = name
         self.runs: list[str] = []
+        self.is_leaving = False
+        self.quiet_until = 0.0
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
@@ -42,9 +49,24 @@
                 send, 200, [], json.dumps(self.runs).encode()
             )
             return
+        if scope["path"] == "/notices":
+            notices = json.loads((await receive())["body"])
+            self.is_leaving = notices.get("leaving", False)
+            self.quiet_until = time.monotonic() + notices.get("quiet_s", 0.0)
+            await self.send_response(send, 200, [], b"")
+            return
         if headers.get(b"expected-instance") != self.name.encode():
             await self.send_response(send, 421, [], b"")
             return
+        quiet_s = self.quiet_until - time.monotonic()
+        if quiet_s > 0:
+            turned_away = [
+                (b"not-executed", b"1"),
+                (b"retry-after", f"{quiet_s:.3f}".encode()),
+                *self.list_notices(),
+            ]
+            await self.send_response(send, 503, turned_away, b"")
+            return
         request_id = headers[b"request-id"].decode()
         self.runs.append(request_id)
         run = {"run": request_id, "at": time.monotonic()}
@@ -52,6 +74,7 @@
         proof_headers = [
             (b"request-id", headers[b"request-id"]),
             (b"response-seal", self.name.encode()),
+            *self.list_notices(),
         ]
         if scope["path"].startswith("/chat/"):
             first = int(headers.get(b"last-event-id", b"0")) + 1
@@ -60,6 +83,10 @@
         await asyncio.sleep(SHORT_WORK_S)
         await self.send_response(send, 200, proof_headers, b"done")
 
+    def list_notices(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers that tell what the target says of itself."""
+        return [(b"server-leaving", b"1")] if self.is_leaving else []
+
     async def send_response(self, send, status, headers, body: bytes) -> None:
         """Sends a response with a known length."""
         length = (b"content-length", str(len(body)).encode())
