Let routers that fall behind refuse at once and send callers elsewhere

Change: a router measures how late its timers fire. From 0.15 s on it refuses requests of workspaces that have had their fair share, from 0.4 s on all new ones; its address is not given out until it has kept up for a second, and it is no relay meanwhile.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -47,6 +47,7 @@
 
     NO_ROOM = "no_room"  # No target had capacity in time.
     NO_TARGET = "no_target"  # The pool has no usable target.
+    ROUTER_BUSY = "router_busy"  # The router can't keep up.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -220,6 +220,28 @@
         self.placed.clear()
         return placed
 
+    def refuse(self, request: requests.Request) -> admission.Refused:
+        """Refuses a new request because this router is too busy for it.
+
+        The request counts in what its workspace has asked for.
+        """
+        now = self.clock.monotonic()
+        self.usage.note_asked(
+            request.workspace, requests.estimate_cost(request), now
+        )
+        reason = admission.RefusalReason.ROUTER_BUSY
+        return self.admission.refuse(request, reason, now)
+
+    def has_had_fair_share(self, workspace: ids.WorkspaceId) -> bool:
+        """Whether a workspace received at least about its fair share lately."""
+        status = self.usage.find_share_status(
+            workspace, self.admission.guaranteed_per_s, self.clock.monotonic()
+        )
+        return status in (
+            shares.ShareStatus.AT_FAIR_SHARE,
+            shares.ShareStatus.ABOVE_FAIR_SHARE,
+        )
+
     def describe_share(self, workspace: ids.WorkspaceId) -> dict[str, Any]:
         """Returns a workspace's share status and levels, for the log."""
         now = self.clock.monotonic()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -11,6 +11,8 @@
 from lentilbeam_core import ids
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import configuration as configuration_lib
+from lentilbeam_core.forwarding import lateness as lateness_lib
+from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
@@ -103,6 +105,7 @@
         logged_as_avoided: targets that were logged as avoided.
         configuration_watch: compares the configuration with that of peers.
         targets_watch: compares the target list with that of peers.
+        lateness: how late the timers of this process fire.
         stop: set on SIGTERM and SIGINT.
         dispatchers: dispatcher of each pool that has had a request.
         connections: idle connections to targets.
@@ -130,6 +133,7 @@
         self.logged_as_avoided: set[ids.TargetId] = set()
         self.configuration_watch = feeds.FeedWatch(MAX_CONFIGURATION_LAG_S)
         self.targets_watch = feeds.FeedWatch(MAX_TARGETS_LAG_S)
+        self.lateness = lateness_lib.Lateness(lateness_lib.Settings())
         self.stop = asyncio.Event()
         self.dispatchers: dict[ids.PoolId, dispatcher_lib.Dispatcher] = {}
         self.link = peer_link.PeerLink(
@@ -176,10 +180,27 @@
     def list_addresses(self) -> list[addresses.Address]:
         """Returns the addresses of all routers that take requests."""
         found = [entry.front for entry in self.peers.find_serving()]
-        if self.is_ready:
+        if self.is_ready and (self.takes_callers or not found):
             found.append(self.settings.front)
         return found
 
+    @property
+    def takes_callers(self) -> bool:
+        """Whether this router keeps up, so that callers may be sent to it."""
+        return self.lateness.takes_callers(self.clock.monotonic())
+
+    def is_too_late_for(self, request: requests.Request) -> bool:
+        """Whether this router is too busy to take a new request.
+
+        While it is late, it still takes the requests of workspaces that have
+        not had their fair share.
+        """
+        level = self.lateness.level
+        if level is not lateness_lib.Level.LATE:
+            return level is lateness_lib.Level.STALLED
+        dispatcher = self.find_dispatcher(request.pool)
+        return dispatcher.has_had_fair_share(request.workspace)
+
     def find_dispatcher(self, pool: ids.PoolId) -> dispatcher_lib.Dispatcher:
         """Returns the dispatcher of a pool, created on first use.
 
@@ -286,6 +307,7 @@
             "configuration_version": current.version if current else 0,
             "ready": self.is_ready,
             "leaving": self.is_leaving,
+            "late_s": self.lateness.late_s,
             "requests_active": self.request_handler.active,
             "peers_listed": len(self.peers.listed),
             "peers_serving": len(self.peers.find_serving()),
@@ -442,18 +464,33 @@
 
     async def _send_reports(self) -> None:
         while True:
-            await asyncio.sleep(report_exchange_lib.MIN_REPORT_INTERVAL_S)
+            interval_s = report_exchange_lib.MIN_REPORT_INTERVAL_S
+            due_at = self.clock.monotonic() + interval_s
+            await asyncio.sleep(interval_s)
+            self._note_timer(due_at)
             is_changed = any(d.is_changed for d in self.dispatchers.values())
             self.report_exchange.send_if_due(
                 self._build_status(), is_changed, self._collect_work
             )
 
+    def _note_timer(self, due_at: float) -> None:
+        """Updates `lateness`; logs a change of its level."""
+        before = self.lateness.level
+        self.lateness.note_timer(due_at, self.clock.monotonic())
+        if self.lateness.level is not before:
+            self.log.write_event(
+                "lateness",
+                level=self.lateness.level.value,
+                late_s=round(self.lateness.late_s, 3),
+                active=self.request_handler.active,
+            )
+
     def _build_status(self) -> report_exchange_lib.Status:
         current = self.configuration.current
         return report_exchange_lib.Status(
             version=current.version if current else 0,
             targets_offset=self.targets_watch.lag.own_position,
-            is_ready=self.is_ready,
+            is_ready=self.is_ready and self.takes_callers,
             leaving=self.is_leaving,
         )
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -91,7 +91,19 @@
         request = await self._build_request(
             request_head, len(body), channel, arrived_at
         )
-        if request is not None:
+        if request is not None and self.gateway.is_too_late_for(request):
+            dispatcher = self.gateway.find_dispatcher(request.pool)
+            refused = dispatcher.refuse(request)
+            self.log.write_request_event(
+                request.request_id,
+                "refused",
+                reason=refused.reason.value,
+                retry_after_s=round(refused.retry_after_s, 2),
+                workspace=request.workspace,
+            )
+            self.metrics.count("request.refused")
+            await channel.respond(503, refused.retry_after_s)
+        elif request is not None:
             await self._forward(request_head, body, request, channel, receive)
 
     async def _build_request(
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -103,6 +103,7 @@
             rng=random.Random(1),
             find_dispatcher=lambda name: self.dispatcher,
             peers=types.SimpleNamespace(count_routers=lambda: 1),
+            is_too_late_for=lambda request: False,
             forwarder=forwarder.Forwarder(
                 call_wire.CODEC, self.pool, clock, router_metrics, log
             ),
--- /dev/null
+++ b/tests/forwarding/test_late_router.py
@@ -0,0 +1,125 @@
+"""A router that gets more requests than its processor can handle.
+
+Pattern: users of one data centre send ten times what its routers can process,
+over few connections, so that a few routers get most of it. A router must refuse
+what it can't do in time instead of stalling, and send callers elsewhere.
+"""
+
+import asyncio
+import collections
+
+import pytest
+
+from lentilbeam_core.forwarding import lateness as lateness_lib
+from tests.forwarding import in_process_router
+from tests.forwarding import makers
+
+Level = lateness_lib.Level
+REQUEST_S = 0.007
+"""Processor time of a request that is forwarded."""
+REFUSAL_S = 0.0007
+"""Processor time of a request that is refused at once."""
+TICK_S = 0.04
+
+
+def simulate(load, flood_s, sheds=True, calm_s=4.0):
+    """Runs an event loop of one router in virtual processor time.
+
+    Args:
+        load: requests sent during the flood, relative to what the router can
+            process.
+        flood_s: length of the flood, in seconds; half of the load follows.
+        sheds: whether the router refuses requests while it is late.
+        calm_s: length of the time after the flood, in seconds.
+
+    Returns:
+        For each accepted request, when it arrived and how long it waited, in
+        seconds, and the times at which the router was late.
+    """
+    lateness = lateness_lib.Lateness(lateness_lib.Settings())
+    now = 0.0
+    next_tick = TICK_S
+    arrivals = collections.deque()
+    at = 0.0
+    while at < flood_s + calm_s:
+        arrivals.append(at)
+        at += REQUEST_S / (load if at < flood_s else 0.5)
+    accepted = []
+    late_at = []
+    while arrivals:
+        # One turn of the loop: the sockets that are ready, then the timers.
+        ready = []
+        while arrivals and arrivals[0] <= now:
+            ready.append(arrivals.popleft())
+        for arrived_at in ready:
+            if sheds and lateness.level is not Level.ON_TIME:
+                now += REFUSAL_S
+                continue
+            accepted.append((arrived_at, now - arrived_at))
+            now += REQUEST_S
+        if now >= next_tick:
+            lateness.note_timer(next_tick, now)
+            next_tick = now + TICK_S
+            if lateness.level is not Level.ON_TIME:
+                late_at.append(now)
+        if not ready:
+            now = min(arrivals[0] if arrivals else now, next_tick)
+    return accepted, late_at
+
+
+@pytest.mark.parametrize("load", [1.5, 3.0, 10.0])
+def test_accepted_requests_never_wait_long(load):
+    accepted, _ = simulate(load, flood_s=10.0)
+    assert max(waited_s for _, waited_s in accepted) < 1.0
+    stalled, _ = simulate(load, flood_s=10.0, sheds=False)
+    assert max(waited_s for _, waited_s in stalled) > 3.0
+
+
+@pytest.mark.parametrize("load", [1.5, 3.0])
+def test_router_serves_nearly_as_much_as_it_could_under_a_flood(load):
+    accepted, _ = simulate(load, flood_s=10.0)
+    served_fraction = sum(at < 10.0 for at, _ in accepted) * REQUEST_S / 10.0
+    # The rest of the requests are refused, which takes time, too.
+    offered = load / REQUEST_S
+    best_per_s = (1 - offered * REFUSAL_S) / (REQUEST_S - REFUSAL_S)
+    assert served_fraction >= 0.95 * min(best_per_s * REQUEST_S, 1.0)
+
+
+def test_router_is_on_time_within_two_seconds_of_the_end_of_a_flood():
+    _, late_at = simulate(10.0, flood_s=5.0)
+    assert late_at
+    assert max(late_at) < 7.0
+
+
+def make_late(late_s):
+    lateness = lateness_lib.Lateness(lateness_lib.Settings())
+    lateness.note_timer(1.0, 1.0 + late_s)
+    return lateness
+
+
+def test_short_pauses_of_the_processor_are_not_lateness():
+    assert make_late(0.1).level is Level.ON_TIME
+    assert make_late(0.2).level is Level.LATE
+    assert make_late(0.5).level is Level.STALLED
+
+
+def test_callers_are_sent_to_a_router_again_once_it_keeps_up():
+    lateness = make_late(0.5)
+    assert not lateness.takes_callers(1.5)
+    now = 1.5
+    while not lateness.takes_callers(now):
+        now += TICK_S
+        lateness.note_timer(now, now)
+    assert 1.0 < now - 1.5 < 2.0
+
+
+def test_request_at_a_busy_router_is_refused_with_a_retry_delay():
+    router = in_process_router.InProcessRouter([makers.make_target("t")])
+    router.gateway.is_too_late_for = lambda request: True
+    response = asyncio.run(router.call(path="/look/1"))
+    assert response.status == 503
+    assert 0.2 <= float(response.headers[b"retry-after"]) <= 0.7
+    assert response.headers[b"connection"] == b"close"
+    assert b'"reason":"router_busy"' in router.read_log()
+    # The refused request counts in what its workspace has asked for.
+    assert router.dispatcher.usage.asked
