Ask callers of a router that falls behind to connect elsewhere

Change: while a router is late, and for a second after, its responses close their connections, as its refusals do already.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -73,7 +73,7 @@
             send,
             "",
             self.codec.build_own_headers,
-            lambda: self.gateway.is_leaving,
+            lambda: self.gateway.is_leaving or not self.gateway.takes_callers,
         )
         try:
             request_head = self.codec.decode_request_head(scope)
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -104,6 +104,7 @@
             find_dispatcher=lambda name: self.dispatcher,
             peers=types.SimpleNamespace(count_routers=lambda: 1),
             is_too_late_for=lambda request: False,
+            takes_callers=True,
             forwarder=forwarder.Forwarder(
                 call_wire.CODEC, self.pool, clock, router_metrics, log
             ),
--- a/tests/forwarding/test_late_router.py
+++ b/tests/forwarding/test_late_router.py
@@ -11,8 +11,10 @@
 import pytest
 
 from lentilbeam_core.forwarding import lateness as lateness_lib
+from tests.forwarding import fake_target
 from tests.forwarding import in_process_router
 from tests.forwarding import makers
+from tests.forwarding import test_forwarding
 
 Level = lateness_lib.Level
 REQUEST_S = 0.007
@@ -113,6 +115,21 @@
     assert 1.0 < now - 1.5 < 2.0
 
 
+def test_router_that_falls_behind_asks_callers_to_connect_elsewhere():
+    """A flood on kept connections must not stay at the router it met first."""
+
+    async def scenario(router, _):
+        kept = await router.call(path="/look/1")
+        router.gateway.takes_callers = False
+        return kept, await router.call(path="/look/1")
+
+    script = fake_target.make_script(fake_target.make_response(b"done"))
+    kept, closed = test_forwarding.run([script], scenario)
+    assert (kept.status, closed.status) == (200, 200)
+    assert b"connection" not in kept.headers
+    assert closed.headers[b"connection"] == b"close"
+
+
 def test_request_at_a_busy_router_is_refused_with_a_retry_delay():
     router = in_process_router.InProcessRouter([makers.make_target("t")])
     router.gateway.is_too_late_for = lambda request: True
