Append releases as soon as the log can be read again

Cause (KNOWN-RED 11): while the log is paused, appends fail and their back-off grows to 30 s. The log accepts the claims that wait in its socket when it goes on; their release waits for the back-off, so a retry at another router finds its key claimed and is told 504. Change: a read that succeeds after failed ones ends the back-off of appends. Measured: test_claim_stream.py fails before, passes after.

--- a/packages/lentilbeam-core/src/lentilbeam_core/claim_stream.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/claim_stream.py
@@ -173,6 +173,9 @@
     def end_read(self, page: claim_events.PageRead) -> bool:
         """Processes a page.
 
+        If reads failed before, appends are tried again at once: a claim that
+        the log accepted late holds its key until its release is appended.
+
         Returns:
             Whether records after the previous page expired before they were
             read.
@@ -184,6 +187,8 @@
         self.may_have_more = len(page.records) >= self.settings.page_records
         if not self.may_have_more:
             self.last_complete_read = self.last_read_started
+        if self.read_backoff.is_failing:
+            self.append_backoff.note_success()
         self.read_backoff.note_success()
         return has_gap
 
