--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -228,9 +228,17 @@
         decisions = self._refuse_where(
             lambda queued: queued.request.deadline_at <= now, targets, now
         )
-        # Refreshes the sums that `Placer.has_room` uses.
-        for entry in targets[:1]:
-            self.placer.loads.total(entry.name, now)
+        decisions += self._place_waiting(targets, now)
+        if not targets and usable_at is not None:
+            decisions += self._refuse_until(usable_at, now)
+        return decisions + self._refuse_expired(targets, now)
+
+    def _place_waiting(
+        self, targets: list[target_list.Entry], now: float
+    ) -> list[Placed]:
+        """Places requests, of the workspace with the least service first."""
+        self.placer.loads.refresh(now)
+        placements = []
         full_bounds: set[placement_lib.Bounds] = set()
         order = [
             (
@@ -256,16 +264,14 @@
             placed = self._place_one(workspace, targets, bounds, now)
             if placed is None:
                 continue
-            decisions.append(placed)
+            placements.append(placed)
             if workspace in self.queues:
                 served = self.usage.total_served(workspace, now)
                 heapq.heappush(order, (True, served, workspace))
         remaining = {workspace for _, _, workspace in order}
         # Those left out twice go first before the others get another turn.
         self.left_out = (remaining & self.left_out) or remaining
-        if not targets and usable_at is not None:
-            decisions += self._refuse_until(usable_at, now)
-        return decisions + self._refuse_expired(targets, now)
+        return placements
 
     def _place_one(
         self,
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -250,13 +250,17 @@
         self.peers.pop(peer, None)
         self.summed_at = -math.inf
 
+    def refresh(self, now: float) -> None:
+        """Sums the loads of the peers again if the sums are outdated."""
+        if now - self.summed_at > PEER_SUMS_MAX_AGE_S:
+            self._sum_peers(now)
+
     def total(self, target: ids.TargetId, now: float) -> Load:
         """Returns the load of `target` from this router and its known peers.
 
         The result must not be changed.
         """
-        if now - self.summed_at > PEER_SUMS_MAX_AGE_S:
-            self._sum_peers(now)
+        self.refresh(now)
         if now != self.totals_at:
             self.totals_at = now
             self.totals.clear()
@@ -277,7 +281,10 @@
         return total
 
     def count_running(self, target: ids.TargetId) -> int:
-        """Returns the requests that run at `target`, as of the last `total`."""
+        """Returns how many requests run at `target`, as of the last `refresh`.
+
+        Takes less time than `total`.
+        """
         own = self.own_loads.get(target)
         peers = self.peer_sums.get(target)
         return (own.running if own else 0) + (peers.running if peers else 0)
