--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -215,3 +215,70 @@
         assert (await world.call("router-1", "/book/1")).status_code == 200
 
     run_scenario(tmp_path, scenario, routers=1)
+
+
+def test_target_that_says_it_leaves_gets_no_request_from_any_router(tmp_path):
+    async def scenario(world):
+        await world.set_notices("t1", leaving=True)
+
+        async def is_told():
+            response = await world.call("router-1", "/look/1")
+            return "server-leaving" in response.headers
+
+        await world.wait_until(is_told)
+
+        async def is_known_elsewhere():
+            return '"event":"target_leaving"' in world.read_log("router-2")
+
+        # Router-2 learns it from the report of router-1.
+        await world.wait_until(is_known_elsewhere)
+        for router in world.routers:
+            for _ in range(10):
+                response = await world.call(router, "/look/1")
+                assert response.headers["response-seal"] == "t2"
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_quiet_target_is_left_alone_while_another_serves(tmp_path):
+    async def scenario(world):
+        await world.set_notices("t1", quiet_s=60.0)
+        for _ in range(20):
+            response = await world.call("router-1", "/look/1")
+            assert response.headers["response-seal"] == "t2"
+        log = world.read_log("router-1")
+        assert log.count('"event":"target_quiet"') <= 1
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_routers_serve_on_when_the_store_comes_back_older(tmp_path):
+    async def scenario(world):
+        await world.publish("/new/")
+
+        async def is_in_force():
+            responses = [await world.call(r, "/new/1") for r in world.routers]
+            return all(response.status_code == 200 for response in responses)
+
+        await world.wait_until(is_in_force)
+        await world.set_faults(lose=2)
+
+        async def is_noticed():
+            return all(
+                '"event":"store_era"' in world.read_log(name)
+                for name in world.routers
+            )
+
+        # The store has lost the newest version and the entries of a target and
+        # a router. No router goes back to the version before.
+        await world.wait_until(is_noticed)
+        assert await is_in_force()
+        await world.publish("/new/", "/newer/")
+
+        async def is_newer_in_force():
+            responses = [await world.call(r, "/newer/1") for r in world.routers]
+            return all(response.status_code == 200 for response in responses)
+
+        await world.wait_until(is_newer_in_force)
+
+    run_scenario(tmp_path, scenario)
