--- a/tests/forwarding/test_late_router.py
+++ b/tests/forwarding/test_late_router.py
@@ -10,7 +10,10 @@
 
 import pytest
 
+from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import lateness as lateness_lib
+from lentilbeam_platform import directory
+from lentilbeam_router import addresses
 from tests.forwarding import fake_target
 from tests.forwarding import in_process_router
 from tests.forwarding import makers
@@ -130,6 +133,39 @@
     assert closed.headers[b"connection"] == b"close"
 
 
+ADDRESSES = [addresses.Address(f"10.0.0.{n}", 8000) for n in range(66)]
+
+
+def test_callers_of_one_workspace_do_not_all_meet_the_same_router():
+    """Pattern: all callers of a workspace prefer one of common addresses."""
+    met = collections.Counter(
+        rendezvous.choose(
+            "workspace",
+            (
+                address.host
+                for address in directory.choose_addresses(
+                    ADDRESSES, f"100.65.0.{n}"
+                )
+            ),
+        )
+        for n in range(70)
+    )
+    assert max(met.values()) <= 70 / 3
+    assert len(met) >= 5
+
+
+def test_addresses_of_a_caller_change_only_with_the_routers():
+    found = directory.choose_addresses(ADDRESSES, "100.65.0.1")
+    assert len(found) == directory.MAX_ADDRESSES
+    without_one = [a for a in reversed(ADDRESSES) if a != found[0]]
+    changed = directory.choose_addresses(without_one, "100.65.0.1")
+    assert set(found) - set(changed) == {found[0]}
+
+
+def test_small_fleet_gives_all_addresses():
+    assert directory.choose_addresses(ADDRESSES[:7], "c") == ADDRESSES[:7]
+
+
 def test_request_at_a_busy_router_is_refused_with_a_retry_delay():
     router = in_process_router.InProcessRouter([makers.make_target("t")])
     router.gateway.is_too_late_for = lambda request: True
