--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -316,6 +316,22 @@
     assert world.find_ready("r") == {"b", "c"}
 
 
+def test_older_copy_that_is_read_twice_is_still_not_believed(world):
+    world.publish(7)
+    for name in ("a", "b"):
+        world.put_target(name, "ready")
+    world.start("r")
+    world.wait(1.0)
+    world.remove_target("b")
+    world.wait(1.0)
+    world.lose(1, away_s=1.0)
+    world.wait(1.0)
+    # Peers have read further, so the list is read anew.
+    world.routers["r"].targets_watch.must_reread.set()
+    world.wait(1.0)
+    assert world.find_ready("r") == {"a"}
+
+
 def test_each_router_writes_its_entry_once_in_each_era(world):
     world.publish(7)
     for name in ("r", "s"):
