--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -53,6 +53,8 @@
         configuration_version: version of the configuration in force when it
             arrived.
         body_bytes: size of its body.
+        unread_s: longest time for which its head may have waited in the socket
+            until the router read it, in seconds.
     """
 
     request_id: str
@@ -64,6 +66,7 @@
     prompt: Prompt | None
     configuration_version: int
     body_bytes: int = 0
+    unread_s: float = 0.0
 
     @property
     def goal_at(self) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -492,6 +492,7 @@
             "workspace": self.request.workspace,
             "cost": round(requests.estimate_cost(self.request)),
             "waited_s": round(waited_s, 3),
+            "unread_s": round(self.request.unread_s, 3),
         }
 
     def _record(self, event: str, **fields) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -12,6 +12,7 @@
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import configuration as configuration_lib
 from lentilbeam_core.forwarding import lateness as lateness_lib
+from lentilbeam_core.forwarding import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import shares
@@ -96,6 +97,7 @@
     Attributes:
         settings: settings in force.
         clock: source of the time.
+        poll_times: times of the polls of the event loop.
         incarnation: start of this process, Unix microseconds.
         rng: random numbers for routing, placement and retry times.
         configuration: the newest configuration.
@@ -116,10 +118,12 @@
         settings: Settings,
         codec: wire_lib.Codec,
         clock: clock_lib.Clock,
+        poll_times: poll_times_lib.PollTimes,
         output: int,
     ):
         self.settings = settings
         self.clock = clock
+        self.poll_times = poll_times
         self.incarnation = ids.Incarnation(
             int(clock.now().timestamp() * 1_000_000)
         )
@@ -361,7 +365,7 @@
         except OSError as error:
             self.log.write_event("cannot_listen", detail=str(error))
             return exit_status.ExitStatus.CANNOT_LISTEN
-        server = listening.build_server(self._build_app(apps))
+        server = listening.build_server(self._build_app(apps), self.poll_times)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/listening.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/listening.py
@@ -7,8 +7,10 @@
 
 import uvicorn
 
+from lentilbeam_core.forwarding import poll_times as poll_times_lib
 from lentilbeam_router import addresses
 from lentilbeam_router import signal_free_server
+from lentilbeam_router.forwarding import caller_protocol
 
 CALLER_IDLE_TIMEOUT_S = 30
 """Time after which an idle connection of a caller is closed, in seconds. Longer
@@ -34,14 +36,21 @@
     return sock
 
 
-def build_server(app: AsgiApp) -> signal_free_server.WebServer:
-    """Returns an HTTP server for `app` that isn't started yet."""
+def build_server(
+    app: AsgiApp, poll_times: poll_times_lib.PollTimes
+) -> signal_free_server.WebServer:
+    """Returns an HTTP server that isn't started yet.
+
+    Args:
+        app: the application that it serves.
+        poll_times: times of the polls of the event loop that it runs in.
+    """
     # The server's own log repeats the lines of the decision log.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     config = uvicorn.Config(
         app,
         loop="asyncio",
-        http="httptools",
+        http=caller_protocol.build_factory(poll_times),
         ws="none",
         lifespan="off",
         access_log=False,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -11,6 +11,7 @@
 from lentilbeam_core.forwarding import requests
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router.forwarding import caller_channel
+from lentilbeam_router.forwarding import caller_protocol
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import wire as wire_lib
 
@@ -88,8 +89,15 @@
         except BodyTooLargeError:
             await self._deny(channel, 413, "body")
             return
+        arrived_after = scope.get("state", {}).get(
+            caller_protocol.ARRIVED_AFTER, arrived_at
+        )
         request = await self._build_request(
-            request_head, len(body), channel, arrived_at
+            request_head,
+            len(body),
+            channel,
+            arrived_at,
+            arrived_at - arrived_after,
         )
         if request is not None and self.gateway.is_too_late_for(request):
             dispatcher = self.gateway.find_dispatcher(request.pool)
@@ -112,6 +120,7 @@
         body_bytes: int,
         channel: caller_channel.CallerChannel,
         arrived_at: float,
+        unread_s: float,
     ) -> requests.Request | None:
         """Returns the request to forward; None if a response was sent.
 
@@ -149,6 +158,7 @@
             prompt=request_head.prompt,
             configuration_version=current.version,
             body_bytes=body_bytes,
+            unread_s=unread_s,
         )
 
     async def _forward(
@@ -180,8 +190,12 @@
             disconnect.cancel()
             if not run.done():
                 run.cancel()
+                waited_s = self.clock.monotonic() - request.arrived_at
                 self.log.write_request_event(
-                    request_head.request_id, "caller_left"
+                    request_head.request_id,
+                    "caller_left",
+                    waited_s=round(waited_s, 3),
+                    unread_s=round(request.unread_s, 3),
                 )
         try:
             await run
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -35,21 +35,20 @@
     Returns:
         The result of the scenario.
     """
-
-    async def run_scenario():
-        targets = [fake_target.FakeTarget(script) for script in scripts]
-        entries = [
-            await target.start(f"t{n}") for n, target in enumerate(targets)
-        ]
-        router = in_process_router.InProcessRouter(entries, engine=engine)
-        try:
-            return await asyncio.wait_for(scenario(router, targets), 20)
-        finally:
-            router.pool.close()
-            for target in targets:
-                await target.stop()
-
-    return asyncio.run(run_scenario())
+    return asyncio.run(run_async(scripts, scenario, engine))
+
+
+async def run_async(scripts, scenario, engine=None):
+    """Does the same as `run` in the running event loop."""
+    targets = [fake_target.FakeTarget(script) for script in scripts]
+    entries = [await target.start(f"t{n}") for n, target in enumerate(targets)]
+    router = in_process_router.InProcessRouter(entries, engine=engine)
+    try:
+        return await asyncio.wait_for(scenario(router, targets), 20)
+    finally:
+        router.pool.close()
+        for target in targets:
+            await target.stop()
 
 
 def call(*scripts, **arguments):
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -17,6 +17,7 @@
 import pytest
 
 from lentilbeam_core import clock as clock_lib
+from lentilbeam_core.forwarding import poll_times
 from lentilbeam_platform import call_wire
 from lentilbeam_platform import followers
 from lentilbeam_platform import node_file
@@ -215,6 +216,7 @@
             settings.router,
             call_wire.CODEC,
             self.clock,
+            poll_times.PollTimes(self.clock.monotonic()),
             self.output,
         )
         client = store_lib.StoreClient(ADDRESS, gateway.log.write_event)
