Count a request's deadline from when it may have arrived

Callers saw work go on for them after they had left. A router that is late reads a head up to seconds after it was sent, but counted its deadline from then: the target got the whole deadline once more.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -46,7 +46,8 @@
         workspace: the caller's workspace; empty on public routes.
         route: the route that matches it.
         pool: the pool whose targets may run it.
-        arrived_at: when its head was received, monotonic seconds.
+        arrived_at: earliest time at which its head may have arrived, monotonic
+            seconds.
         deadline_at: when the caller's deadline or the route's timeout passes,
             whichever is earlier, monotonic seconds.
         prompt: size of the prompt; None for plain services.
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -69,7 +69,12 @@
             self.active -= 1
 
     async def _serve(self, scope, receive, send) -> None:
-        arrived_at = self.clock.monotonic()
+        handled_at = self.clock.monotonic()
+        # The deadline counts from when the request may have arrived: a late
+        # router would give targets a deadline after that of the caller.
+        arrived_at = scope.get("state", {}).get(
+            caller_protocol.ARRIVED_AFTER, handled_at
+        )
         channel = caller_channel.CallerChannel(
             send,
             "",
@@ -89,15 +94,12 @@
         except BodyTooLargeError:
             await self._deny(channel, 413, "body")
             return
-        arrived_after = scope.get("state", {}).get(
-            caller_protocol.ARRIVED_AFTER, arrived_at
-        )
         request = await self._build_request(
             request_head,
             len(body),
             channel,
             arrived_at,
-            arrived_at - arrived_after,
+            handled_at - arrived_at,
         )
         if request is not None and self.gateway.is_too_late_for(request):
             dispatcher = self.gateway.find_dispatcher(request.pool)
@@ -170,7 +172,7 @@
         receive: Receive,
     ) -> None:
         dispatcher = self.gateway.find_dispatcher(request.pool)
-        dispatcher.budget.note_request(request.arrived_at)
+        dispatcher.budget.note_request(self.clock.monotonic())
         run = asyncio.ensure_future(
             self.gateway.forwarder.run(
                 request_head,
