Check a request's deadline before its first byte is sent

After a stall asyncio resumes tasks whose I/O is ready before it runs the timers that are due. A request whose deadline had passed while its connection was opened was therefore sent, with 1 ms left, to a target that then worked for nobody. The deadline is checked once more when the connection is there; the caller is told that its request did not run.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -174,11 +174,21 @@
             self.dispatcher.note_end(self.request.request_id)
             raise
         try:
+            self._check_deadline()
             return await self._exchange(placement, connection)
         finally:
             self.dispatcher.note_end(self.request.request_id)
             self.forwarder.connections.release(target, connection)
 
+    def _check_deadline(self) -> None:
+        """Raises TimeoutError if the request's deadline has passed.
+
+        After a stall the event loop resumes tasks that waited for I/O before
+        it runs the timers that are due.
+        """
+        if self.clock.monotonic() >= self.request.deadline_at:
+            raise TimeoutError
+
     async def _exchange(
         self,
         placement: placement_lib.Placement,
