Notice at once that a caller has left, and look before the first byte

Targets got requests whose callers had left a second before. When head and close wait in a socket together, asyncio delivers the head first; the ASGI server told the application of the close some five iterations of the event loop later, and by then the request was sent on an idle connection. In a busy router an iteration takes tenths of a second.

The connection now cancels the request as soon as the close is read, and a request whose router has not read its sockets for 0.1 s lets it do so before the first byte is sent.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_protocol.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_protocol.py
@@ -1,20 +1,47 @@
-"""HTTP server protocol that knows when a caller's request may have arrived."""
+"""HTTP server protocol that tells when callers' requests arrive and they leave.
 
+The ASGI server itself tells the application only after several iterations of
+the event loop that a caller has left.
+"""
+
+from collections.abc import Callable
+import dataclasses
 import functools
 
 from uvicorn.protocols.http import httptools_impl
 
 from lentilbeam_core.forwarding import poll_times as poll_times_lib
 
-ARRIVED_AFTER = "arrived_after"
-"""Key, in the state of an ASGI scope, of the earliest time at which the request
-may have arrived, in monotonic seconds."""
+CALLER = "caller"
+"""Key of the `Caller` in the state of an ASGI scope."""
 POLLS_TO_CONNECTION = 2
 """Polls between the one that returned a new connection and `connection_made`.
 asyncio accepts it in one iteration of the loop and opens its transport in the
 next."""
 
 
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """The caller of one request.
+
+    Attributes:
+        arrived_after: earliest time at which its request may have arrived,
+            monotonic seconds.
+        has_left: whether its connection was closed.
+        on_left: called when the connection is closed; None if not set.
+    """
+
+    arrived_after: float
+    has_left: bool = False
+    on_left: Callable[[], object] | None = None
+
+    def note_left(self) -> None:
+        """Records that the connection was closed."""
+        self.has_left = True
+        if self.on_left is not None:
+            self.on_left()
+
+
 class CallerProtocol(httptools_impl.HttpToolsProtocol):
     """A connection of a caller.
 
@@ -23,12 +50,14 @@
         unread_since: earliest time at which the bytes that are read next may
             have arrived, monotonic seconds; None if it is that of the last
             poll.
+        caller: caller of the newest request; None before the first.
     """
 
     def __init__(self, poll_times: poll_times_lib.PollTimes, **arguments):
         super().__init__(**arguments)
         self.poll_times = poll_times
         self.unread_since: float | None = None
+        self.caller: Caller | None = None
 
     def connection_made(self, transport) -> None:
         """Notes when the connection may have been opened (see asyncio)."""
@@ -43,10 +72,25 @@
         super().data_received(data)
         self.unread_since = None
 
+    def eof_received(self) -> None:
+        """Notes that the caller has closed (called by asyncio)."""
+        self._note_left()
+        super().eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes that the connection has ended (called by asyncio)."""
+        self._note_left()
+        super().connection_lost(exc)
+
     def on_message_begin(self) -> None:
-        """Adds the time of arrival to the scope (called by the parser)."""
+        """Adds the caller to the scope (called by the parser)."""
         super().on_message_begin()
-        self.scope["state"][ARRIVED_AFTER] = self.unread_since
+        self.caller = Caller(self.unread_since)
+        self.scope["state"][CALLER] = self.caller
+
+    def _note_left(self) -> None:
+        if self.caller is not None and not self.caller.has_left:
+            self.caller.note_left()
 
 
 def build_factory(poll_times: poll_times_lib.PollTimes):
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import event_stream
 from lentilbeam_core.forwarding import placement as placement_lib
+from lentilbeam_core.forwarding import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_router import metrics as metrics_lib
@@ -28,6 +29,10 @@
 """A response that isn't a stream is buffered up to this size and passed on only
 once it is complete, so that the request can still be sent to another target."""
 
+MAX_UNREAD_S = 0.1
+"""Longest time, in seconds, for which the close of a caller's connection may
+have waited to be read when the request is sent to a target."""
+
 
 class Forwarder:
     """Forwards requests to the targets of their pools.
@@ -36,6 +41,7 @@
         codec: decodes and encodes HTTP heads.
         connections: idle connections to targets.
         clock: source of monotonic time.
+        poll_times: times of the polls of the event loop.
         metrics: counts events of requests.
         log: log of decisions.
         bad_notices: target and header of each invalid notice that was logged.
@@ -46,12 +52,14 @@
         codec: wire_lib.Codec,
         connections: connection_pool.ConnectionPool,
         clock: clock_lib.Clock,
+        poll_times: poll_times_lib.PollTimes,
         metrics: metrics_lib.Metrics,
         log: decision_log.DecisionLog,
     ):
         self.codec = codec
         self.connections = connections
         self.clock = clock
+        self.poll_times = poll_times
         self.metrics = metrics
         self.log = log
         self.bad_notices: set[tuple[ids.TargetId, str]] = set()
@@ -174,12 +182,26 @@
             self.dispatcher.note_end(self.request.request_id)
             raise
         try:
+            await self._catch_up()
             self._check_deadline()
             return await self._exchange(placement, connection)
         finally:
             self.dispatcher.note_end(self.request.request_id)
             self.forwarder.connections.release(target, connection)
 
+    async def _catch_up(self) -> None:
+        """Lets the event loop read what has arrived, if it has not lately.
+
+        A caller that has left cancels this task. The second iteration is needed
+        since tasks resume before the events of the same poll are handled.
+        """
+        poll_times = self.forwarder.poll_times
+        for _ in range(2):
+            unread_s = self.clock.monotonic() - poll_times.read_until
+            if unread_s <= MAX_UNREAD_S:
+                return
+            await asyncio.sleep(0)
+
     def _check_deadline(self) -> None:
         """Raises TimeoutError if the request's deadline has passed.
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -156,7 +156,12 @@
         )
         self.connections = connection_pool.ConnectionPool(clock, self.metrics)
         self.forwarder = forwarder_lib.Forwarder(
-            codec, self.connections, clock, self.metrics, self.log
+            codec,
+            self.connections,
+            clock,
+            poll_times,
+            self.metrics,
+            self.log,
         )
         self.request_handler = request_handler_lib.RequestHandler(
             codec, self, clock, self.metrics, self.log
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -72,9 +72,10 @@
         handled_at = self.clock.monotonic()
         # The deadline counts from when the request may have arrived: a late
         # router would give targets a deadline after that of the caller.
-        arrived_at = scope.get("state", {}).get(
-            caller_protocol.ARRIVED_AFTER, handled_at
-        )
+        caller = scope.get("state", {}).get(caller_protocol.CALLER)
+        if caller is None:
+            caller = caller_protocol.Caller(handled_at)
+        arrived_at = caller.arrived_after
         channel = caller_channel.CallerChannel(
             send,
             "",
@@ -114,7 +115,9 @@
             self.metrics.count("request.refused")
             await channel.respond(503, refused.retry_after_s)
         elif request is not None:
-            await self._forward(request_head, body, request, channel, receive)
+            await self._forward(
+                request_head, body, request, channel, receive, caller
+            )
 
     async def _build_request(
         self,
@@ -170,7 +173,11 @@
         request: requests.Request,
         channel: caller_channel.CallerChannel,
         receive: Receive,
+        caller: caller_protocol.Caller,
     ) -> None:
+        if caller.has_left:
+            self._log_left(request)
+            return
         dispatcher = self.gateway.find_dispatcher(request.pool)
         dispatcher.budget.note_request(self.clock.monotonic())
         run = asyncio.ensure_future(
@@ -183,6 +190,7 @@
                 self.gateway.peers.count_routers(),
             )
         )
+        caller.on_left = run.cancel
         disconnect = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
             await asyncio.wait(
@@ -190,18 +198,11 @@
             )
         finally:
             disconnect.cancel()
-            if not run.done():
-                run.cancel()
-                waited_s = self.clock.monotonic() - request.arrived_at
-                self.log.write_request_event(
-                    request_head.request_id,
-                    "caller_left",
-                    waited_s=round(waited_s, 3),
-                    unread_s=round(request.unread_s, 3),
-                )
+            run.cancel()
         try:
             await run
         except asyncio.CancelledError:
+            self._log_left(request)
             return
         except Exception as error:
             self.metrics.count("request.fault")
@@ -213,6 +214,15 @@
         if channel.is_aborted:
             raise caller_channel.ResponseAbortedError(request_head.request_id)
 
+    def _log_left(self, request: requests.Request) -> None:
+        waited_s = self.clock.monotonic() - request.arrived_at
+        self.log.write_request_event(
+            request.request_id,
+            "caller_left",
+            waited_s=round(waited_s, 3),
+            unread_s=round(request.unread_s, 3),
+        )
+
     async def _read_body(self, receive: Receive) -> bytes:
         """Returns the whole request body.
 
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import dataclasses
+import math
 import os
 import random
 import types
@@ -12,6 +13,7 @@
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_platform import call_wire
@@ -52,6 +54,8 @@
         targets: entries of the targets of the pool.
         routes: routes of the configuration.
         engine: engine that the targets run; None if they run none.
+        poll_times: times of the polls of the event loop; None if the router
+            is to believe that it reads everything at once.
 
     Attributes:
         log_fd: file descriptor from which the decision log can be read.
@@ -67,6 +71,7 @@
         targets: list[target_list.Entry],
         routes=(makers.CHAT, makers.BOOK, makers.LOOK_UP),
         engine: configuration.Engine | None = None,
+        poll_times: poll_times_lib.PollTimes | None = None,
     ):
         clock = clock_lib.SystemClock()
         read_fd, write_fd = os.pipe()
@@ -106,7 +111,12 @@
             is_too_late_for=lambda request: False,
             takes_callers=True,
             forwarder=forwarder.Forwarder(
-                call_wire.CODEC, self.pool, clock, router_metrics, log
+                call_wire.CODEC,
+                self.pool,
+                clock,
+                poll_times or poll_times_lib.PollTimes(math.inf),
+                router_metrics,
+                log,
             ),
         )
         self.request_handler = request_handler.RequestHandler(
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -38,11 +38,20 @@
     return asyncio.run(run_async(scripts, scenario, engine))
 
 
-async def run_async(scripts, scenario, engine=None):
-    """Does the same as `run` in the running event loop."""
+async def run_async(scripts, scenario, engine=None, poll_times=None):
+    """Does the same as `run` in the running event loop.
+
+    Args:
+        scripts: see `run`.
+        scenario: see `run`.
+        engine: see `run`.
+        poll_times: see `InProcessRouter`.
+    """
     targets = [fake_target.FakeTarget(script) for script in scripts]
     entries = [await target.start(f"t{n}") for n, target in enumerate(targets)]
-    router = in_process_router.InProcessRouter(entries, engine=engine)
+    router = in_process_router.InProcessRouter(
+        entries, engine=engine, poll_times=poll_times
+    )
     try:
         return await asyncio.wait_for(scenario(router, targets), 20)
     finally:
--- a/tests/forwarding/test_stalled_router.py
+++ b/tests/forwarding/test_stalled_router.py
@@ -97,7 +97,9 @@
 
     with event_loop.build_runner(selector) as runner:
         return runner.run(
-            test_forwarding.run_async([send_stream], listen_and_run)
+            test_forwarding.run_async(
+                [send_stream], listen_and_run, poll_times=selector.poll_times
+            )
         )
 
 
@@ -240,3 +242,26 @@
     assert find_received(target, "caller-0")
     sent = [n for n in range(count) if find_received(target, f"caller-{n}")]
     assert not [n for n in sent if n >= count // 2]
+
+
+# Guards against GONE: the loop stands still between the placement of a request
+# and its first byte, and the caller leaves meanwhile.
+def test_request_of_a_caller_that_left_before_its_first_byte_is_not_sent():
+    async def scenario(router, address, target):
+        router.pool.close()
+        connect_at_once = router.pool.connect
+        with await connect(address) as caller:
+
+            async def connect_late(*arguments):
+                connection = await connect_at_once(*arguments)
+                caller.close()
+                time.sleep(0.3)  # noqa: ASYNC251 (the loop stands still)
+                return connection
+
+            router.pool.connect = connect_late
+            caller.sendall(encode_request("left", 5000))
+            await asyncio.sleep(0.3 + SETTLE_S)
+        return target
+
+    target = run_in_timed_loop(scenario)
+    assert not find_received(target, "left")
