Handle new requests for 20 ms in an iteration of the event loop

Requests that arrive together were all handled in one iteration.

New requests now wait for the next iteration after 20 ms. The time for which one waited counts in the lateness of the router, so that it refuses at once what it can't handle.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lateness.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lateness.py
@@ -1,9 +1,10 @@
 """Detects that a router is too busy to do its work in time.
 
 A router that gets more requests than its processor can handle falls behind: its
-timers fire late, and it sends requests on that their callers have given up. It
-can tell by the timers, and then refuses requests before that happens, first
-those of workspaces that have had their fair share.
+timers fire late, new requests wait for their turn, and it sends requests on
+that their callers have given up. It can tell by timers and turns, and then
+refuses requests before that happens, first those of workspaces that have had
+their fair share.
 """
 
 import dataclasses
@@ -55,11 +56,12 @@
         self.last_late_at: float | None = None
 
     def note_timer(self, due_at: float, now: float) -> None:
-        """Records that a timer fired.
+        """Records that a timer fired, or that a request got its turn.
 
         Args:
-            due_at: when it was due, monotonic seconds.
-            now: when it fired, monotonic seconds.
+            due_at: when the timer was due or the request was read, monotonic
+                seconds.
+            now: monotonic seconds.
         """
         late_s = max(now - due_at, 0.0)
         self.late_s = max(late_s, self.late_s * self.settings.decay_factor)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -210,6 +210,23 @@
         dispatcher = self.find_dispatcher(request.pool)
         return dispatcher.has_had_fair_share(request.workspace)
 
+    def note_lateness(self, due_at: float) -> None:
+        """Updates `lateness`; logs a change of its level.
+
+        Args:
+            due_at: when a timer that fired now was due, or when a request that
+                is handled now was read, monotonic seconds.
+        """
+        before = self.lateness.level
+        self.lateness.note_timer(due_at, self.clock.monotonic())
+        if self.lateness.level is not before:
+            self.log.write_event(
+                "lateness",
+                level=self.lateness.level.value,
+                late_s=round(self.lateness.late_s, 3),
+                active=self.request_handler.active,
+            )
+
     def find_dispatcher(self, pool: ids.PoolId) -> dispatcher_lib.Dispatcher:
         """Returns the dispatcher of a pool, created on first use.
 
@@ -479,24 +496,12 @@
             interval_s = report_exchange_lib.MIN_REPORT_INTERVAL_S
             due_at = self.clock.monotonic() + interval_s
             await asyncio.sleep(interval_s)
-            self._note_timer(due_at)
+            self.note_lateness(due_at)
             is_changed = any(d.is_changed for d in self.dispatchers.values())
             self.report_exchange.send_if_due(
                 self._build_status(), is_changed, self._collect_work
             )
 
-    def _note_timer(self, due_at: float) -> None:
-        """Updates `lateness`; logs a change of its level."""
-        before = self.lateness.level
-        self.lateness.note_timer(due_at, self.clock.monotonic())
-        if self.lateness.level is not before:
-            self.log.write_event(
-                "lateness",
-                level=self.lateness.level.value,
-                late_s=round(self.lateness.late_s, 3),
-                active=self.request_handler.active,
-            )
-
     def _build_status(self) -> report_exchange_lib.Status:
         current = self.configuration.current
         return report_exchange_lib.Status(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -18,6 +18,10 @@
 NO_CONFIGURATION_RETRY_S = 0.5
 """`Retry-After`, in seconds, while the router has no configuration. It has
 usually read one by then."""
+MAX_TURN_S = 0.02
+"""Time, in seconds, for which an iteration of the event loop handles new
+requests. The others wait until the loop has read its sockets and run its timers
+again."""
 
 Receive = Callable[[], Any]
 
@@ -76,6 +80,9 @@
         if caller is None:
             caller = caller_protocol.Caller(handled_at)
         arrived_at = caller.arrived_after
+        await self._wait_for_turn(handled_at)
+        if caller.has_left:
+            return
         channel = caller_channel.CallerChannel(
             send,
             "",
@@ -119,6 +126,20 @@
                 request_head, body, request, channel, receive, caller
             )
 
+    async def _wait_for_turn(self, handled_at: float) -> None:
+        """Waits until the event loop has time for another new request.
+
+        Requests that arrive together would otherwise be handled in a single
+        iteration, and the router would not notice who leaves meanwhile.
+        """
+        poll_times = self.gateway.poll_times
+        has_waited = False
+        while self.clock.monotonic() - poll_times.returned_at > MAX_TURN_S:
+            has_waited = True
+            await asyncio.sleep(0)
+        if has_waited:
+            self.gateway.note_lateness(handled_at)
+
     async def _build_request(
         self,
         request_head: wire_lib.RequestHead,
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -102,7 +102,11 @@
         self.pool = connection_pool.ConnectionPool(clock, router_metrics)
         latest = configuration.LatestConfiguration()
         latest.offer(self.configuration)
+        if poll_times is None:
+            poll_times = poll_times_lib.PollTimes(math.inf)
         self.gateway = types.SimpleNamespace(
+            poll_times=poll_times,
+            note_lateness=lambda due_at: None,
             configuration=latest,
             is_leaving=False,
             rng=random.Random(1),
@@ -114,7 +118,7 @@
                 call_wire.CODEC,
                 self.pool,
                 clock,
-                poll_times or poll_times_lib.PollTimes(math.inf),
+                poll_times,
                 router_metrics,
                 log,
             ),
--- a/tests/forwarding/test_late_router.py
+++ b/tests/forwarding/test_late_router.py
@@ -14,6 +14,7 @@
 from lentilbeam_core.forwarding import lateness as lateness_lib
 from lentilbeam_platform import directory
 from lentilbeam_router import addresses
+from lentilbeam_router.forwarding import request_handler
 from tests.forwarding import fake_target
 from tests.forwarding import in_process_router
 from tests.forwarding import makers
@@ -25,6 +26,7 @@
 REFUSAL_S = 0.0007
 """Processor time of a request that is refused at once."""
 TICK_S = 0.04
+MAX_TURN_S = request_handler.MAX_TURN_S
 
 
 def simulate(load, flood_s, sheds=True, calm_s=4.0):
@@ -51,24 +53,33 @@
         at += REQUEST_S / (load if at < flood_s else 0.5)
     accepted = []
     late_at = []
-    while arrivals:
-        # One turn of the loop: the sockets that are ready, then the timers.
-        ready = []
-        while arrivals and arrivals[0] <= now:
-            ready.append(arrivals.popleft())
-        for arrived_at in ready:
-            if sheds and lateness.level is not Level.ON_TIME:
-                now += REFUSAL_S
-                continue
+    waiting = collections.deque()
+    longest_turn_s = 0.0
+    while arrivals or waiting:
+        # One turn of the loop: requests that wait, then sockets and timers.
+        began_at = now
+        while waiting and now - began_at <= MAX_TURN_S:
+            arrived_at, read_at = waiting.popleft()
+            if read_at < began_at:
+                lateness.note_timer(read_at, now)
+            if lateness.level is not Level.ON_TIME:
+                late_at.append(now)
+                if sheds:
+                    now += REFUSAL_S
+                    continue
             accepted.append((arrived_at, now - arrived_at))
             now += REQUEST_S
+        longest_turn_s = max(longest_turn_s, now - began_at)
+        while arrivals and arrivals[0] <= now:
+            waiting.append((arrivals.popleft(), now))
         if now >= next_tick:
             lateness.note_timer(next_tick, now)
             next_tick = now + TICK_S
             if lateness.level is not Level.ON_TIME:
                 late_at.append(now)
-        if not ready:
+        if not waiting:
             now = min(arrivals[0] if arrivals else now, next_tick)
+    assert longest_turn_s <= MAX_TURN_S + REQUEST_S
     return accepted, late_at
 
 
--- a/tests/forwarding/test_stalled_router.py
+++ b/tests/forwarding/test_stalled_router.py
@@ -66,6 +66,19 @@
     return connection
 
 
+def block_for_each_head(router, seconds):
+    """Makes the router's event loop stand still for each request."""
+    codec = router.request_handler.codec
+
+    def decode_slowly(scope):
+        time.sleep(seconds)
+        return codec.decode_request_head(scope)
+
+    router.request_handler.codec = dataclasses.replace(
+        codec, decode_request_head=decode_slowly
+    )
+
+
 def find_received(target, request_id):
     """Returns the heads of a request that a target received."""
     header = f"request-id: {request_id}\r\n".encode()
@@ -214,15 +227,7 @@
     request_s = 0.02
 
     async def scenario(router, address, target):
-        codec = router.request_handler.codec
-
-        def decode_slowly(scope):
-            time.sleep(request_s)
-            return codec.decode_request_head(scope)
-
-        router.request_handler.codec = dataclasses.replace(
-            codec, decode_request_head=decode_slowly
-        )
+        block_for_each_head(router, request_s)
         callers = [await connect(address) for _ in range(count)]
         for number, caller in enumerate(callers):
             caller.sendall(encode_request(f"caller-{number}", 5000))
@@ -265,3 +270,43 @@
 
     target = run_in_timed_loop(scenario)
     assert not find_received(target, "left")
+
+
+# Guards against GONE: a router that is busy with new requests notices too late
+# that the caller of a running request has left, and its target works on.
+def test_target_of_a_caller_that_left_stops_while_the_router_is_busy():
+    request_s = 0.02
+    ended_at = []
+
+    async def run_until_closed(head, reader, writer):
+        if b"request-id: running\r\n" not in head.lower():
+            await send_stream(head, reader, writer)
+            return
+        writer.write(fake_target.make_stream_head("running"))
+        writer.write(fake_target.encode_chunk(fake_target.make_event(1)))
+        await reader.read()
+        ended_at.append(time.monotonic())
+        raise ConnectionError
+
+    async def scenario(router, address, target):
+        target.script = run_until_closed
+        running = await connect(address)
+        running.sendall(encode_request("running", 5000))
+        await asyncio.sleep(0.1)
+        block_for_each_head(router, request_s)
+        callers = [await connect(address) for _ in range(IDLE_CONNECTIONS)]
+        for number, caller in enumerate(callers):
+            caller.sendall(encode_request(f"caller-{number}", 5000))
+        left_at = []
+
+        def leave():
+            left_at.append(time.monotonic())
+            running.close()
+
+        threading.Timer(0.05, leave).start()
+        await asyncio.sleep(IDLE_CONNECTIONS * request_s + SETTLE_S)
+        for caller in callers:
+            caller.close()
+        return ended_at[0] - left_at[0]
+
+    assert run_in_timed_loop(scenario) <= 0.5
