--- a/tests/forwarding/test_late_router.py
+++ b/tests/forwarding/test_late_router.py
@@ -29,6 +29,16 @@
 MAX_TURN_S = request_handler.MAX_TURN_S
 
 
+def make_arrivals(load, flood_s, calm_s):
+    """Returns the times of the requests of a flood, see `simulate`."""
+    arrivals = collections.deque()
+    at = 0.0
+    while at < flood_s + calm_s:
+        arrivals.append(at)
+        at += REQUEST_S / (load if at < flood_s else 0.5)
+    return arrivals
+
+
 def simulate(load, flood_s, sheds=True, calm_s=4.0):
     """Runs an event loop of one router in virtual processor time.
 
@@ -46,11 +56,7 @@
     lateness = lateness_lib.Lateness(lateness_lib.Settings())
     now = 0.0
     next_tick = TICK_S
-    arrivals = collections.deque()
-    at = 0.0
-    while at < flood_s + calm_s:
-        arrivals.append(at)
-        at += REQUEST_S / (load if at < flood_s else 0.5)
+    arrivals = make_arrivals(load, flood_s, calm_s)
     accepted = []
     late_at = []
     waiting = collections.deque()
