Count deadlines of the product's own interface from arrival, too

The same cause as in forwarding: the deadline of POST /v1/requests counted from when the handler ran, so a router that read late still ran what its caller had given up. The timed selector and the caller protocol move out of the forwarding packages and serve both interfaces.

test_deadline_counts_from_the_arrival_of_a_request: completed before, refused as not run now. Golden files unchanged.

--- a/packages/lentilbeam-router/src/lentilbeam_router/caller_api.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/caller_api.py
@@ -15,6 +15,7 @@
 from lentilbeam_router import answer_store
 from lentilbeam_router import api_types
 from lentilbeam_router import attach as attach_lib
+from lentilbeam_router import caller_protocol
 from lentilbeam_router import fleet
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router import pipeline as pipeline_lib
@@ -82,11 +83,13 @@
             for entry in entries
         ]
 
-    async def serve(self, body: bytes) -> litestar.Response:
+    async def serve(self, body: bytes, arrived_at: float) -> litestar.Response:
         """Validates and runs a request.
 
         Args:
             body: body of `POST /v1/requests`.
+            arrived_at: earliest time at which the request may have arrived,
+                monotonic seconds.
 
         Returns:
             The answer, as a whole or as a stream, or a problem.
@@ -108,10 +111,10 @@
             case expression.Result(tag="error", error=rejection):
                 return self._reject(rejection)
             case expression.Result(tag="ok", ok=request):
-                return await self._serve_valid_request(request)
+                return await self._serve_valid_request(request, arrived_at)
 
     async def _serve_valid_request(
-        self, request: requests.CallerRequest
+        self, request: requests.CallerRequest, arrived_at: float
     ) -> litestar.Response:
         entry = self.store.find(request.workspace, request.request_id)
         if entry is not None and entry.fingerprint != request.fingerprint:
@@ -127,7 +130,7 @@
             refusal = self._find_refusal(request)
             if refusal is not None:
                 return responses.build_problem(refusal)
-            feed = self.pipeline.start(request)
+            feed = self.pipeline.start(request, arrived_at)
         if request.is_streamed:
             return await responses.build_stream(feed, 0)
         return await responses.build_complete(feed)
@@ -206,7 +209,9 @@
         },
     )
     async def post_request(request: litestar.Request) -> litestar.Response:
-        return await api.serve(await request.body())
+        now = api.pipeline.clock.monotonic()
+        caller = caller_protocol.read_caller(request.scope, now)
+        return await api.serve(await request.body(), caller.arrived_after)
 
     @litestar.get(
         "/v1/requests/{name:str}",
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_protocol.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/caller_protocol.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 import dataclasses
 import functools
+from typing import Any
 
 from uvicorn.protocols.http import httptools_impl
 
-from lentilbeam_core.forwarding import poll_times as poll_times_lib
+from lentilbeam_core import poll_times as poll_times_lib
 
 CALLER = "caller"
 """Key of the `Caller` in the state of an ASGI scope."""
@@ -93,6 +94,17 @@
             self.caller.note_left()
 
 
+def read_caller(scope: dict[str, Any], now: float) -> Caller:
+    """Returns the caller of a request.
+
+    Args:
+        scope: ASGI scope of the request.
+        now: monotonic seconds; counts as the time of arrival if the server
+            doesn't tell it.
+    """
+    return scope.get("state", {}).get(CALLER) or Caller(now)
+
+
 def build_factory(poll_times: poll_times_lib.PollTimes):
     """Returns the protocol factory for the configuration of uvicorn."""
     return functools.partial(CallerProtocol, poll_times)
--- a/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/daemon.py
@@ -13,6 +13,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core import membership as membership_lib
 from lentilbeam_core import node as node_lib
+from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_core import request_key
 from lentilbeam_core import timeline as timeline_lib
 from lentilbeam_router import answer_store
@@ -53,8 +54,10 @@
         settings: settings_lib.Settings,
         env: environment.Environment,
         log: structlog.BoundLogger,
+        poll_times: poll_times_lib.PollTimes,
     ):
         self.settings = settings
+        self.poll_times = poll_times
         self.log = log
         self.clock = env.clock
         self.stop = asyncio.Event()
@@ -247,7 +250,7 @@
             *operator_api.build_handlers(operators),
         ]
         app = web_server.build_app(handlers, self.settings.limits, self.fleet)
-        return web_server.build_server(app, self.settings.http)
+        return web_server.build_server(app, self.settings.http, self.poll_times)
 
 
 def _choose_incarnation(env: environment.Environment) -> ids.Incarnation:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/event_loop.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/event_loop.py
@@ -4,7 +4,7 @@
 import selectors
 
 from lentilbeam_core import clock as clock_lib
-from lentilbeam_core.forwarding import poll_times as poll_times_lib
+from lentilbeam_core import poll_times as poll_times_lib
 
 
 class TimedSelector(selectors.DefaultSelector):
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -9,11 +9,11 @@
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
+from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import admission
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import event_stream
 from lentilbeam_core.forwarding import placement as placement_lib
-from lentilbeam_core.forwarding import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_router import metrics as metrics_lib
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -10,9 +10,9 @@
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import configuration as configuration_lib
 from lentilbeam_core.forwarding import lateness as lateness_lib
-from lentilbeam_core.forwarding import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import shares
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/listening.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/listening.py
@@ -7,10 +7,10 @@
 
 import uvicorn
 
-from lentilbeam_core.forwarding import poll_times as poll_times_lib
+from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_router import addresses
+from lentilbeam_router import caller_protocol
 from lentilbeam_router import signal_free_server
-from lentilbeam_router.forwarding import caller_protocol
 
 CALLER_IDLE_TIMEOUT_S = 30
 """Time after which an idle connection of a caller is closed, in seconds. Longer
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -9,9 +9,9 @@
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import requests
+from lentilbeam_router import caller_protocol
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router.forwarding import caller_channel
-from lentilbeam_router.forwarding import caller_protocol
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import wire as wire_lib
 
@@ -76,9 +76,7 @@
         handled_at = self.clock.monotonic()
         # The deadline counts from when the request may have arrived: a late
         # router would give targets a deadline after that of the caller.
-        caller = scope.get("state", {}).get(caller_protocol.CALLER)
-        if caller is None:
-            caller = caller_protocol.Caller(handled_at)
+        caller = caller_protocol.read_caller(scope, handled_at)
         arrived_at = caller.arrived_after
         await self._wait_for_turn(handled_at)
         if caller.has_left:
--- a/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
@@ -67,10 +67,18 @@
         self.timeline = node.timeline
         self.tasks: set[asyncio.Task] = set()
 
-    def start(self, request: requests.CallerRequest) -> answer_feed.AnswerFeed:
-        """Starts a task that runs a request; returns the feed of the answer."""
+    def start(
+        self, request: requests.CallerRequest, arrived_at: float
+    ) -> answer_feed.AnswerFeed:
+        """Starts a task that runs a request; returns the feed of the answer.
+
+        Args:
+            request: the request.
+            arrived_at: when it arrived, from which its deadline counts,
+                monotonic seconds.
+        """
         feed = self.store.open(request)
-        deadline = self.clock.monotonic() + request.deadline_s
+        deadline = arrived_at + request.deadline_s
         task = asyncio.create_task(self._run(runs.Run(request, feed, deadline)))
         self.tasks.add(task)
         task.add_done_callback(self._finish_task)
--- a/packages/lentilbeam-router/src/lentilbeam_router/program.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/program.py
@@ -1,13 +1,14 @@
 """Reads the command line and the settings file, then runs the daemon."""
 
-import asyncio
 import pathlib
 
 from absl import flags
 import expression
 
+from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_router import daemon
 from lentilbeam_router import environment
+from lentilbeam_router import event_loop
 from lentilbeam_router import exit_status
 from lentilbeam_router import logs
 from lentilbeam_router import settings as settings_lib
@@ -59,7 +60,9 @@
         return exit_status.ExitStatus.BAD_SETTINGS
     match settings_lib.parse_settings(text):
         case expression.Result(tag="ok", ok=settings):
-            return asyncio.run(_serve(settings, env))
+            selector = event_loop.TimedSelector(env.clock)
+            with event_loop.build_runner(selector) as runner:
+                return runner.run(_serve(settings, env, selector.poll_times))
         case expression.Result(tag="error", error=found):
             for finding in found:
                 print(f"lentilbeamd: {path}: {finding}", file=env.stderr)
@@ -67,7 +70,9 @@
 
 
 async def _serve(
-    settings: settings_lib.Settings, env: environment.Environment
+    settings: settings_lib.Settings,
+    env: environment.Environment,
+    poll_times: poll_times_lib.PollTimes,
 ) -> exit_status.ExitStatus:
     log = logs.build_logger(env.stdout, settings.instance)
-    return await daemon.Daemon(settings, env, log).run()
+    return await daemon.Daemon(settings, env, log, poll_times).run()
--- a/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/web_server.py
@@ -14,7 +14,9 @@
 
 from lentilbeam_core import findings as findings_lib
 from lentilbeam_core import outcome
+from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_router import addresses
+from lentilbeam_router import caller_protocol
 from lentilbeam_router import fleet
 from lentilbeam_router import problems
 from lentilbeam_router import responses
@@ -54,15 +56,23 @@
 
 
 def build_server(
-    app: litestar.Litestar, address: addresses.Address
+    app: litestar.Litestar,
+    address: addresses.Address,
+    poll_times: poll_times_lib.PollTimes,
 ) -> signal_free_server.WebServer:
-    """Returns a server for `app` that listens on `address` once started."""
+    """Returns a server for `app` that listens on `address` once started.
+
+    Args:
+        app: the application that it serves.
+        address: the address.
+        poll_times: times of the polls of the event loop that it runs in.
+    """
     config = uvicorn.Config(
         app,
         host=address.host,
         port=address.port,
         loop="asyncio",
-        http="httptools",
+        http=caller_protocol.build_factory(poll_times),
         ws="none",
         lifespan="off",
         access_log=False,
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -12,8 +12,8 @@
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
+from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import configuration
-from lentilbeam_core.forwarding import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_platform import call_wire
--- a/tests/forwarding/test_poll_times.py
+++ b/tests/forwarding/test_poll_times.py
@@ -4,8 +4,8 @@
 import time
 
 from lentilbeam_core import clock as clock_lib
-from lentilbeam_core.forwarding import poll_times as poll_times_lib
-from lentilbeam_router.forwarding import event_loop
+from lentilbeam_core import poll_times as poll_times_lib
+from lentilbeam_router import event_loop
 
 
 def test_busy_loop_reads_late_by_the_time_since_its_last_poll():
--- a/tests/forwarding/test_stalled_router.py
+++ b/tests/forwarding/test_stalled_router.py
@@ -15,7 +15,7 @@
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_router import addresses
-from lentilbeam_router.forwarding import event_loop
+from lentilbeam_router import event_loop
 from lentilbeam_router.forwarding import listening
 from tests.forwarding import fake_target
 from tests.forwarding import in_process_router
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -17,7 +17,7 @@
 import pytest
 
 from lentilbeam_core import clock as clock_lib
-from lentilbeam_core.forwarding import poll_times
+from lentilbeam_core import poll_times
 from lentilbeam_platform import call_wire
 from lentilbeam_platform import followers
 from lentilbeam_platform import node_file
--- a/tests/golden/session.py
+++ b/tests/golden/session.py
@@ -18,6 +18,7 @@
 from lentilbeam_core import catalogue_log
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
+from lentilbeam_core import poll_times
 from lentilbeam_router import daemon as daemon_lib
 from lentilbeam_router import environment
 from lentilbeam_router import logs
@@ -177,7 +178,12 @@
             ),
         )
         log = logs.build_logger(self.log_output, settings.instance)
-        return daemon_lib.Daemon(settings, env, log)
+        return daemon_lib.Daemon(
+            settings,
+            env,
+            log,
+            poll_times.PollTimes(self.clock.monotonic()),
+        )
 
     async def start(self) -> None:
         """Publishes the catalogue, registers the router and waits."""
--- a/tests/unit/test_router_faults.py
+++ b/tests/unit/test_router_faults.py
@@ -3,6 +3,7 @@
 The slot of the failed request must become free again.
 """
 
+from lentilbeam_router import caller_protocol
 from tests.golden import session as session_lib
 
 PATH = "/v1/requests"
@@ -45,3 +46,22 @@
         assert session.daemon.metrics.counters["router.faults"] == FAULT_COUNT
 
     session_lib.record_session(send_requests)
+
+
+# Guards against work for callers that gave up while the router read late.
+def test_deadline_counts_from_the_arrival_of_a_request():
+    async def send_request(session: session_lib.Session) -> None:
+        app = session.daemon.server.config.app
+
+        async def serve_late(scope, receive, send):
+            arrived_at = session.clock.monotonic() - 2.0
+            caller = caller_protocol.Caller(arrived_at)
+            scope["state"] = {caller_protocol.CALLER: caller}
+            await app(scope, receive, send)
+
+        session.network.add("router-1", serve_late)
+        body = {**make_body(0), "deadline_ms": 1500}
+        response = await session.send_request("POST", PATH, body)
+        assert response.json()["reason"] == "deadline_unreachable"
+
+    session_lib.record_session(send_request)
