Log the shared prompt parts of requests that fail at a target

The lines of the incident could not show which part the crashes have in common. They now have the parts that other requests may share, and how many events had been passed on.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -69,6 +69,11 @@
     body_bytes: int = 0
     unread_s: float = 0.0
 
+    @property
+    def shared_parts(self) -> tuple[Part, ...]:
+        """The parts of the prompt that other requests may share."""
+        return self.prompt.parts[:-1] if self.prompt is not None else ()
+
     @property
     def goal_at(self) -> float:
         """End of the response-time goal, monotonic seconds."""
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -249,7 +249,11 @@
         else:
             connection.close()
             self._record(
-                "send_failed", target=target.name, detail=outcome.detail
+                "send_failed",
+                target=target.name,
+                detail=outcome.detail,
+                parts=[part.name for part in self.request.shared_parts],
+                events=self.progress.events.numbered_event_count,
             )
             self._note_failure(target, not outcome.is_refused_by_target)
         return outcome
