--- /dev/null
+++ b/tests/forwarding/test_deadly_prompts.py
@@ -0,0 +1,106 @@
+"""A router and requests that crash their targets because of one prompt part."""
+
+import asyncio
+import dataclasses
+import functools
+import re
+import socket
+import struct
+
+from lentilbeam_core import ids
+from tests.forwarding import fake_target
+from tests.forwarding import test_forwarding
+
+TARGETS = 6
+DEADLY_REQUESTS = 12
+SPACING_S = 0.25
+"""Time between two deadly requests, in seconds."""
+
+
+class CrashingTarget:
+    """Script of a target that crashes when it answers a deadly request.
+
+    Attributes:
+        deadly: number of deadly requests received.
+        restart: lists the start of a new process of the target.
+    """
+
+    def __init__(self):
+        self.deadly = 0
+        self.restart = lambda: None
+
+    async def __call__(self, head, reader, writer):
+        """Answers a request, or resets its connection."""
+        del reader
+        request_id = re.search(rb"request-id: (\S+)", head.lower())[1].decode()
+        writer.write(fake_target.make_stream_head(request_id))
+        if b"dead:" in head:
+            self.deadly += 1
+            self.restart()
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            writer.transport.abort()
+            raise ConnectionError
+        writer.write(fake_target.encode_chunk(test_forwarding.EVENTS))
+        writer.write(fake_target.encode_chunk(b""))
+
+
+def restart(listed, name):
+    """Lists a new process of a target, which serves at once."""
+    entry = listed.entries[name]
+    started_at_ms = entry.started_at_ms + 1000
+    listed.put(dataclasses.replace(entry, started_at_ms=started_at_ms))
+
+
+def send(router, number, part):
+    """Sends a request whose prompt shares its first part with all others."""
+    return router.call(
+        request_id=f"{part}-{number}",
+        token_count="900,80",
+        prefix_hash=f"f1:500,{part}:300,a{number}:100",
+        request_deadline="3000",
+    )
+
+
+def run():
+    """Sends deadly requests and, after each, two sound ones.
+
+    Returns:
+        The number of deadly requests that targets received, and the responses
+        to the sound ones.
+    """
+    scripts = [CrashingTarget() for _ in range(TARGETS)]
+
+    async def scenario(router, targets):
+        del targets
+        listed = router.dispatcher.targets
+        for number, script in enumerate(scripts):
+            name = ids.TargetId(f"t{number}")
+            script.restart = functools.partial(restart, listed, name)
+        responses = []
+        for number in range(DEADLY_REQUESTS):
+            await send(router, number, "dead")
+            responses += await asyncio.gather(
+                send(router, number, "50"), send(router, number, f"7{number}")
+            )
+            await asyncio.sleep(SPACING_S)
+        return responses
+
+    responses = test_forwarding.run(scripts, scenario, test_forwarding.ENGINE)
+    return sum(script.deadly for script in scripts), responses
+
+
+# Guards against BUDGET: requests that share one deadly part crash one target
+# after the other, and each is sent to a second one.
+def test_requests_with_a_deadly_part_are_no_longer_sent():
+    deadly, _ = run()
+    assert deadly <= 8
+
+
+# Guards against LOST: sound requests with the same first part and the same
+# workspace are hurt by what is done against the deadly ones.
+def test_sound_requests_beside_deadly_ones_are_answered():
+    _, responses = run()
+    assert [response.status for response in responses] == [200] * len(responses)
