Tests: blocks reach every router, and outlive restarts and a store's new era

Crashes that three routers saw block the part at all of 7 and of 30 routers; a router without state learns blocks from reports and from the store; a lifted block is not read again. The test of the new era fails if blocks aren't written again.

--- a/tests/forwarding/report_fleet.py
+++ b/tests/forwarding/report_fleet.py
@@ -7,6 +7,7 @@
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_core.forwarding import crash_evidence
 from lentilbeam_core.forwarding import loads
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import work_sums
@@ -46,6 +47,7 @@
         is_leaving: whether the router reports that it is shutting down.
         datagrams_sent: number of datagrams sent.
         sent_bytes: number of bytes sent.
+        crash_evidence: what the router knows about deadly prompt parts.
         peers: the other routers.
         report_exchange: sends and receives the reports.
     """
@@ -62,6 +64,9 @@
         self.is_leaving = False
         self.datagrams_sent = 0
         self.sent_bytes = 0
+        self.crash_evidence = crash_evidence.CrashEvidence(
+            crash_evidence.Settings(), lambda part: False
+        )
         log = decision_log.DecisionLog(fleet.clock, entry.name, output)
         self.peers = peers.Peers(entry.name, fleet.clock, log)
         self.report_exchange = report_exchange.ReportExchange(
@@ -104,13 +109,21 @@
             POOL, WORKSPACE, self.running * 1000.0, 2000.0
         )
         placed, self.placed = tuple(self.placed), []
-        return report_exchange.OwnWork(work_sums.Work((load,), (use,)), placed)
+        now = self.fleet.clock.monotonic()
+        return report_exchange.OwnWork(
+            work_sums.Work((load,), (use,)),
+            placed,
+            *self.crash_evidence.export(now),
+        )
 
     def receive(self, data: bytes) -> None:
         """Applies a received datagram, as the gateway does."""
         sender, report = decode(data)
         if not self.peers.note_report(sender, report):
             return
+        self.crash_evidence.apply(
+            report.crashes, report.blocks, self.fleet.clock.monotonic()
+        )
         accepted = self.report_exchange.accept_report(sender, report)
         if accepted is None:
             return
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from lentilbeam_core import ids
 from lentilbeam_core import messages
+from lentilbeam_core.forwarding import requests
 from tests.forwarding import in_process_router
 from tests.forwarding import makers
 from tests.forwarding import report_fleet
@@ -71,6 +73,41 @@
     assert uninformed == []
 
 
+# Guards against BUDGET: each router sees too few crashes to block a part.
+@pytest.mark.parametrize("count", [7, LARGE_FLEET])
+def test_crashes_seen_by_different_routers_block_a_part_at_all(count):
+    fleet = start_fleet(count)
+    parts = [requests.Part("dead", 100)]
+    for name in ("r1", "r3", "r5"):
+        process = (ids.TargetId(name), 1)
+        now = fleet.clock.monotonic()
+        evidence = fleet.routers[name].crash_evidence
+        evidence.note_crash("x", parts, process, now)
+        fleet.run(0.3)
+    fleet.run(MAX_PROPAGATION_S)
+    assert all(
+        "dead" in router.crash_evidence.list_blocks()
+        for router in fleet.routers.values()
+    )
+    fleet.routers["r2"].crash_evidence.note_answered(parts)
+    fleet.run(MAX_PROPAGATION_S)
+    assert not any(
+        router.crash_evidence.list_blocks() for router in fleet.routers.values()
+    )
+
+
+# Guards against BUDGET: a router that starts again has forgotten the part.
+@pytest.mark.parametrize("count", [7, LARGE_FLEET])
+def test_router_without_state_learns_blocks_from_reports(count):
+    fleet = start_fleet(count)
+    for router in fleet.routers.values():
+        router.crash_evidence.put_block("dead", 1, fleet.clock.monotonic())
+    fleet.run(5.0)
+    fleet.routers["r5"].crash_evidence.blocks.clear()
+    fleet.run(1.0)
+    assert "dead" in fleet.routers["r5"].crash_evidence.list_blocks()
+
+
 def test_placed_parts_that_need_several_reports_reach_every_router():
     fleet = start_fleet(LARGE_FLEET)
     for number, router in enumerate(fleet.routers.values()):
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -17,7 +17,9 @@
 import pytest
 
 from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import ids
 from lentilbeam_core import poll_times
+from lentilbeam_core.forwarding import requests
 from lentilbeam_platform import call_wire
 from lentilbeam_platform import followers
 from lentilbeam_platform import node_file
@@ -286,6 +288,70 @@
     assert world.find_ready("r") == {"a", "b", "c"}
 
 
+def block_part(world, router):
+    """Lets one router see three targets crash because of a part."""
+    gateway = world.routers[router]
+    parts = [requests.Part("dead", 100)]
+    for number in range(3):
+        now = gateway.clock.monotonic()
+        process = (ids.TargetId(f"t{number}"), 1)
+        gateway.crash_evidence.note_crash("x", parts, process, now)
+        world.wait(0.5)
+    return parts
+
+
+def list_blocked(world, router):
+    """Returns the parts that a router blocks."""
+    return list(world.routers[router].crash_evidence.list_blocks())
+
+
+# Guards against BUDGET: all routers stop, and none knows the part any more.
+def test_block_outlives_a_stop_of_all_routers(world):
+    world.publish(7)
+    world.put_target("a", "ready")
+    world.start("r")
+    world.wait(1.0)
+    block_part(world, "r")
+    world.wait(2.0)
+    world.kill("r")
+    world.start("r2")
+    world.wait(1.0)
+    assert list_blocked(world, "r2") == ["dead"]
+
+
+# Guards against LOST: a part that was answered is blocked after a restart.
+def test_lifted_block_is_not_read_from_the_store(world):
+    world.publish(7)
+    world.put_target("a", "ready")
+    world.start("r")
+    world.wait(1.0)
+    parts = block_part(world, "r")
+    world.wait(2.0)
+    world.routers["r"].crash_evidence.note_answered(parts)
+    world.wait(2.0)
+    world.kill("r")
+    world.start("r2")
+    world.wait(1.0)
+    assert list_blocked(world, "r2") == []
+
+
+# Guards against BUDGET: the store comes back from a copy without the block.
+def test_block_is_written_again_in_a_new_era_of_the_store(world):
+    world.publish(7)
+    world.put_target("a", "ready")
+    world.start("r")
+    world.wait(1.0)
+    block_part(world, "r")
+    world.wait(2.0)
+    world.lose(5, away_s=1.0)
+    world.rewrite()
+    world.wait(3.0)
+    world.kill("r")
+    world.start("r2")
+    world.wait(1.0)
+    assert list_blocked(world, "r2") == ["dead"]
+
+
 def test_target_that_the_copy_lacks_and_that_does_not_return_is_gone(world):
     world.publish(7)
     world.put_target("a", "ready")
