End an attempt whose target sends bytes without end

New in the users' contracts: bytes that are no answer may come without end, in a head or in a body, until the caller closes. The router read them until the deadline of the request and kept them: headers, interim heads, chunk extensions and events that never end filled its memory and took its time.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/event_stream.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/event_stream.py
@@ -11,10 +11,22 @@
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]+)[ ]*(?=[\r\n]|$)")
 
 
-class OutOfOrderError(ValueError):
+MAX_EVENT_BYTES = 65_536
+"""Largest event that is forwarded. Events hold a few hundred bytes."""
+
+
+class InvalidStreamError(ValueError):
+    """The stream can't be forwarded."""
+
+
+class OutOfOrderError(InvalidStreamError):
     """Raised if an event id isn't the successor of the previous one."""
 
 
+class EventTooLongError(InvalidStreamError):
+    """Raised if an event is longer than `MAX_EVENT_BYTES`."""
+
+
 class EventStreamParser:
     """Parses one server-sent event stream.
 
@@ -35,6 +47,7 @@
 
         Raises:
             OutOfOrderError: an event id isn't the previous one plus 1.
+            EventTooLongError: an event that isn't complete yet is too long.
         """
         self.partial_event += data
         start = 0
@@ -45,6 +58,8 @@
             self.partial_event[:start],
             self.partial_event[start:],
         )
+        if len(self.partial_event) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"event over {MAX_EVENT_BYTES} bytes")
         return complete
 
     def discard_partial_event(self) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -38,6 +38,9 @@
 """TCP socket options that let the system detect an unreachable peer."""
 MAX_INBOX_BYTES = 65_536
 """Reading from the socket pauses while the inbox has this many bytes."""
+MAX_UNPRODUCTIVE_BYTES = 65_536
+"""Longest run of received bytes that yields neither the head of a response nor
+a part of its body. A target that sends more does not speak HTTP properly."""
 MAX_IDLE_S = 4.0
 """Longest time for which an idle connection is kept. A shorter timeout in the
 target's `Keep-Alive` header takes precedence."""
@@ -78,6 +81,8 @@
         transport: None until the connection is open.
         inbox: parts of the response that `receive` hasn't returned yet.
         inbox_bytes: body bytes in `inbox`.
+        unproductive_bytes: bytes received since the last part of the response
+            was delivered.
         wakeup: future that a waiting `receive` awaits; None if none waits.
         parser: parser of the current response; None before the first request.
         headers: headers of the current response as far as received.
@@ -95,6 +100,7 @@
         self.transport: asyncio.Transport | None = None
         self.inbox: collections.deque[Item] = collections.deque()
         self.inbox_bytes = 0
+        self.unproductive_bytes = 0
         self.wakeup: asyncio.Future | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.headers: list[tuple[bytes, bytes]] = []
@@ -115,6 +121,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.inbox.clear()
         self.inbox_bytes = 0
+        self.unproductive_bytes = 0
         self.has_head = False
         self.has_body_framing = False
         self.is_complete = False
@@ -170,10 +177,13 @@
         if self.parser is None or self.is_complete:
             self.close()
             return
+        self.unproductive_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
             self._fail()
+        if self.unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
+            self._fail()
 
     def eof_received(self) -> bool:
         """Completes a response whose body ends with the connection."""
@@ -233,6 +243,7 @@
         self._deliver(End())
 
     def _deliver(self, item: Item) -> None:
+        self.unproductive_bytes = 0
         self.inbox.append(item)
         self._wake_reader()
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -276,7 +276,7 @@
             outcome = progress_lib.SendOutcome(
                 progress_lib.SendResult.BROKEN, str(error)
             )
-        except event_stream.OutOfOrderError as error:
+        except event_stream.InvalidStreamError as error:
             outcome = progress_lib.SendOutcome(
                 progress_lib.SendResult.BROKEN, str(error)
             )
