Treat a stream without events that ends with its connection as broken off

An answer may end with its connection, so a target that ends before it begins to answer looked like one with an empty answer, and the caller got an empty stream as complete. The new case of test_stream_without_a_length_ends_with_its_connection failed before.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -67,7 +67,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
-    """The whole response was received."""
+    """The whole response was received.
+
+    Attributes:
+        is_by_close: whether only the end of the connection showed it.
+    """
+
+    is_by_close: bool = False
 
 
 Item = Head | bytes | End
@@ -190,7 +196,7 @@
         if self.has_head and not self.has_body_framing and not self.is_complete:
             self.may_reuse = False
             self.is_complete = True
-            self._deliver(End())
+            self._deliver(End(is_by_close=True))
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -420,6 +420,11 @@
             return progress_lib.SendOutcome(
                 progress_lib.SendResult.BROKEN, "stream ended within an event"
             )
+        if item.is_by_close and is_first:
+            # The target may as well have ended before it began to answer.
+            return progress_lib.SendOutcome(
+                progress_lib.SendResult.BROKEN, "stream ended without events"
+            )
         if not self.channel.is_started:
             await self.channel.start(response.status, response.headers)
         await self.channel.finish()
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -106,8 +106,9 @@
         (test_forwarding.EVENTS, "end", True),
         (test_forwarding.EVENTS, "reset", False),
         (test_forwarding.EVENTS + b"id: 4\nda", "end", False),
+        (b"", "end", False),
     ],
-    ids=["whole", "reset", "inside-an-event"],
+    ids=["whole", "reset", "inside-an-event", "no-event"],
 )
 def test_stream_without_a_length_ends_with_its_connection(
     events, then, is_complete
