Count a target's end as a crash only if it broke off the answer

What counts as evidence against a prompt part was any failed read: also bytes that are no response, which say nothing about the prompt, but not the end of an answer without a length, which is how a crash may look. Both are told apart now.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -57,6 +57,10 @@
     """The connection failed before the whole response was received."""
 
 
+class InvalidResponseError(Exception):
+    """The target sent bytes that are no response."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
     """Status and headers of a response."""
@@ -97,6 +101,7 @@
             `Transfer-Encoding` header. Else its body ends with the connection.
         is_complete: whether the whole response was received.
         is_broken: whether the connection was closed or failed.
+        is_invalid: whether it was closed because of invalid bytes.
         may_reuse: whether the target keeps the connection open.
         reusable_until: when an idle connection expires, monotonic seconds.
     """
@@ -114,6 +119,7 @@
         self.has_body_framing = False
         self.is_complete = False
         self.is_broken = False
+        self.is_invalid = False
         self.may_reuse = False
         self.reusable_until = 0.0
 
@@ -141,8 +147,11 @@
         Raises:
             BrokenError: the connection failed, and all parts received before
                 have been returned.
+            InvalidResponseError: the same, because of invalid bytes.
         """
         while not self.inbox:
+            if self.is_invalid:
+                raise InvalidResponseError("bytes that are no response")
             if self.is_broken:
                 raise BrokenError("connection closed before end of response")
             self.wakeup = asyncio.get_running_loop().create_future()
@@ -187,8 +196,10 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self._fail()
+            self.is_invalid = True
         if self.unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
+            self.is_invalid = True
+        if self.is_invalid:
             self._fail()
 
     def eof_received(self) -> bool:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -272,14 +272,18 @@
         try:
             outcome = await self._receive(connection, placement)
         except connection_lib.BrokenError as error:
-            self._note_crash(target)
             outcome = progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN, str(error)
+                progress_lib.SendResult.BROKEN, str(error), is_broken_off=True
             )
-        except event_stream.InvalidStreamError as error:
+        except (
+            connection_lib.InvalidResponseError,
+            event_stream.InvalidStreamError,
+        ) as error:
             outcome = progress_lib.SendOutcome(
                 progress_lib.SendResult.BROKEN, str(error)
             )
+        if outcome.is_broken_off:
+            self._note_crash(target)
         if outcome.result is progress_lib.SendResult.NOT_RUN:
             self.progress.may_have_run = may_have_run_before
         if outcome.result is progress_lib.SendResult.DONE:
@@ -418,12 +422,16 @@
             await self.channel.write(data)
         if events.partial_event:
             return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN, "stream ended within an event"
+                progress_lib.SendResult.BROKEN,
+                "stream ended within an event",
+                is_broken_off=item.is_by_close,
             )
         if item.is_by_close and is_first:
             # The target may as well have ended before it began to answer.
             return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN, "stream ended without events"
+                progress_lib.SendResult.BROKEN,
+                "stream ended without events",
+                is_broken_off=True,
             )
         if not self.channel.is_started:
             await self.channel.start(response.status, response.headers)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/progress.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/progress.py
@@ -28,6 +28,8 @@
         body: body of the error response.
         is_refused_by_target: whether the target refused the request because it
             had no free capacity or too little time.
+        is_broken_off: whether the connection ended before the answer did, as
+            it does if the target crashes.
     """
 
     result: SendResult
@@ -35,6 +37,7 @@
     response: wire_lib.Response | None = None
     body: bytes = b""
     is_refused_by_target: bool = False
+    is_broken_off: bool = False
 
 
 @dataclasses.dataclass(slots=True)
