--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
@@ -264,19 +264,25 @@
         explain the crashes that count against the others.
         """
         blocked = []
-        parts = [name for name in parts if not self._is_blocked(name)]
-        while parts:
-            part = max(parts, key=lambda name: self._rank(name, now))
-            parts.remove(part)
-            needed = self.settings.min_crashes
-            if self.table.count_cleared(part):
-                needed *= self.settings.cleared_factor
-            if self._count_crashes(part, now) >= needed:
-                block = self.blocks.get(part)
-                self._block(part, block.level + 1 if block else 0, now)
-                blocked.append(part)
+        while due := [part for part in parts if self._is_due(part, now)]:
+            part = max(due, key=lambda name: self._rank(name, now))
+            block = self.blocks.get(part)
+            self._block(part, block.level + 1 if block else 0, now)
+            blocked.append(part)
         return blocked
 
+    def _is_due(self, part: str, now: float) -> bool:
+        """Whether there is enough evidence to block a part."""
+        needed = self.settings.min_crashes
+        if len(self.table.by_part.get(part, ())) < needed:
+            return False
+        if self.table.count_cleared(part):
+            needed *= self.settings.cleared_factor
+        return (
+            not self._is_blocked(part)
+            and self._count_crashes(part, now) >= needed
+        )
+
     def _rank(self, part: str, now: float) -> tuple[int, int]:
         cleared = self.table.count_cleared(part)
         return -cleared, self._count_crashes(part, now)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_table.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_table.py
@@ -132,7 +132,12 @@
     def merge(
         self, reports: Iterable[messages.CrashReport], now: float
     ) -> list[str]:
-        """Merges the crashes that a peer has reported; returns their parts."""
+        """Merges the crashes that a peer has reported.
+
+        Returns:
+            The parts with crashes that this router did not know.
+        """
+        changed: dict[str, None] = {}
         for item in reports:
             at = now - item.age_ms / 1000
             if now - at >= self.settings.memory_s:
@@ -142,10 +147,11 @@
             if crash is None:
                 crash = Crash(at, item.is_cleared)
                 self._add(item.prefix, process, crash)
+                changed[item.prefix] = None
             elif item.is_cleared:
                 self._clear(item.prefix, process)
             crash.is_known_to_peers = True
-        return list(dict.fromkeys(item.prefix for item in reports))
+        return list(changed)
 
     def _add(self, part: str, process: ProcessKey, crash: Crash) -> None:
         self.crashes[part, process] = crash
