Only an answer with success clears a prompt part of its crashes

A target that rejects a request with 4xx has not begun to answer it, but its response cleared the parts of the prompt, and a crashing part could stay unblocked. An empty stream does not count either. test_rejected_request_does_not_clear_its_part failed before.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -29,12 +29,9 @@
 MAX_BUFFERED_BYTES = 65_536
 """A response that isn't a stream is buffered up to this size and passed on only
 once it is complete, so that the request can still be sent to another target."""
-
 MAX_UNREAD_S = 0.1
 """Longest time, in seconds, for which the close of a caller's connection may
 have waited to be read when the request is sent to a target."""
-
-
 ANSWERED_AFTER_EVENTS = 3
 """Number of events of a stream after which its target counts as unharmed by the
 request. A target that a request crashes sends one or two at most."""
@@ -287,7 +284,6 @@
         if outcome.result is progress_lib.SendResult.NOT_RUN:
             self.progress.may_have_run = may_have_run_before
         if outcome.result is progress_lib.SendResult.DONE:
-            self._note_answered()
             self.dispatcher.note_success(target.name)
         else:
             connection.close()
@@ -336,7 +332,11 @@
                 response,
                 lambda: self._note_first_event(placement, started_at),
             )
-        return await self._pass_on_non_stream(connection, response)
+        outcome = await self._pass_on_non_stream(connection, response)
+        is_done = outcome.result is progress_lib.SendResult.DONE
+        if is_done and response.status < 300:
+            self._note_answered()
+        return outcome
 
     def _apply_notices(
         self, target: target_list.Entry, response: wire_lib.Response
@@ -420,19 +420,11 @@
             if not self.channel.is_started:
                 await self.channel.start(response.status, response.headers)
             await self.channel.write(data)
-        if events.partial_event:
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN,
-                "stream ended within an event",
-                is_broken_off=item.is_by_close,
-            )
-        if item.is_by_close and is_first:
-            # The target may as well have ended before it began to answer.
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN,
-                "stream ended without events",
-                is_broken_off=True,
-            )
+        broken = self._check_stream_end(item, has_events=not is_first)
+        if broken is not None:
+            return broken
+        if not is_first:
+            self._note_answered()
         if not self.channel.is_started:
             await self.channel.start(response.status, response.headers)
         await self.channel.finish()
@@ -448,6 +440,25 @@
         )
         return progress_lib.SendOutcome(progress_lib.SendResult.DONE, "")
 
+    def _check_stream_end(
+        self, end: connection_lib.End, has_events: bool
+    ) -> progress_lib.SendOutcome | None:
+        """Returns the outcome if a stream was broken off, else None."""
+        if self.progress.events.partial_event:
+            return progress_lib.SendOutcome(
+                progress_lib.SendResult.BROKEN,
+                "stream ended within an event",
+                is_broken_off=end.is_by_close,
+            )
+        if end.is_by_close and not has_events:
+            # The target may as well have ended before it began to answer.
+            return progress_lib.SendOutcome(
+                progress_lib.SendResult.BROKEN,
+                "stream ended without events",
+                is_broken_off=True,
+            )
+        return None
+
     async def _pass_on_non_stream(
         self,
         connection: connection_lib.TargetConnection,
--- a/tests/forwarding/test_deadly_prompts.py
+++ b/tests/forwarding/test_deadly_prompts.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lentilbeam_core import ids
+from lentilbeam_core.forwarding import requests
 from tests.forwarding import fake_target
 from tests.forwarding import test_forwarding
 
@@ -139,3 +140,25 @@
 def test_wrong_bytes_block_no_part():
     deadly, _ = run("garble")
     assert deadly == 2 * DEADLY_REQUESTS
+
+
+# Guards against BUDGET: a target that rejects a deadly request without working
+# on it clears the part of what is known.
+def test_rejected_request_does_not_clear_its_part():
+    reject = fake_target.make_script(fake_target.make_response(b"", status=400))
+    parts = [requests.Part("dead", 300)]
+
+    async def scenario(router, targets):
+        del targets
+        evidence = router.crash_evidence
+        now = router.dispatcher.clock.monotonic()
+        for number in range(2):
+            process = (ids.TargetId(f"other-{number}"), 1)
+            evidence.note_crash("x", parts, process, now + number)
+        response = await router.call(
+            token_count="900,80", prefix_hash="dead:300,a1:100"
+        )
+        return response.status, evidence.is_suspect(parts, now + 1)
+
+    found = test_forwarding.run([reject], scenario, test_forwarding.ENGINE)
+    assert found == (400, True)
