Give blocked prompt parts a module of their own in the router

The gateway had grown by the choice of the responsible router and by what the store holds of blocks. Both move to prompt_blocks; behaviour unchanged.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Coroutine
 import dataclasses
-import math
 import random
 import signal
 from typing import Any
@@ -12,9 +11,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core import messages
 from lentilbeam_core import poll_times as poll_times_lib
-from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration as configuration_lib
-from lentilbeam_core.forwarding import crash_evidence as crash_evidence_lib
 from lentilbeam_core.forwarding import lateness as lateness_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import retry_budget
@@ -33,6 +30,7 @@
 from lentilbeam_router.forwarding import forwarder as forwarder_lib
 from lentilbeam_router.forwarding import listening
 from lentilbeam_router.forwarding import peers as peers_lib
+from lentilbeam_router.forwarding import prompt_blocks as prompt_blocks_lib
 from lentilbeam_router.forwarding import report_exchange as report_exchange_lib
 from lentilbeam_router.forwarding import request_handler as request_handler_lib
 from lentilbeam_router.forwarding import wire as wire_lib
@@ -94,15 +92,6 @@
         return self.quota_window_s * shares.DECAY_FRACTION
 
 
-RESPONSIBILITY_MAX_AGE_S = 0.5
-"""Time for which a router keeps whether it is responsible for a blocked part:
-finding out takes milliseconds in a fleet of thousands."""
-MAX_RESPONSIBILITIES = 256
-"""Maximum number of parts for which that is kept."""
-KeptBlock = tuple[int, bool]
-"""Level of a block and whether it was lifted, see `messages.BlockReport`."""
-
-
 class Gateway:
     """One forwarding router, updated with the contents of the store.
 
@@ -122,10 +111,7 @@
         lateness: how late the timers of this process fire.
         stop: set on SIGTERM and SIGINT.
         dispatchers: dispatcher of each pool that has had a request.
-        crash_evidence: tells which requests crash their targets.
-        kept_blocks: blocks of prompt parts as the store holds them, by part.
-        responsibilities: results of `is_responsible_for` and when they were
-            found, monotonic seconds, by part.
+        prompt_blocks: prompt parts that are blocked, since they crash targets.
         connections: idle connections to targets.
     """
 
@@ -170,18 +156,20 @@
             clock,
             self.log,
         )
-        self.crash_evidence = crash_evidence_lib.CrashEvidence(
-            crash_evidence_lib.Settings(), self.is_responsible_for
+        self.prompt_blocks = prompt_blocks_lib.PromptBlocks(
+            settings.instance,
+            self.peers,
+            lambda: self.is_ready,
+            clock,
+            self.log,
         )
-        self.kept_blocks: dict[str, KeptBlock] = {}
-        self.responsibilities: dict[str, tuple[float, bool]] = {}
         self.connections = connection_pool.ConnectionPool(clock, self.metrics)
         self.forwarder = forwarder_lib.Forwarder(
             codec,
             self.connections,
             clock,
             poll_times,
-            self.crash_evidence,
+            self.prompt_blocks.evidence,
             self.metrics,
             self.log,
         )
@@ -232,67 +220,6 @@
         dispatcher = self.find_dispatcher(request.pool)
         return dispatcher.has_had_fair_share(request.workspace)
 
-    def is_responsible_for(self, part: str) -> bool:
-        """Whether this router tries a blocked part, and stores its block."""
-        now = self.clock.monotonic()
-        checked_at, is_responsible = self.responsibilities.get(
-            part, (-math.inf, False)
-        )
-        if now - checked_at < RESPONSIBILITY_MAX_AGE_S:
-            return is_responsible
-        names = [entry.name for entry in self.peers.find_serving()]
-        if self.is_ready:
-            names.append(self.settings.instance)
-        chosen = rendezvous.choose(part, names)
-        is_responsible = chosen == self.settings.instance
-        self.responsibilities[part] = (now, is_responsible)
-        while len(self.responsibilities) > MAX_RESPONSIBILITIES:
-            del self.responsibilities[next(iter(self.responsibilities))]
-        return is_responsible
-
-    def put_stored_block(self, part: str, level: int | None) -> None:
-        """Applies a block from the store.
-
-        Args:
-            part: the prompt part.
-            level: level of the block; None if the part isn't blocked any more.
-        """
-        known = self.crash_evidence.blocks.get(part)
-        if level is None:
-            self.kept_blocks.pop(part, None)
-            return
-        self.kept_blocks[part] = (level, False)
-        if known is None or known.level < level:
-            now = self.clock.monotonic()
-            self.crash_evidence.put_block(part, level, now)
-            self.log.write_event("part_blocked", part=part, source="store")
-
-    def list_unstored_blocks(self) -> list[tuple[str, int | None]]:
-        """Returns the blocks that this router has to write to the store.
-
-        Returns:
-            Each part with its level; None instead of the level if it isn't
-            blocked any more.
-        """
-        unstored = []
-        for part, block in self.crash_evidence.blocks.items():
-            kept = self.kept_blocks.get(part)
-            if kept == (block.level, block.is_lifted):
-                continue
-            if block.is_lifted and kept is None:
-                continue
-            if self.is_responsible_for(part):
-                level = None if block.is_lifted else block.level
-                unstored.append((part, level))
-        return unstored
-
-    def note_block_stored(self, part: str, level: int | None) -> None:
-        """Records that a block from `list_unstored_blocks` was written."""
-        if level is None:
-            self.kept_blocks.pop(part, None)
-        else:
-            self.kept_blocks[part] = (level, False)
-
     def note_lateness(self, due_at: float) -> None:
         """Updates `lateness`; logs a change of its level.
 
@@ -425,7 +352,7 @@
             "peers_serving": len(self.peers.find_serving()),
             "targets_listed": len(self.targets.entries),
             "targets_lapsing": len(self.targets.pending_removals),
-            "parts_blocked": len(self.crash_evidence.list_blocks()),
+            "parts_blocked": len(self.prompt_blocks.evidence.list_blocks()),
             "log_lines_dropped": self.log.total_dropped,
         }
         for name, dispatcher in self.dispatchers.items():
@@ -610,7 +537,7 @@
             leaving = self.targets.find_leaving(dispatcher.pool.name)
             loads.extend(dispatcher.loads.export(now, leaving))
         work = work_sums.Work(tuple(loads), tuple(uses))
-        crashes, blocks = self.crash_evidence.export(now)
+        crashes, blocks = self.prompt_blocks.evidence.export(now)
         return report_exchange_lib.OwnWork(work, tuple(placed), crashes, blocks)
 
     def _receive(
@@ -623,10 +550,7 @@
             return
         now = self.clock.monotonic()
         self._compare_feeds(sender, message, now)
-        for part in self.crash_evidence.apply(
-            message.crashes, message.blocks, now
-        ):
-            self.log.write_event("part_blocked", part=part, source=sender)
+        self.prompt_blocks.apply_report(sender, message)
         accepted = self.report_exchange.accept_report(sender, message)
         if accepted is None:
             return
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -295,14 +295,15 @@
     for number in range(3):
         now = gateway.clock.monotonic()
         process = (ids.TargetId(f"t{number}"), 1)
-        gateway.crash_evidence.note_crash("x", parts, process, now)
+        gateway.prompt_blocks.evidence.note_crash("x", parts, process, now)
         world.wait(0.5)
     return parts
 
 
 def list_blocked(world, router):
     """Returns the parts that a router blocks."""
-    return list(world.routers[router].crash_evidence.list_blocks())
+    blocks = world.routers[router].prompt_blocks
+    return list(blocks.evidence.list_blocks())
 
 
 # Guards against BUDGET: all routers stop, and none knows the part any more.
@@ -327,7 +328,7 @@
     world.wait(1.0)
     parts = block_part(world, "r")
     world.wait(2.0)
-    world.routers["r"].crash_evidence.note_answered(
+    world.routers["r"].prompt_blocks.evidence.note_answered(
         parts, world.clock.monotonic()
     )
     world.wait(2.0)
