--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
@@ -41,6 +41,8 @@
         lifted_memory_s: time after which a lifted block is forgotten, in
             seconds.
         max_blocks: maximum number of blocks that are kept.
+        max_name_bytes: longest name of a part that is recorded. Names are
+            chosen by callers, and are sent to peers and kept in the store.
     """
 
     table: crash_table.Settings = dataclasses.field(
@@ -54,6 +56,7 @@
     resend_interval_s: float = 0.5
     lifted_memory_s: float = 60.0
     max_blocks: int = 64
+    max_name_bytes: int = 128
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,7 +130,11 @@
             The parts that are blocked from now on.
         """
         blocked = []
-        names = [part.name for part in parts]
+        names = [
+            part.name
+            for part in parts
+            if len(part.name.encode()) <= self.settings.max_name_bytes
+        ]
         for name in names:
             self.table.note(name, process, now)
             block = self.blocks.get(name)
--- a/tests/forwarding/test_crash_evidence.py
+++ b/tests/forwarding/test_crash_evidence.py
@@ -260,6 +260,18 @@
     assert not evidence.is_suspect(parts, 1.0)
 
 
+# Guards against a fault of our own: callers choose the names of parts, and one
+# that no record of the store can hold would end the router that writes it.
+def test_part_with_a_name_that_is_too_long_is_never_blocked():
+    evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: True)
+    parts = [requests.Part("a" * 300, 1)]
+    for number in range(5):
+        process = (ids.TargetId(f"t{number}"), 1)
+        evidence.note_crash("x", parts, process, float(number))
+    assert evidence.list_blocks() == {}
+    assert evidence.export(6.0) == ((), ())
+
+
 def test_trial_that_crashes_its_target_lengthens_the_block():
     evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: True)
     parts = [requests.Part("a", 1)]
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -338,6 +338,20 @@
     assert list_blocked(world, "r2") == []
 
 
+# Guards against a fault of our own: a malformed block ends the router.
+@pytest.mark.parametrize(
+    "value", [b"x", b"{}", b'{"level":-1}', b'{"level":999}']
+)
+def test_malformed_block_in_the_store_is_ignored(world, value):
+    world.publish(7)
+    world.put_target("a", "ready")
+    world.append("keyed.routers", "blocked-part/dead", value)
+    world.start("r")
+    world.wait(2.0)
+    assert list_blocked(world, "r") == []
+    assert world.find_ready("r") == {"a"}
+
+
 # Guards against BUDGET: the store comes back from a copy without the block.
 def test_block_is_written_again_in_a_new_era_of_the_store(world):
     world.publish(7)
