--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/event_stream.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/event_stream.py
@@ -7,13 +7,12 @@
 
 import re
 
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]+)[ ]*(?=[\r\n]|$)")
-
-
 MAX_EVENT_BYTES = 65_536
 """Largest event that is forwarded. Events hold a few hundred bytes."""
 
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]+)[ ]*(?=[\r\n]|$)")
+
 
 class InvalidStreamError(ValueError):
     """The stream can't be forwarded."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/poll_times.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/poll_times.py
@@ -5,6 +5,9 @@
 polls: what a poll returns had not arrived when the poll before it returned.
 """
 
+KEPT_POLLS = 2
+"""Number of polls before the last one whose `read_until` is kept."""
+
 
 class PollTimes:
     """Times of an event loop's polls for I/O events.
@@ -17,13 +20,10 @@
             last one, the newest first.
     """
 
-    HISTORY = 2
-    """Number of polls in `before_read_until`."""
-
     def __init__(self, now: float):
         self.returned_at = now
         self.read_until = now
-        self.before_read_until = (now,) * self.HISTORY
+        self.before_read_until = (now,) * KEPT_POLLS
 
     def note_poll(
         self, entered_at: float, returned_at: float, timeout_s: float | None
@@ -45,7 +45,7 @@
         delay_s = returned_at - self.returned_at - waited_s
         self.before_read_until = (
             self.read_until,
-            *self.before_read_until[: self.HISTORY - 1],
+            *self.before_read_until[: KEPT_POLLS - 1],
         )
         self.read_until = returned_at - delay_s
         self.returned_at = returned_at
