Repeat an inconclusive trial of a blocked part only after a whole block

A trial whose caller left, or whose target said nothing, was followed by the next one after a second, so a part could reach targets many times although it crashes them. One that was sent and showed nothing is now followed by another after the length of the block; one that was not sent, after a second as before. test_trial_that_shows_nothing_is_repeated_only_after_a_pause[True-10.0] is the case that changed.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
@@ -34,8 +34,9 @@
         base_block_s: length of the first block, in seconds. After it, a single
             request with the part is tried.
         block_growth: factor by which each further block is longer.
-        trial_pause_s: shortest time between two trials of one router, in
-            seconds.
+        trial_pause_s: time until the next trial if one was not sent to a
+            target, in seconds. After one that was sent and showed nothing, it
+            is the length of the block.
         resend_interval_s: time between two reports of the same block to peers,
             in seconds; a router that starts learns of blocks this way.
         lifted_memory_s: time after which a lifted block is forgotten, in
@@ -164,14 +165,28 @@
         return lifted
 
     def note_end(
-        self, request_id: str, parts: Iterable[requests.Part], now: float
+        self,
+        request_id: str,
+        parts: Iterable[requests.Part],
+        is_sent: bool,
+        now: float,
     ) -> None:
-        """Records the end of a request, which may have been a trial."""
+        """Records the end of a request, which may have been a trial.
+
+        Args:
+            request_id: the request.
+            parts: parts of its prompt that other requests may share.
+            is_sent: whether it was sent to a target.
+            now: monotonic seconds.
+        """
         for part in parts:
             block = self.blocks.get(part.name)
             if block is not None and block.trial == request_id:
                 block.trial = None
-                block.next_trial_at = now + self.settings.trial_pause_s
+                pause_s = self.settings.trial_pause_s
+                if is_sent:
+                    pause_s = max(pause_s, self._find_length(block))
+                block.next_trial_at = now + pause_s
 
     def find_block(
         self, request_id: str, parts: Iterable[requests.Part], now: float
@@ -250,14 +265,17 @@
         return blocked + self._block_due(parts, now)
 
     def _may_try(self, part: str, block: Block, now: float) -> bool:
-        growth = self.settings.block_growth**block.level
-        ends_at = block.since + self.settings.base_block_s * growth
+        ends_at = block.since + self._find_length(block)
         return (
             block.trial is None
             and now >= max(ends_at, block.next_trial_at)
             and self.is_tried_here(part)
         )
 
+    def _find_length(self, block: Block) -> float:
+        growth = self.settings.block_growth**block.level
+        return self.settings.base_block_s * growth
+
     def _block(self, part: str, level: int, since: float) -> None:
         self.blocks.pop(part, None)
         self.blocks[part] = Block(level, since)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -108,7 +108,10 @@
             await run.give_up("timeout")
         finally:
             self.crash_evidence.note_end(
-                request.request_id, request.shared_parts, self.clock.monotonic()
+                request.request_id,
+                request.shared_parts,
+                run.progress.send_count > 0,
+                self.clock.monotonic(),
             )
 
 
--- a/tests/forwarding/test_crash_evidence.py
+++ b/tests/forwarding/test_crash_evidence.py
@@ -151,7 +151,7 @@
                 if age_s - STEP_S < ANSWERED_S <= age_s:
                     evidence.note_answered(run.parts, self.now)
                 if age_s >= run.length_s:
-                    evidence.note_end(run.name, run.parts, self.now)
+                    evidence.note_end(run.name, run.parts, True, self.now)
                     runs.remove(run)
 
     def crash(self, target):
@@ -166,7 +166,7 @@
                 continue
             if self.now - run.started_at < ANSWERED_S:
                 evidence.note_crash(run.name, run.parts, process, self.now)
-            evidence.note_end(run.name, run.parts, self.now)
+            evidence.note_end(run.name, run.parts, True, self.now)
 
     def _report(self):
         reports = {
@@ -260,6 +260,21 @@
     assert not evidence.is_suspect(parts, 1.0)
 
 
+# Guards against BUDGET: trials that show nothing, such as those whose callers
+# leave, follow each other every second.
+@pytest.mark.parametrize(("is_sent", "pause_s"), [(True, 10.0), (False, 1.0)])
+def test_trial_that_shows_nothing_is_repeated_only_after_a_pause(
+    is_sent, pause_s
+):
+    evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: True)
+    parts = [requests.Part("a", 1)]
+    evidence.put_block("a", 1, 0.0)
+    assert evidence.find_block("x", parts, 10.1) is None
+    evidence.note_end("x", parts, is_sent, 11.0)
+    assert evidence.find_block("y", parts, 10.9 + pause_s) == "a"
+    assert evidence.find_block("y", parts, 11.1 + pause_s) is None
+
+
 # Guards against a fault of our own: callers choose the names of parts, and one
 # that no record of the store can hold would end the router that writes it.
 def test_part_with_a_name_that_is_too_long_is_never_blocked():
@@ -282,7 +297,7 @@
     assert evidence.find_block("y", parts, 4.1) is None
     assert evidence.find_block("z", parts, 4.1) == "a"
     evidence.note_crash("y", parts, (ids.TargetId("t9"), 1), 4.2)
-    evidence.note_end("y", parts, 4.2)
+    evidence.note_end("y", parts, True, 4.2)
     assert evidence.find_block("z", parts, 14.1) == "a"
     assert evidence.find_block("z", parts, 14.3) is None
     evidence.note_answered(parts, 14.4)
