Read and log the limits that targets name

Routers now read Server-Limit from each response and log each change as target_limit. Routing does not use it yet.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -9,14 +9,16 @@
 happened since: a target that left or was removed may be listed as ready again.
 What this router has read before goes first.
 
-A target may also give notice in its responses that it is leaving, or that it
-wants no requests from this router for a while.
+A target may also give notice in its responses that it is leaving, that it
+wants no requests from this router for a while, or that it takes a limited
+number of requests per second.
 """
 
 import dataclasses
 import enum
 
 from lentilbeam_core import ids
+from lentilbeam_core.forwarding import target_limits
 
 REMOVAL_GRACE_S = 2.0
 """Time within which running targets register again after the store is available
@@ -98,6 +100,7 @@
             leaving. A target that restarts under the same name isn't.
         quiet_until: until when each target has asked this router for no
             requests, monotonic seconds.
+        limits: limits that targets have set on the rate of their requests.
         removed: targets that were removed lately, by name.
     """
 
@@ -107,6 +110,7 @@
         self.store_returned_at: float | None = None
         self.leaving: dict[ids.TargetId, int] = {}
         self.quiet_until: dict[ids.TargetId, float] = {}
+        self.limits = target_limits.TargetLimits()
         self.removed: dict[ids.TargetId, RemovedTarget] = {}
 
     def note_store_returned(self, now: float) -> None:
@@ -124,6 +128,7 @@
         elif previous and previous.start_ms != entry.start_ms:
             self.leaving.pop(entry.name, None)
             self.quiet_until.pop(entry.name, None)
+            self.limits.forget(entry.name)
         return previous
 
     def is_known_as_removed(self, entry: Entry) -> bool:
@@ -170,6 +175,34 @@
         """Whether a target wants no requests from this router."""
         return now < self.quiet_until.get(name, now)
 
+    def note_limit(
+        self,
+        entry: Entry,
+        per_s: float | None,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Records what a response says about the limit of its target.
+
+        Args:
+            entry: the target, as it was listed when the request was sent.
+            per_s: requests per second that it takes from all routers together;
+                None if the response names no limit.
+            sent_at: when the request was sent, monotonic seconds.
+            now: monotonic seconds.
+
+        Returns:
+            Whether another limit counts than before.
+        """
+        listed = self.entries.get(entry.name)
+        if listed is None or listed.start_ms != entry.start_ms:
+            return False
+        before = self.limits.read_rate(entry.name, now)
+        self.limits.note_response(
+            entry.name, entry.start_ms, per_s, sent_at, now
+        )
+        return self.limits.read_rate(entry.name, now) != before
+
     def find_leaving(self, pool: ids.PoolId) -> dict[ids.TargetId, int]:
         """Returns the targets of a pool that leave but are listed as ready.
 
@@ -231,6 +264,7 @@
         entry = self.entries.pop(name, None)
         self.leaving.pop(name, None)
         self.quiet_until.pop(name, None)
+        self.limits.forget(name)
         for other, removed in list(self.removed.items()):
             if now - removed.removed_at > REMEMBER_REMOVED_S:
                 del self.removed[other]
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -324,7 +324,7 @@
         response = self.forwarder.codec.decode_response(
             head.status, head.headers
         )
-        self._apply_notices(placement.target, response)
+        self._apply_notices(placement.target, response, started_at)
         invalid = self._check_head(response)
         if invalid is not None:
             return invalid
@@ -342,12 +342,22 @@
         return outcome
 
     def _apply_notices(
-        self, target: target_list.Entry, response: wire_lib.Response
+        self,
+        target: target_list.Entry,
+        response: wire_lib.Response,
+        sent_at: float,
     ) -> None:
-        """Records what a response says about the target itself."""
+        """Records what a response says about the target itself.
+
+        Args:
+            target: the target.
+            response: the head of its response.
+            sent_at: when the request was sent, monotonic seconds.
+        """
         if response.is_other_instance:
             return
         targets = self.dispatcher.targets
+        now = self.clock.monotonic()
         if response.is_leaving and targets.note_leaving(
             target.name, target.start_ms
         ):
@@ -356,7 +366,6 @@
                 "target_leaving", target=target.name, source="response"
             )
         if response.quiet_s is not None:
-            now = self.clock.monotonic()
             until = targets.note_quiet(target.name, response.quiet_s, now)
             self.log.write_event(
                 "target_quiet",
@@ -364,6 +373,20 @@
                 asked_s=response.quiet_s,
                 quiet_s=round(until - now, 3),
             )
+        # A failing target may not get as far as naming its limit.
+        is_silent = response.limit_per_s is None and (
+            response.status >= 500 or response.bad_notices
+        )
+        if not is_silent and targets.note_limit(
+            target, response.limit_per_s, sent_at, now
+        ):
+            self.dispatcher.is_changed = True
+            self.log.write_event(
+                "target_limit",
+                target=target.name,
+                limit_per_s=response.limit_per_s,
+                source="response",
+            )
         for notice in response.bad_notices:
             self.forwarder.log_bad_notice(target.name, notice)
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
@@ -89,6 +89,8 @@
         is_leaving: whether the target states that it is leaving.
         quiet_s: time for which the target wants no requests from this router,
             in seconds; None if it names none.
+        limit_per_s: requests per second that the target takes from all routers
+            together; None if it names no limit.
         bad_notices: headers about the target itself that can't be read.
     """
 
@@ -101,6 +103,7 @@
     is_encoded: bool
     is_leaving: bool = False
     quiet_s: float | None = None
+    limit_per_s: float | None = None
     bad_notices: tuple[str, ...] = ()
 
 
--- a/tests/forwarding/test_target_notices.py
+++ b/tests/forwarding/test_target_notices.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 
 import hypothesis
 from hypothesis import strategies
@@ -167,6 +168,51 @@
     assert len(response.bad_notices) == bad
 
 
+@pytest.mark.parametrize(
+    ("values", "limit_per_s", "bad"),
+    [
+        ((b"12",), 12.0, 0),
+        ((b" 0.75 ",), 0.75, 0),
+        ((b"0",), 0.0, 0),
+        ((b"-3",), None, 1),
+        ((b"",), None, 1),
+        ((b"ten",), None, 1),
+        ((b"nan",), None, 1),
+        ((b"inf",), None, 1),
+        ((b"1e3",), None, 1),
+        ((b"9" * 400,), None, 1),
+        ((b"5", b"5"), None, 1),
+        ((b"5", b"80"), None, 1),
+        ((), None, 0),
+    ],
+)
+def test_limits_are_decoded_and_invalid_ones_reported(values, limit_per_s, bad):
+    headers = tuple((b"Server-Limit", value) for value in values)
+    response = call_wire.decode_response(200, headers)
+    assert response.limit_per_s == limit_per_s
+    assert len(response.bad_notices) == bad
+
+
+def test_each_change_of_a_limit_is_logged_once():
+    limits = iter(["8", "8", "5", "soon", "5", "5", None, None, None, None])
+
+    async def answer(head, reader, writer):
+        del head, reader
+        limit = next(limits)
+        header = "" if limit is None else f"Server-Limit: {limit}\r\n"
+        writer.write(fake_target.make_response(b"done", headers=header))
+
+    async def scenario(router, _):
+        for _ in range(10):
+            await router.call(path="/look/1")
+        return router.read_log()
+
+    log = test_forwarding.run([answer], scenario)
+    lines = [json.loads(line) for line in log.splitlines()]
+    found = [x["limit_per_s"] for x in lines if x["event"] == "target_limit"]
+    assert found == [8.0, 5.0, None]
+
+
 def test_retry_after_counts_only_with_status_503():
     headers = ((b"retry-after", b"2"),)
     assert call_wire.decode_response(200, headers).quiet_s is None
