--- /dev/null
+++ b/tests/forwarding/gateway_fleet.py
@@ -0,0 +1,476 @@
+"""Whole routers with emulated targets and an emulated network, in virtual time.
+
+The routers are `Gateway` objects. Only their sockets are replaced: connections
+to targets, datagrams between routers, and callers.
+"""
+
+import asyncio
+import collections
+from collections.abc import Coroutine
+import dataclasses
+import math
+import os
+import random
+import re
+import types
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import ids
+from lentilbeam_core import poll_times as poll_times_lib
+from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import target_list
+from lentilbeam_platform import call_wire
+from lentilbeam_router import addresses
+from lentilbeam_router.forwarding import connection as connection_lib
+from lentilbeam_router.forwarding import feeds
+from lentilbeam_router.forwarding import gateway as gateway_lib
+from tests import virtual_time
+from tests.forwarding import fake_target
+from tests.forwarding import in_process_router
+from tests.forwarding import makers
+
+NETWORK_DELAY_S = 0.003
+RESPONSE_S = 0.04
+DATA_CENTRES = "abc"
+_REQUEST_ID = re.compile(rb"request-id: (\S+)", re.IGNORECASE)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a target.
+
+    Attributes:
+        at: monotonic seconds.
+        router: the router that sent it.
+        head: its request line and headers.
+    """
+
+    at: float
+    router: str
+    head: bytes
+
+
+class Target:
+    """An emulated target.
+
+    Attributes:
+        entry: its entry in the store.
+        headers: header lines that it adds to its responses, each with its line
+            break.
+        respond: returns the bytes of a response, given the request's head;
+            None if the request crashes the target.
+        arrivals: the requests that reached it.
+        is_up: whether it accepts connections and answers.
+        connections: open connections.
+    """
+
+    def __init__(self, entry: target_list.Entry):
+        self.entry = entry
+        self.headers = ""
+        self.respond = self.respond_plainly
+        self.arrivals: list[Arrival] = []
+        self.is_up = True
+        self.connections: set[connection_lib.TargetConnection] = set()
+
+    def respond_plainly(self, head: bytes) -> bytes | None:
+        """Returns a complete response."""
+        request_id = _REQUEST_ID.search(head)[1].decode()
+        return fake_target.make_response(
+            b"done", headers=self.headers, request_id=request_id
+        )
+
+    def crash(self) -> None:
+        """Ends the process: all connections break."""
+        self.is_up = False
+        connections, self.connections = self.connections, set()
+        for connection in connections:
+            connection.connection_lost(ConnectionResetError())
+
+    def count_arrivals(self, since: float, until: float) -> int:
+        """Returns the number of requests that arrived in a span of time."""
+        return sum(since <= each.at < until for each in self.arrivals)
+
+    def find_most_arrivals(
+        self, window_s: float, since: float, until: float = math.inf
+    ) -> int:
+        """Returns the largest number of arrivals in any window of a span."""
+        times = [a.at for a in self.arrivals if since <= a.at < until]
+        most = 0
+        window = collections.deque()
+        for at in times:
+            window.append(at)
+            while window[0] <= at - window_s:
+                window.popleft()
+            most = max(most, len(window))
+        return most
+
+
+class _TargetTransport:
+    """Stands for the socket of a connection to a target."""
+
+    def __init__(
+        self,
+        target: Target,
+        connection: connection_lib.TargetConnection,
+        router: str,
+    ):
+        self.target = target
+        self.connection = connection
+        self.router = router
+        self.is_closed = False
+
+    def write(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(NETWORK_DELAY_S, self._arrive, data)
+
+    def close(self) -> None:
+        self.is_closed = True
+        self.target.connections.discard(self.connection)
+
+    abort = close
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def get_extra_info(self, name: str) -> types.SimpleNamespace:
+        return types.SimpleNamespace(setsockopt=lambda *option: None)
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def pause_reading(self) -> None:
+        """Does nothing: responses are short."""
+
+    resume_reading = pause_reading
+
+    def _arrive(self, data: bytes) -> None:
+        if not self.target.is_up:
+            return
+        loop = asyncio.get_running_loop()
+        head = data.partition(b"\r\n\r\n")[0]
+        self.target.arrivals.append(Arrival(loop.time(), self.router, head))
+        loop.call_later(RESPONSE_S, self._respond, head)
+
+    def _respond(self, head: bytes) -> None:
+        if not self.target.is_up:
+            return
+        response = self.target.respond(head)
+        if response is None:
+            self.target.crash()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(NETWORK_DELAY_S, self._deliver, response)
+
+    def _deliver(self, response: bytes) -> None:
+        if not self.is_closed and self.target.is_up:
+            self.connection.data_received(response)
+
+
+class _DatagramTransport:
+    """Stands for the socket on which a router sends its reports."""
+
+    def __init__(self, fleet: "Fleet", sender: str):
+        self.fleet = fleet
+        self.sender = sender
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            NETWORK_DELAY_S, self.fleet.deliver, self.sender, address[0], data
+        )
+
+    def is_closing(self) -> bool:
+        return False
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What a caller got.
+
+    Attributes:
+        router: the router that it asked.
+        sent_at: monotonic seconds.
+        ended_at: monotonic seconds; infinite if there was no answer.
+        status: HTTP status; None if there was no answer.
+        retry_after_s: value of `Retry-After`; None if there was none.
+    """
+
+    router: str
+    sent_at: float
+    ended_at: float = math.inf
+    status: int | None = None
+    retry_after_s: float | None = None
+
+
+class Fleet:
+    """Routers, their targets and callers.
+
+    Attributes:
+        clock: the clock of all routers.
+        rng: chooses routers and times of requests.
+        routes: routes of the configuration.
+        gateways: running routers, by name.
+        entries: store entries of all routers that were ever started, by name.
+        targets: the targets, by name.
+        cut: pairs of sender and receiver between which datagrams are lost.
+        results: what all callers got, in the order of their requests.
+        tasks: tasks of each router, by name.
+        output: file descriptor to which the routers log.
+    """
+
+    def __init__(
+        self,
+        routers: int = 4,
+        targets: int = 2,
+        seed: int = 1,
+        routes=(makers.CHAT, makers.BOOK, makers.LOOK_UP),
+        output: int | None = None,
+    ):
+        self.clock = clock_lib.ManualClock(virtual_time.START)
+        self.rng = random.Random(seed)
+        self.routes = routes
+        self.gateways: dict[str, gateway_lib.Gateway] = {}
+        self.entries: dict[str, feeds.RouterEntry] = {}
+        self.targets: dict[str, Target] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.results: list[Result] = []
+        self.tasks: dict[str, list[asyncio.Task]] = {}
+        self.output = output or os.open(os.devnull, os.O_WRONLY)
+        self.router_count = routers
+        self.target_count = targets
+
+    def run(self, scenario) -> "Fleet":
+        """Starts everything and runs a scenario, a coroutine function."""
+
+        async def main() -> None:
+            for number in range(self.target_count):
+                self.add_target(f"t{number}")
+            names = [f"r{number}" for number in range(self.router_count)]
+            for name in names:
+                self._list_router(name)
+            for name in names:
+                self.start_router(name)
+            await asyncio.sleep(1.0)
+            await scenario(self)
+            for name in list(self.gateways):
+                self.stop_router(name)
+
+        virtual_time.run(main(), self.clock)
+        return self
+
+    def add_target(self, name: str, **changes) -> Target:
+        """Lists a target at all routers."""
+        entry = makers.make_target(
+            name,
+            host=name,
+            started_at_ms=1000 + len(self.targets),
+            data_centre=ids.DataCentreId("a"),
+            **changes,
+        )
+        target = Target(entry)
+        self.targets[name] = target
+        self._list_target(target)
+        return target
+
+    def restart_target(self, name: str) -> Target:
+        """Lists a new process of a target, which answers at once."""
+        target = self.targets[name]
+        started_at_ms = target.entry.started_at_ms + 1000
+        target.entry = dataclasses.replace(
+            target.entry, started_at_ms=started_at_ms
+        )
+        target.is_up = True
+        self._list_target(target)
+        return target
+
+    def start_router(self, name: str) -> gateway_lib.Gateway:
+        """Starts a router without state."""
+        if name not in self.entries:
+            self._list_router(name)
+        entry = self.entries[name]
+        # The numbers of reports start again, so a new process must differ.
+        self.clock.advance(0.001)
+        gateway = gateway_lib.Gateway(
+            gateway_lib.Settings(
+                instance=entry.name,
+                data_centre=entry.data_centre,
+                front=entry.front,
+                peer=entry.peer,
+                budget=in_process_router.RETRY_BUDGET,
+                quota_window_s=4.0,
+                address_ttl_s=1.0,
+                grace_s=8.0,
+            ),
+            call_wire.CODEC,
+            self.clock,
+            poll_times_lib.PollTimes(math.inf),
+            self.output,
+        )
+        gateway.link.transport = _DatagramTransport(self, name)
+        gateway.connections.connect = self._make_connect(name)
+        gateway.offer_configuration(self._make_configuration())
+        for other in self.entries.values():
+            gateway.put_router(other)
+        gateway.replace_targets([t.entry for t in self.targets.values()])
+        self.gateways[name] = gateway
+        self.tasks[name] = [
+            asyncio.ensure_future(job)
+            for job in (gateway._send_reports(), gateway._run_housekeeping())
+        ]
+        return gateway
+
+    def stop_router(self, name: str) -> None:
+        """Kills a router: nothing of it is left."""
+        del self.gateways[name]
+        for task in self.tasks.pop(name):
+            task.cancel()
+
+    def part(self, group: list[str]) -> None:
+        """Cuts a group of routers off from all others, both ways."""
+        for inside in group:
+            for other in self.entries:
+                if other not in group:
+                    self.cut |= {(inside, other), (other, inside)}
+
+    def heal(self) -> None:
+        """Restores all links between routers."""
+        self.cut.clear()
+
+    def deliver(self, sender: str, receiver: str, data: bytes) -> None:
+        """Passes a datagram to a router unless it is down or cut off."""
+        gateway = self.gateways.get(receiver)
+        if gateway is None or sender not in self.gateways:
+            return
+        if (sender, receiver) not in self.cut:
+            gateway.link.datagram_received(data, (sender, 1))
+
+    async def load(
+        self,
+        per_s: float,
+        seconds: float,
+        routers: list[str] | None = None,
+        **request,
+    ) -> None:
+        """Sends requests at random times to random routers for some time.
+
+        Args:
+            per_s: mean number of requests per second.
+            seconds: for how long.
+            routers: the routers that are asked; None for all that run.
+            **request: see `send`.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        while True:
+            pause_s = self.rng.expovariate(per_s)
+            if loop.time() + pause_s >= ends_at:
+                await asyncio.sleep(ends_at - loop.time())
+                return
+            await asyncio.sleep(pause_s)
+            names = routers or list(self.gateways)
+            self.send_soon(self.rng.choice(names), **request)
+
+    def send_soon(self, router: str, **request) -> asyncio.Task:
+        """Sends a request without waiting for its answer."""
+        return self._keep(router, self.send(router, **request))
+
+    async def send(
+        self,
+        router: str,
+        path: str = "/look/1",
+        body: bytes = b"",
+        deadline_ms: int = 1500,
+        **headers: str,
+    ) -> Result:
+        """Sends a request; returns what its caller got."""
+        loop = asyncio.get_running_loop()
+        result = Result(router, loop.time())
+        self.results.append(result)
+        request_id = f"q{len(self.results)}"
+        all_headers = {
+            "host": "studio.example",
+            "request_id": request_id,
+            "api_key": in_process_router.API_KEY,
+            "request_deadline": str(deadline_ms),
+            **headers,
+        }
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": b"",
+            "headers": [
+                (name.replace("_", "-").encode(), value.encode())
+                for name, value in all_headers.items()
+            ],
+        }
+        caller_messages = asyncio.Queue()
+        caller_messages.put_nowait({"type": "http.request", "body": body})
+
+        async def receive_response(message) -> None:
+            if message["type"] == "http.response.start":
+                result.status = message["status"]
+                found = dict(message["headers"]).get(b"retry-after")
+                if found is not None:
+                    result.retry_after_s = float(found)
+            result.ended_at = loop.time()
+
+        gateway = self.gateways[router]
+        await gateway.request_handler(
+            scope, caller_messages.get, receive_response
+        )
+        return result
+
+    def _keep(self, router: str, job: Coroutine) -> asyncio.Task:
+        """Starts a task that ends with its router."""
+        task = asyncio.ensure_future(job)
+        kept = self.tasks[router]
+        kept.append(task)
+        task.add_done_callback(
+            lambda done: kept.remove(done) if done in kept else None
+        )
+        return task
+
+    def _list_router(self, name: str) -> None:
+        data_centre = DATA_CENTRES[len(self.entries) % len(DATA_CENTRES)]
+        entry = feeds.RouterEntry(
+            ids.InstanceId(name),
+            ids.DataCentreId(data_centre),
+            addresses.Address(name, 1),
+            addresses.Address(name, 2),
+        )
+        self.entries[name] = entry
+        for gateway in self.gateways.values():
+            gateway.put_router(entry)
+
+    def _list_target(self, target: Target) -> None:
+        for gateway in self.gateways.values():
+            gateway.put_target(target.entry)
+
+    def _make_configuration(self) -> configuration.Configuration:
+        return configuration.Configuration(
+            version=1,
+            routes=self.routes,
+            pools={makers.POOL: configuration.Pool(makers.POOL, 100, None)},
+            limits=configuration.Limits(),
+            workspaces={in_process_router.API_KEY: ids.WorkspaceId("ashby")},
+        )
+
+    def _make_connect(self, router: str):
+        async def connect(host, port, clock):
+            del port
+            await asyncio.sleep(NETWORK_DELAY_S)
+            target = self.targets[host]
+            if not target.is_up:
+                raise connection_lib.ConnectFailedError("refused")
+            connection = connection_lib.TargetConnection(clock)
+            transport = _TargetTransport(target, connection, router)
+            connection.connection_made(transport)
+            target.connections.add(connection)
+            return connection
+
+        return connect
