Divide the limits that targets name among the routers

Cause: a limit on the fleet's requests was neither read nor divided; placement knew loads and failures only. Class: a bound on a sum that no router kept a part of.

A limit is one more fact about a target (source, time, end) that peers learn by report. Each router sends the part of it that its demand is of the fleet's; the part of silent routers is left to them. What is beyond goes to other targets or is refused at once with the time of its turn.

--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -304,7 +304,7 @@
 
     def _send_report(self, index: int, now: float) -> None:
         router = self.routers[index]
-        loads = tuple(router.placer.loads.export(now, {}))
+        loads = tuple(router.placer.loads.export(now, {}, {}))
         uses = router.usage.export(patterns.POOL, now)
         placed, self.unreported_parts[index] = self.unreported_parts[index], []
         report = (index, loads, uses, placed)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -9,13 +9,16 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import enum
 import heapq
 import itertools
+import math
 import random
 
 from lentilbeam_core import ids
+from lentilbeam_core.forwarding import limit_parts as limit_parts_lib
 from lentilbeam_core.forwarding import placement as placement_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import shares
@@ -48,6 +51,7 @@
     NO_ROOM = "no_room"  # No target had capacity in time.
     NO_TARGET = "no_target"  # The pool has no usable target.
     ROUTER_BUSY = "router_busy"  # The router can't keep up.
+    LIMITED = "limited"  # The targets take a limited number of requests.
     CRASHES_TARGETS = "crashes_targets"  # Requests like it crashed targets.
 
 
@@ -132,6 +136,9 @@
             same value applies to each engine pool. 0 if unknown; then no
             workspace counts as above its guarantee.
         queues: queued requests of each workspace, in arrival order.
+        limit_parts: credit of this router at targets with a limit.
+        promised_until: when limited targets take the last of the refused
+            requests that will return, monotonic seconds.
         left_out: workspaces that the last pass did not get to.
         failed_choices: requests that the current pass has tried in vain.
     """
@@ -151,6 +158,8 @@
         self.queues: dict[
             ids.WorkspaceId, collections.deque[QueuedRequest]
         ] = {}
+        self.limit_parts = limit_parts_lib.LimitParts(rng)
+        self.promised_until = -math.inf
         self.left_out: set[ids.WorkspaceId] = set()
         self.failed_choices = 0
 
@@ -211,16 +220,16 @@
         self,
         targets: list[target_list.Entry],
         now: float,
-        usable_at: float | None = None,
+        find_supply: Callable[[], limit_parts_lib.Supply | None] = lambda: None,
     ) -> list[Decision]:
         """Removes from the queue all requests that can be sent or have expired.
 
         Args:
             targets: targets of the pool that may get a request now.
             now: monotonic seconds.
-            usable_at: if there is no target, when the first one will take
-                requests again, monotonic seconds; None if this is unknown. A
-                request that can't wait for it is refused at once.
+            find_supply: called after the placements; returns when the pool
+                takes more requests, None if this is unknown. A request that
+                can't wait for it is refused at once.
 
         Returns:
             A `Placed` for each request to send, and a `Refused` for each
@@ -230,8 +239,9 @@
             lambda queued: queued.request.deadline_at <= now, targets, now
         )
         decisions += self._place_waiting(targets, now)
-        if not targets and usable_at is not None:
-            decisions += self._refuse_until(usable_at, now)
+        supply = find_supply() if self.queues else None
+        if supply is not None:
+            decisions += self._refuse_beyond(supply, targets, now)
         return decisions + self._refuse_expired(targets, now)
 
     def _place_waiting(
@@ -266,6 +276,9 @@
             if placed is None:
                 continue
             placements.append(placed)
+            target = placed.placement.target.name
+            if not self.limit_parts.may_send(target):
+                targets = [t for t in targets if t.name != target]
             if workspace in self.queues:
                 served = self.usage.total_served(workspace, now)
                 heapq.heappush(order, (True, served, workspace))
@@ -301,6 +314,7 @@
         self.placer.loads.start_request(
             request.request_id, target, placement.unread, held, now
         )
+        self.limit_parts.note_sent(target)
         if request.prompt is not None:
             self.placer.note_prompt_placed(target, request.prompt.parts, now)
         self.usage.note_served(workspace, requests.estimate_cost(request), now)
@@ -330,25 +344,86 @@
             now,
         )
 
-    def _refuse_until(self, usable_at: float, now: float) -> list[Decision]:
-        """Refuses the requests that can't wait until `usable_at`.
+    def _refuse_beyond(
+        self,
+        supply: limit_parts_lib.Supply,
+        targets: list[target_list.Entry],
+        now: float,
+    ) -> list[Decision]:
+        """Refuses the requests that would have to wait for too long.
 
-        The retry delay is the time until then. It is spread like that of other
-        refusals, since all callers would return at once.
+        The retry delay is the time until a target takes the request, behind
+        those that wait and those that were refused before and will return. It
+        is spread like that of other refusals.
         """
-        refused = self._refuse_where(
-            lambda queued: queued.refuse_at < usable_at, [], now
+        waiting = 0
+        retry_at: dict[str, float] = {}
+        for queued in self._list_in_turn(now):
+            at = supply.find_time(waiting)
+            if at <= queued.refuse_at:
+                waiting += 1
+                continue
+            request = queued.request
+            retry_at[request.request_id] = self._promise(
+                request, supply, max(at, now), now
+            )
+        decisions = self._refuse_where(
+            lambda queued: queued.request.request_id in retry_at, targets, now
         )
-        wait_s = usable_at - now
+        reason = RefusalReason.NO_TARGET
+        if supply.per_s > 0:
+            reason = RefusalReason.LIMITED
+        spread_s = self.settings.retry_after_range_s[0]
         return [
             dataclasses.replace(
                 decision,
-                retry_after_s=wait_s
-                + self.rng.uniform(0, self.settings.retry_after_range_s[0]),
+                reason=reason,
+                retry_after_s=retry_at[decision.request.request_id]
+                - now
+                + self.rng.uniform(0, spread_s),
             )
-            for decision in refused
+            for decision in decisions
         ]
 
+    def _promise(
+        self,
+        request: requests.Request,
+        supply: limit_parts_lib.Supply,
+        earliest: float,
+        now: float,
+    ) -> float:
+        """Returns when a refused request should return, monotonic seconds.
+
+        Args:
+            request: the refused request.
+            supply: when the targets take more requests.
+            earliest: when they take one more than those that wait, monotonic
+                seconds.
+            now: monotonic seconds.
+        """
+        at = earliest
+        if supply.per_s > 0:
+            after_others = self.promised_until + 1 / supply.per_s
+            at = min(max(at, after_others), supply.unlimited_from)
+        # Callers that would have to wait for longer do not return.
+        left_s = max(request.deadline_at - now, 0.0)
+        if at - now <= left_s * self.settings.retry_after_fraction:
+            self.promised_until = at
+        return at
+
+    def _list_in_turn(self, now: float) -> Iterable[QueuedRequest]:
+        """Returns the queued requests in the order in which they are sent."""
+        queues = {name: iter(queue) for name, queue in self.queues.items()}
+        order = [(self.usage.total_served(name, now), name) for name in queues]
+        heapq.heapify(order)
+        while order:
+            served, workspace = heapq.heappop(order)
+            queued = next(queues[workspace], None)
+            if queued is not None:
+                yield queued
+                served += requests.estimate_cost(queued.request)
+                heapq.heappush(order, (served, workspace))
+
     def _refuse_where(
         self,
         is_refused: Callable[[QueuedRequest], bool],
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -13,6 +13,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import decayed
+from lentilbeam_core.forwarding import target_limits
 
 PEER_REPORT_MAX_AGE_S = 1.5
 """A peer's last report is ignored once it is older than this."""
@@ -48,6 +49,10 @@
         failures: number of those that failed, decayed likewise.
         leaving_start_ms: start of the process that is leaving, see
             `messages.TargetLoad`.
+        limit_start_ms: start of the process that named or withdrew the newest
+            limit, see `messages.TargetLoad`.
+        limit_per_s: that limit, in requests per second.
+        limit_age_s: time since the response with it, in seconds.
     """
 
     unread: float = 0.0
@@ -57,6 +62,9 @@
     outcomes: float = 0.0
     failures: float = 0.0
     leaving_start_ms: int = 0
+    limit_start_ms: int = 0
+    limit_per_s: float = 0.0
+    limit_age_s: float = math.inf
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or subtracts it if `sign` is -1."""
@@ -85,22 +93,35 @@
         self.recent += item.recent * recent_decay
         self.outcomes += item.outcomes * outcome_decay
         self.failures += item.failures * outcome_decay
-        # A fact, not an amount: it stays true when a report is subtracted.
+        # Facts, not amounts: they stay true when a report is subtracted.
         self.leaving_start_ms = max(
             self.leaving_start_ms, item.leaving_start_ms
         )
+        limit_age_s = item.limit_age_ms / 1000 + age_s
+        if item.limit_start_ms and limit_age_s < self.limit_age_s:
+            self.limit_start_ms = item.limit_start_ms
+            self.limit_per_s = item.limit_per_s
+            self.limit_age_s = limit_age_s
+
+    def set_limit(self, limit: target_limits.Limit, now: float) -> None:
+        """Sets what the target has said about the rate of its requests."""
+        self.limit_start_ms = limit.start_ms
+        self.limit_per_s = limit.per_s
+        self.limit_age_s = now - limit.noted_at
 
     def report(self, target: ids.TargetId) -> messages.TargetLoad | None:
         """Returns the load as a message to peers.
 
-        None if the target isn't known to be leaving, nothing is running, less
-        than 1 prompt token was sent recently and fewer than
-        `MIN_REPORTED_OUTCOMES` requests ended recently.
+        None if the target isn't known to be leaving or to have named a limit,
+        nothing is running, less than 1 prompt token was sent recently and
+        fewer than `MIN_REPORTED_OUTCOMES` requests ended recently.
         """
-        is_busy = (
-            self.running > 0 or self.recent >= 1.0 or self.leaving_start_ms > 0
-        )
-        if not is_busy and self.outcomes < MIN_REPORTED_OUTCOMES:
+        is_busy = self.running > 0 or self.recent >= 1.0
+        has_notice = self.leaving_start_ms > 0 or self.limit_start_ms > 0
+        if (
+            not (is_busy or has_notice)
+            and self.outcomes < MIN_REPORTED_OUTCOMES
+        ):
             return None
         return messages.TargetLoad(
             target,
@@ -111,6 +132,9 @@
             max(self.outcomes, 0.0),
             max(self.failures, 0.0),
             self.leaving_start_ms,
+            self.limit_start_ms,
+            self.limit_per_s,
+            self.limit_age_s * 1000 if self.limit_start_ms else 0.0,
         )
 
 
@@ -290,7 +314,10 @@
         return (own.running if own else 0) + (peers.running if peers else 0)
 
     def export(
-        self, now: float, leaving: Mapping[ids.TargetId, int]
+        self,
+        now: float,
+        leaving: Mapping[ids.TargetId, int],
+        limits: Mapping[ids.TargetId, target_limits.Limit],
     ) -> list[messages.TargetLoad]:
         """Returns this router's own loads as messages to its peers.
 
@@ -298,12 +325,17 @@
             now: monotonic seconds.
             leaving: start of the leaving process of each target of the pool
                 that is leaving, Unix milliseconds.
+            limits: newest limit of each target of the pool, from responses to
+                this router.
         """
-        targets = self.own_loads.keys() | self.outcomes.keys() | leaving.keys()
+        targets = self.own_loads.keys() | self.outcomes.keys()
+        targets = targets | leaving.keys() | limits.keys()
         reports = []
         for target in targets:
             load = self._read_own(target, now)
             load.leaving_start_ms = leaving.get(target, 0)
+            if target in limits:
+                load.set_limit(limits[target], now)
             reports.append(load.report(target))
         return [report for report in reports if report is not None]
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_limits.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_limits.py
@@ -14,8 +14,6 @@
 """Rate, in requests per second, of a target that has withdrawn its limit."""
 MAX_AGE_S = 60.0
 """Time, in seconds, after which a limit ends if no response names it again."""
-RESPONSES_WITHOUT_LIMIT = 2
-"""Number of responses without a limit, in a row, that withdraw the limit."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,14 +51,16 @@
     Attributes:
         own: newest limit from responses to this router, by target.
         reported: newest limit from peers, by target.
-        without_limit: responses in a row that named no limit although their
-            target had named one, by target.
     """
 
     def __init__(self):
         self.own: dict[ids.TargetId, Limit] = {}
         self.reported: dict[ids.TargetId, Limit] = {}
-        self.without_limit: dict[ids.TargetId, int] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has named a limit."""
+        return not self.own and not self.reported
 
     def find(self, name: ids.TargetId, now: float) -> Limit | None:
         """Returns what counts for a target; None if no limit is known."""
@@ -100,18 +100,11 @@
             now: when the response was received, monotonic seconds.
         """
         if per_s is not None:
-            self.without_limit.pop(name, None)
             self.own[name] = Limit(start_ms, per_s, now)
             return
         limit = self.find(name, now)
-        if limit is None or limit.per_s == NO_LIMIT:
-            return
-        if sent_at < limit.noted_at:
-            return
-        count = self.without_limit.get(name, 0) + 1
-        self.without_limit[name] = count
-        if count >= RESPONSES_WITHOUT_LIMIT:
-            self.without_limit.pop(name)
+        is_limited = limit is not None and limit.per_s != NO_LIMIT
+        if is_limited and sent_at >= limit.noted_at:
             self.own[name] = Limit(start_ms, NO_LIMIT, now)
 
     def note_reported(self, name: ids.TargetId, limit: Limit) -> None:
@@ -122,5 +115,5 @@
 
     def forget(self, name: ids.TargetId) -> None:
         """Removes all limits of a target that has restarted or is gone."""
-        for table in (self.own, self.reported, self.without_limit):
-            table.pop(name, None)
+        self.own.pop(name, None)
+        self.reported.pop(name, None)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -203,6 +203,36 @@
         )
         return self.limits.read_rate(entry.name, now) != before
 
+    def note_reported_limit(
+        self, name: ids.TargetId, limit: target_limits.Limit, now: float
+    ) -> bool:
+        """Records what a peer has reported about the limit of a target.
+
+        Args:
+            name: the target.
+            limit: what the peer has reported.
+            now: monotonic seconds.
+
+        Returns:
+            Whether another limit counts than before.
+        """
+        entry = self.entries.get(name)
+        if entry is None or entry.start_ms != limit.start_ms:
+            return False
+        before = self.limits.read_rate(name, now)
+        self.limits.note_reported(name, limit)
+        return self.limits.read_rate(name, now) != before
+
+    def find_own_limits(
+        self, pool: ids.PoolId, now: float
+    ) -> dict[ids.TargetId, target_limits.Limit]:
+        """Returns the limits in a pool from responses to this router."""
+        return {
+            name: limit
+            for name, limit in self.limits.own.items()
+            if self.entries[name].pool == pool and now < limit.ends_at
+        }
+
     def find_leaving(self, pool: ids.PoolId) -> dict[ids.TargetId, int]:
         """Returns the targets of a pool that leave but are listed as ready.
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
@@ -4,6 +4,7 @@
 single router.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -20,10 +21,21 @@
     Attributes:
         loads: load of each target.
         uses: recent service received and cost asked for, by workspace.
+        demands: recent requests, by pool.
+        routers: number of routers that the work adds up.
     """
 
     loads: tuple[messages.TargetLoad, ...] = ()
     uses: tuple[messages.WorkspaceUse, ...] = ()
+    demands: tuple[messages.PoolDemand, ...] = ()
+    routers: int = 1
+
+
+def from_report(report: messages.LoadReport) -> Work:
+    """Returns the work in a report."""
+    # Routers of an earlier version do not count themselves.
+    routers = max(report.routers, 1)
+    return Work(report.loads, report.uses, report.demands, routers)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,7 +63,14 @@
     """
     loads: dict[ids.TargetId, loads_lib.Load] = {}
     uses: dict[tuple[ids.PoolId, ids.WorkspaceId], list[float]] = {}
+    demands: dict[ids.PoolId, float] = collections.defaultdict(float)
+    routers = 0
     for term in terms:
+        routers += term.sign * term.work.routers
+        # Demand is compared between routers, so it does not fade between two
+        # reports.
+        for demand in term.work.demands:
+            demands[demand.pool] += term.sign * demand.requests
         usage_factor = term.sign * math.exp(-term.age_s / decay_s)
         for item in term.work.loads:
             load = loads.setdefault(item.target, loads_lib.Load())
@@ -62,7 +81,11 @@
             amounts[1] += use.asked * usage_factor
     reports = (load.report(target) for target, load in loads.items())
     listed = tuple(report for report in reports if report is not None)
-    return Work(listed, _list_uses(uses))
+    listed_demands = tuple(
+        messages.PoolDemand(pool, max(requests, 0.0))
+        for pool, requests in demands.items()
+    )
+    return Work(listed, _list_uses(uses), listed_demands, max(routers, 0))
 
 
 def _list_uses(
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -231,6 +231,11 @@
         leaving_start_ms: start of the target's process, if that process said
             that it is leaving, as Unix milliseconds or as
             `target_list.UNKNOWN_START_MS`; else 0.
+        limit_start_ms: start of the process that named or withdrew a limit on
+            the rate of its requests, likewise; 0 if no limit is known.
+        limit_per_s: the limit in requests per second; infinite if it was
+            withdrawn.
+        limit_age_ms: time since the response with it, in milliseconds.
     """
 
     target: ids.TargetId
@@ -241,6 +246,24 @@
     outcomes: float = 0.0
     failures: float = 0.0
     leaving_start_ms: int = 0
+    limit_start_ms: int = 0
+    limit_per_s: float = 0.0
+    limit_age_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolDemand:
+    """Requests for a pool that callers have sent lately.
+
+    Sums the requests at one router, or at several together.
+
+    Attributes:
+        pool: the pool.
+        requests: number of requests, decayed with their age.
+    """
+
+    pool: ids.PoolId
+    requests: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -354,6 +377,8 @@
         included: reports that the sums include.
         crashes: news about crashes of targets, from all routers.
         blocks: prompt parts that are blocked, or were.
+        routers: number of routers whose load the report adds up.
+        demands: recent demand, by pool.
     """
 
     incarnation: ids.Incarnation
@@ -369,6 +394,8 @@
     included: tuple[Included, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     blocks: tuple[BlockReport, ...] = ()
+    routers: int = 0
+    demands: tuple[PoolDemand, ...] = ()
 
 
 PeerMessage = Heartbeat | DemandReport | GrantUpdate | LoadReport
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -1,6 +1,7 @@
 """Queues the requests of one pool and applies the admission decisions."""
 
 import asyncio
+from collections.abc import Callable
 import math
 import random
 from typing import Any
@@ -11,6 +12,8 @@
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import admission
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import fleet_demand
+from lentilbeam_core.forwarding import limit_parts as limit_parts_lib
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import outliers
 from lentilbeam_core.forwarding import placement
@@ -40,6 +43,9 @@
         budget: this router's part of the pool's retry budget.
         loads: load of the targets, summed over all routers.
         usage: usage of the workspaces, summed over all routers.
+        demand: requests for the pool, at all routers.
+        count_routers: returns the number of routers in the fleet, this one
+            included.
         placer: chooses the target of a request.
         admission: queue of the requests that wait for a target.
         ejector: ejects targets after failures in a row.
@@ -61,6 +67,7 @@
         budget: retry_budget.Settings,
         data_centre: ids.DataCentreId,
         decay_s: float,
+        count_routers: Callable[[], int],
         clock: clock_lib.Clock,
         rng: random.Random,
     ):
@@ -71,6 +78,8 @@
         self.budget = retry_budget.RetryBudget(budget)
         self.loads = loads_lib.LoadTracker()
         self.usage = shares.Usage(decay_s)
+        self.demand = fleet_demand.FleetDemand()
+        self.count_routers = count_routers
         self.placer = placement.Placer(
             placement.Settings(), pool, self.loads, data_centre, rng
         )
@@ -117,7 +126,10 @@
         """
         future = asyncio.get_running_loop().create_future()
         self.waiters[request.request_id] = future
-        self.admission.enqueue(request, self.clock.monotonic(), excluded)
+        now = self.clock.monotonic()
+        if not excluded:
+            self.demand.note_request(now)
+        self.admission.enqueue(request, now, excluded)
         self.decide()
         try:
             return await future
@@ -181,11 +193,9 @@
         if now < self.next_pass_at:
             self._set_timer(self.next_pass_at, now)
             return
-        usable = self.find_usable()
-        usable_at = None
-        if not usable:
-            usable_at = self.targets.find_quiet_end(self.pool.name, now)
-        for decision in self.admission.decide(usable, now, usable_at):
+        for decision in self.admission.decide(
+            self.find_usable(), now, lambda: self._find_supply(now)
+        ):
             if isinstance(decision, admission.Placed):
                 self._note_placed(decision)
             future = self.waiters.get(decision.request.request_id)
@@ -197,6 +207,9 @@
         )
         refusal_at = self.admission.next_refusal_at()
         if refusal_at is not None:
+            credit_at = self.admission.limit_parts.find_next(now)
+            if credit_at is not None:
+                refusal_at = min(refusal_at, credit_at)
             next_at = max(refusal_at, now + MIN_DECIDE_INTERVAL_S)
             self._set_timer(next_at, ended_at)
         elif self.timer is not None:
@@ -226,6 +239,7 @@
         The request counts in what its workspace has asked for.
         """
         now = self.clock.monotonic()
+        self.demand.note_request(now)
         self.usage.note_asked(
             request.workspace, requests.estimate_cost(request), now
         )
@@ -271,6 +285,7 @@
             "fleet_running": sum(load.running for load in totals),
             "fleet_unread_tokens": sum(load.unread for load in totals),
             "targets_usable": len(self.find_usable()),
+            "targets_limited": len(self.admission.limit_parts.credits),
             "workspaces_asking": len(self.usage.asked),
             "repeats_in_window": len(self.budget.retries),
         }
@@ -289,13 +304,29 @@
             uses = [use for use in report.uses if use.pool == self.pool.name]
             self.usage.apply_report(peer, tuple(uses), now)
             self.loads.apply_report(peer, report.loads, now)
+            self.demand.apply_report(
+                peer,
+                sum(
+                    d.requests
+                    for d in report.demands
+                    if d.pool == self.pool.name
+                ),
+                report.routers,
+                now,
+            )
         self._note_peer_placed(report.placed, now)
 
     def forget_peer(self, peer: ids.InstanceId) -> None:
         """Drops a peer's work, since another report now includes it."""
         self.usage.forget_peer(peer)
+        self.demand.forget_peer(peer)
         self.loads.forget_peer(peer)
 
+    def forget_target(self, name: ids.TargetId) -> None:
+        """Drops what is known about a target that restarted or is gone."""
+        self.placer.forget(name)
+        self.admission.limit_parts.forget(name)
+
     def _note_peer_placed(
         self, placed: tuple[messages.PlacedPart, ...], now: float
     ) -> None:
@@ -313,21 +344,25 @@
         """Returns the targets that may be sent a request now.
 
         These are the ready targets (`TargetList.find_ready`) except those that
-        are ejected, avoided or quiet, and those that need a probe after an
-        ejection and already run a request of this router. Also refreshes
-        `avoided`, at most once per `OUTLIER_CHECK_INTERVAL_S`.
+        are ejected, avoided or quiet, those at whose limit this router is, and
+        those that need a probe after an ejection and already run a request of
+        this router. Also refreshes `avoided`, at most once per
+        `OUTLIER_CHECK_INTERVAL_S`, and the credit at limited targets.
         """
         now = self.clock.monotonic()
         usable = []
         ready = self.targets.find_ready(self.pool.name)
         if now - self.avoided_checked_at >= OUTLIER_CHECK_INTERVAL_S:
             self._refresh_avoided(ready, now)
+        self._update_credits(ready, now)
         for entry in ready:
             is_ejected = self.ejector.is_ejected(entry.name, now)
             if is_ejected or entry.name in self.avoided:
                 continue
             if self.targets.is_quiet(entry.name, now):
                 continue
+            if not self.admission.limit_parts.may_send(entry.name):
+                continue
             own = self.loads.own_loads.get(entry.name)
             is_busy = own is not None and own.running > 0
             if is_busy and self.ejector.needs_probe(entry.name):
@@ -335,6 +370,46 @@
             usable.append(entry)
         return usable
 
+    def _update_credits(
+        self, ready: list[target_list.Entry], now: float
+    ) -> None:
+        limit_parts = self.admission.limit_parts
+        limits = self.targets.limits
+        if limits.is_empty and not limit_parts.credits:
+            return
+        part = self.demand.compute_part(self.count_routers(), now)
+        for entry in ready:
+            limit_per_s = limits.read_rate(entry.name, now)
+            limit_parts.update(entry.name, limit_per_s, part, now)
+
+    def _find_supply(self, now: float) -> limit_parts_lib.Supply | None:
+        """Returns when the pool takes requests again.
+
+        None if that is unknown, since a target takes requests now or has
+        neither a limit nor asked for a pause. Ejected and avoided targets are
+        left out.
+        """
+        next_at = unlimited_from = math.inf
+        per_s = 0.0
+        for entry in self.targets.find_ready(self.pool.name):
+            is_ejected = self.ejector.is_ejected(entry.name, now)
+            if is_ejected or entry.name in self.avoided:
+                continue
+            quiet_until = now
+            if self.targets.is_quiet(entry.name, now):
+                quiet_until = self.targets.quiet_until[entry.name]
+            credit = self.admission.limit_parts.credits.get(entry.name)
+            if credit is not None:
+                next_at = min(next_at, max(credit.find_next(), quiet_until))
+                per_s += credit.per_s
+            elif quiet_until > now:
+                unlimited_from = min(unlimited_from, quiet_until)
+            else:
+                return None
+        if math.isinf(next_at) and math.isinf(unlimited_from):
+            return None
+        return limit_parts_lib.Supply(next_at, per_s, unlimited_from)
+
     def _refresh_avoided(
         self, ready: list[target_list.Entry], now: float
     ) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -373,11 +373,13 @@
                 asked_s=response.quiet_s,
                 quiet_s=round(until - now, 3),
             )
-        # A failing target may not get as far as naming its limit.
-        is_silent = response.limit_per_s is None and (
-            response.status >= 500 or response.bad_notices
+        # What a failing or rejecting target leaves out says nothing.
+        says_nothing = response.limit_per_s is None and (
+            response.status >= 500
+            or response.is_not_run
+            or len(response.bad_notices) > 0
         )
-        if not is_silent and targets.note_limit(
+        if not says_nothing and targets.note_limit(
             target, response.limit_per_s, sent_at, now
         ):
             self.dispatcher.is_changed = True
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 import dataclasses
+import math
 import random
 import signal
 from typing import Any
@@ -16,6 +17,7 @@
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import shares
+from lentilbeam_core.forwarding import target_limits
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_core.forwarding import work_sums
 from lentilbeam_router import addresses
@@ -251,6 +253,7 @@
                 self.settings.budget,
                 self.settings.data_centre,
                 self.settings.usage_decay_s,
+                self.count_routers,
                 self.clock,
                 self.rng,
             )
@@ -528,15 +531,20 @@
         loads = []
         uses = []
         placed = []
+        demands = []
         for dispatcher in self.dispatchers.values():
             dispatcher.is_changed = False
             uses.extend(dispatcher.usage.export(dispatcher.pool.name, now))
             placed.extend(
                 dispatcher.take_placed(self.report_exchange.is_direct)
             )
-            leaving = self.targets.find_leaving(dispatcher.pool.name)
-            loads.extend(dispatcher.loads.export(now, leaving))
-        work = work_sums.Work(tuple(loads), tuple(uses))
+            name = dispatcher.pool.name
+            leaving = self.targets.find_leaving(name)
+            limits = self.targets.find_own_limits(name, now)
+            loads.extend(dispatcher.loads.export(now, leaving, limits))
+            own_demand = dispatcher.demand.read_own(now)
+            demands.append(messages.PoolDemand(name, own_demand))
+        work = work_sums.Work(tuple(loads), tuple(uses), tuple(demands))
         crashes, blocks = self.prompt_blocks.evidence.export(now)
         return report_exchange_lib.OwnWork(work, tuple(placed), crashes, blocks)
 
@@ -555,12 +563,7 @@
         if accepted is None:
             return
         for item in accepted.report.loads:
-            if item.leaving_start_ms and self.targets.note_leaving(
-                item.target, item.leaving_start_ms
-            ):
-                self.log.write_event(
-                    "target_leaving", target=item.target, source=sender
-                )
+            self._apply_reported_notices(sender, item, now)
         for dispatcher in self.dispatchers.values():
             for peer in accepted.replaced:
                 dispatcher.forget_peer(peer)
@@ -573,6 +576,32 @@
         if self.report_exchange.is_direct or not is_group:
             self._decide_all()
 
+    def _apply_reported_notices(
+        self, peer: ids.InstanceId, item: messages.TargetLoad, now: float
+    ) -> None:
+        """Records what a peer reports that a target has said of itself."""
+        if item.leaving_start_ms and self.targets.note_leaving(
+            item.target, item.leaving_start_ms
+        ):
+            self.log.write_event(
+                "target_leaving", target=item.target, source=peer
+            )
+        if item.limit_start_ms:
+            limit = target_limits.Limit(
+                item.limit_start_ms,
+                item.limit_per_s,
+                now - item.limit_age_ms / 1000,
+                peer,
+            )
+            if self.targets.note_reported_limit(item.target, limit, now):
+                per_s = item.limit_per_s
+                self.log.write_event(
+                    "target_limit",
+                    target=item.target,
+                    limit_per_s=None if math.isinf(per_s) else per_s,
+                    source=peer,
+                )
+
     def _compare_feeds(
         self, peer: ids.InstanceId, report: messages.LoadReport, now: float
     ) -> None:
@@ -594,7 +623,7 @@
         """Drops idle connections to a target and what is known about it."""
         self.connections.forget(name)
         for dispatcher in self.dispatchers.values():
-            dispatcher.placer.forget(name)
+            dispatcher.forget_target(name)
 
     def _decide_all(self) -> None:
         for dispatcher in self.dispatchers.values():
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
@@ -122,8 +122,7 @@
 
     def as_term(self, now: float) -> work_sums.Term:
         """Returns the report's work as a term of a sum at time `now`."""
-        work = work_sums.Work(self.report.loads, self.report.uses)
-        return work_sums.Term(work, now - self.at)
+        return work_sums.Term(work_sums.from_report(self.report), now - self.at)
 
 
 class ReportExchange:
@@ -268,7 +267,7 @@
             self.peers.list_receivers(now),
             status,
             messages.ReportKind.PRESENCE,
-            work_sums.Work(),
+            work_sums.Work(routers=0),
         )
 
     def _accept_parts(
@@ -340,14 +339,19 @@
         self, report: messages.LoadReport, now: float
     ) -> messages.LoadReport:
         """Returns a FLEET report without this router's own work."""
-        terms = [work_sums.Term(work_sums.Work(report.loads, report.uses))]
+        terms = [work_sums.Term(work_sums.from_report(report))]
         for included in report.included:
             own = self.sent_reports.get(included.report)
             if included.router == self.own_name and own is not None:
                 terms.append(dataclasses.replace(own.as_term(now), sign=-1))
         others = work_sums.sum_terms(terms, self.decay_s)
         return dataclasses.replace(
-            report, loads=others.loads, uses=others.uses, included=()
+            report,
+            loads=others.loads,
+            uses=others.uses,
+            included=(),
+            routers=others.routers,
+            demands=others.demands,
         )
 
     def _counts_group_report(
@@ -500,7 +504,7 @@
                 receivers,
                 status,
                 messages.ReportKind.PARTS,
-                work_sums.Work(),
+                work_sums.Work(routers=0),
                 _pop_parts(pending),
             )
 
@@ -559,6 +563,8 @@
             included=included,
             crashes=evidence.crashes if evidence else (),
             blocks=evidence.blocks if evidence else (),
+            routers=work.routers,
+            demands=work.demands,
         )
         self.link.broadcast(receivers, report)
         return report
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -102,6 +102,14 @@
   outcomes @5 :Float32;
   failures @6 :Float32;
   leavingStartMs @7 :UInt64;
+  limitStartMs @8 :UInt64;
+  limitPerS @9 :Float64;
+  limitAgeMs @10 :UInt32;
+}
+
+struct PoolDemand {
+  pool @0 :UInt16;
+  requests @1 :Float32;
 }
 
 struct WorkspaceUse {
@@ -152,4 +160,6 @@
   included @11 :List(Included);
   crashes @12 :List(CrashReport);
   blocks @13 :List(BlockReport);
+  routers @14 :UInt16;
+  demands @15 :List(PoolDemand);
 }
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -88,6 +88,7 @@
     "included": messages.Included,
     "crashes": messages.CrashReport,
     "blocks": messages.BlockReport,
+    "demands": messages.PoolDemand,
 }
 
 
@@ -139,6 +140,7 @@
     messages.Included: _schema.Included,
     messages.CrashReport: _schema.CrashReport,
     messages.BlockReport: _schema.BlockReport,
+    messages.PoolDemand: _schema.PoolDemand,
 }
 
 
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -97,6 +97,7 @@
             RETRY_BUDGET,
             ids.DataCentreId("east"),
             4.0,
+            lambda: 1,
             clock,
             random.Random(1),
         )
--- a/tests/forwarding/test_loads.py
+++ b/tests/forwarding/test_loads.py
@@ -41,5 +41,5 @@
     total = loads.total("t", 1.0)
     assert (total.outcomes, total.failures) == (6.0, 4.0)
     assert loads.total("t", 2.0).failures < 4.0
-    (own_load,) = loads.export(1.0, {})
+    (own_load,) = loads.export(1.0, {}, {})
     assert (own_load.outcomes, own_load.failures) == (2.0, 1.0)
--- a/tests/forwarding/test_target_notices.py
+++ b/tests/forwarding/test_target_notices.py
@@ -13,6 +13,7 @@
 
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import admission
+from lentilbeam_core.forwarding import limit_parts
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_core.forwarding import work_sums
@@ -134,8 +135,10 @@
 def test_requests_wait_if_a_quiet_target_returns_in_time():
     queue = makers.make_admission()
     queue.enqueue(makers.make_request("r"), 0.0)
-    assert queue.decide([], 0.01, usable_at=0.2) == []
-    (refused,) = queue.decide([], 0.02, usable_at=0.5)
+    soon = limit_parts.Supply(unlimited_from=0.2)
+    assert queue.decide([], 0.01, lambda: soon) == []
+    late = limit_parts.Supply(unlimited_from=0.5)
+    (refused,) = queue.decide([], 0.02, lambda: late)
     assert isinstance(refused, admission.Refused)
     assert refused.retry_after_s >= 0.48
 
@@ -255,7 +258,7 @@
 
 def test_leaving_target_travels_in_reports_and_sums():
     tracker = loads_lib.LoadTracker()
-    (own,) = tracker.export(0.0, {"t": 17})
+    (own,) = tracker.export(0.0, {"t": 17}, {})
     assert own.leaving_start_ms == 17
     other = messages.TargetLoad("t", 5.0, 1, 0.0, 0.0)
     terms = [
