--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -56,6 +56,8 @@
         body_bytes: size of its body.
         unread_s: longest time for which its head may have waited in the socket
             until the router read it, in seconds.
+        identity: identity of the whole request, see `request_identity`; empty
+            if it has none.
     """
 
     request_id: str
@@ -68,6 +70,17 @@
     configuration_version: int
     body_bytes: int = 0
     unread_s: float = 0.0
+    identity: str = ""
+
+    @property
+    def crash_identities(self) -> tuple[str, ...]:
+        """What may be told by if the request crashes its target.
+
+        The parts of its prompt that other requests may share, and the whole
+        request.
+        """
+        names = tuple(part.name for part in self.shared_parts)
+        return (*names, self.identity) if self.identity else names
 
     @property
     def shared_parts(self) -> tuple[Part, ...]:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -294,7 +294,7 @@
                 "send_failed",
                 target=target.name,
                 detail=outcome.detail,
-                parts=[part.name for part in self.request.shared_parts],
+                identities=self.request.crash_identities,
                 events=self.progress.events.numbered_event_count,
             )
             self._note_failure(target, not outcome.is_refused_by_target)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -8,6 +8,7 @@
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import request_identity
 from lentilbeam_core.forwarding import requests
 from lentilbeam_router import caller_protocol
 from lentilbeam_router import metrics as metrics_lib
@@ -102,7 +103,7 @@
             return
         request = await self._build_request(
             request_head,
-            len(body),
+            body,
             channel,
             arrived_at,
             handled_at - arrived_at,
@@ -141,7 +142,7 @@
     async def _build_request(
         self,
         request_head: wire_lib.RequestHead,
-        body_bytes: int,
+        body: bytes,
         channel: caller_channel.CallerChannel,
         arrived_at: float,
         unread_s: float,
@@ -181,8 +182,18 @@
             deadline_at=arrived_at + timeout_s,
             prompt=request_head.prompt,
             configuration_version=current.version,
-            body_bytes=body_bytes,
+            body_bytes=len(body),
             unread_s=unread_s,
+            identity=request_identity.compute(
+                workspace,
+                (
+                    request_head.method,
+                    request_head.host,
+                    request_head.path,
+                    request_head.query,
+                ),
+                body,
+            ),
         )
 
     async def _forward(
