Block whole requests that come again alike and crash their targets

Cause: evidence about crashes was kept by prompt part, so nothing could speak against a request without one, and attempts within 0.2 s counted as one crash. Class: a failure is charged by a feature that not every request has.

One mechanism now judges two kinds of identity, the parts of a prompt and the digest of the whole request. A crash counts if its request was sent after the crash counted before, which replaces the spacing in time. Crashes count once they are 0.3 s old, when other routers have reported what else ran there, and a whole request is blocked only if no other identity met the same crashes: a sound request that was sent again beside a deadly one stays free.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
@@ -1,11 +1,16 @@
-"""Finds prompt parts that crash the targets which answer them, and blocks them.
+"""Finds requests that crash the targets which answer them, and blocks them.
 
 A request that crashes its target (a "query of death") also ends the requests
-that run there beside it, and requests that share only one part of their prompts
-may all do so. A part is blocked if several targets crashed while they prepared
-an answer to it, and no request with it has been answered since. Parts that
-sound requests share, too, are cleared by their answers, and a crash that a
-blocked part explains does not count against other parts.
+that run there beside it. Such requests may share only one part of their
+prompts, or come again alike, as a whole. Both are identities: the name of a
+part, and the digest of a whole request. An identity is blocked if several
+targets crashed while they prepared an answer to it, and no request with it has
+been answered since. Identities of sound requests are cleared by their answers,
+and a crash that a blocked identity explains does not count against others.
+
+A sound request that is sent again may meet several crashes of the same deadly
+one. A whole request is therefore blocked only if the crashes under it speak
+against no other identity as well.
 
 What is known is merged from all routers. Blocks have a level that rises, and
 are lifted once at each level, so reports may be lost, repeated or arrive in any
@@ -19,7 +24,7 @@
 
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import crash_table
-from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import request_identity
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,9 +33,14 @@
 
     Attributes:
         table: settings of the table of crashes.
-        min_crashes: crashes without an answer after which a part is blocked.
+        min_crashes: crashes without an answer after which an identity is
+            blocked.
+        settling_s: time after a crash until it counts, in seconds. Routers
+            that had other requests at the target have reported it by then.
         cleared_factor: factor by which more crashes are needed for a part that
             was cleared of an earlier one.
+        decide_interval_s: shortest time between two decisions on what to block,
+            in seconds.
         base_block_s: length of the first block, in seconds. After it, a single
             request with the part is tried.
         block_growth: factor by which each further block is longer.
@@ -50,6 +60,8 @@
         default_factory=crash_table.Settings
     )
     min_crashes: int = 3
+    settling_s: float = 0.3
+    decide_interval_s: float = 0.05
     cleared_factor: int = 2
     base_block_s: float = 2.0
     block_growth: float = 5.0
@@ -102,6 +114,8 @@
         is_tried_here: returns whether this router tries a part for the fleet.
         table: crashes of targets.
         blocks: blocks by part, lifted ones included.
+        undecided: identities with crashes that `decide` has yet to judge.
+        decided_at: when `decide` last judged them, monotonic seconds.
     """
 
     def __init__(
@@ -111,20 +125,25 @@
         self.is_tried_here = is_tried_here
         self.table = crash_table.CrashTable(settings.table)
         self.blocks: dict[str, Block] = {}
+        self.undecided: dict[str, None] = {}
+        self.decided_at = -math.inf
 
     def note_crash(
         self,
         request_id: str,
-        parts: Iterable[requests.Part],
+        identities: Iterable[str],
         process: crash_table.ProcessKey,
+        sent_at: float,
         now: float,
     ) -> list[str]:
         """Records that a target crashed before it had answered a request.
 
         Args:
             request_id: the request.
-            parts: parts of its prompt that other requests may share.
+            identities: its prompt parts that other requests may share, and the
+                digest of the whole request.
             process: the process that crashed.
+            sent_at: when the request was sent there, monotonic seconds.
             now: monotonic seconds.
 
         Returns:
@@ -132,42 +151,42 @@
         """
         blocked = []
         names = [
-            part.name
-            for part in parts
-            if len(part.name.encode()) <= self.settings.max_name_bytes
+            name
+            for name in identities
+            if len(name.encode()) <= self.settings.max_name_bytes
         ]
         for name in names:
-            self.table.note(name, process, now)
+            self.table.note(name, process, sent_at, now)
+            self.undecided[name] = None
             block = self.blocks.get(name)
             if block is not None and block.trial == request_id:
                 self._block(name, block.level + 1, now)
                 blocked.append(name)
-        return blocked + self._block_due(names, now)
+        return blocked
 
-    def note_answered(
-        self, parts: Iterable[requests.Part], now: float
-    ) -> list[str]:
+    def note_answered(self, identities: Iterable[str], now: float) -> list[str]:
         """Records that a target has begun to answer a request and lives.
 
         Args:
-            parts: parts of its prompt that other requests may share.
+            identities: its prompt parts that other requests may share, and the
+                digest of the whole request.
             now: monotonic seconds.
 
         Returns:
             The parts whose blocks are lifted.
         """
         lifted = []
-        for part in parts:
-            self.table.clear(part.name)
-            if self._is_blocked(part.name):
-                self.blocks[part.name].lift(now)
-                lifted.append(part.name)
+        for name in identities:
+            self.table.clear(name)
+            if self._is_blocked(name):
+                self.blocks[name].lift(now)
+                lifted.append(name)
         return lifted
 
     def note_end(
         self,
         request_id: str,
-        parts: Iterable[requests.Part],
+        identities: Iterable[str],
         is_sent: bool,
         now: float,
     ) -> None:
@@ -175,12 +194,13 @@
 
         Args:
             request_id: the request.
-            parts: parts of its prompt that other requests may share.
+            identities: its prompt parts that other requests may share, and the
+                digest of the whole request.
             is_sent: whether it was sent to a target.
             now: monotonic seconds.
         """
-        for part in parts:
-            block = self.blocks.get(part.name)
+        for name in identities:
+            block = self.blocks.get(name)
             if block is not None and block.trial == request_id:
                 block.trial = None
                 pause_s = self.settings.trial_pause_s
@@ -189,27 +209,26 @@
                 block.next_trial_at = now + pause_s
 
     def find_block(
-        self, request_id: str, parts: Iterable[requests.Part], now: float
+        self, request_id: str, identities: Iterable[str], now: float
     ) -> str | None:
         """Returns a part because of which a request must not be sent.
 
         None if there is none, or if the request is a trial.
         """
-        for part in parts:
-            block = self.blocks.get(part.name)
+        for name in identities:
+            block = self.blocks.get(name)
             if block is None or block.is_lifted or block.trial == request_id:
                 continue
-            if not self._may_try(part.name, block, now):
-                return part.name
+            if not self._may_try(name, block, now):
+                return name
             block.trial = request_id
         return None
 
-    def is_suspect(self, parts: Iterable[requests.Part], now: float) -> bool:
+    def is_suspect(self, identities: Iterable[str], now: float) -> bool:
         """Whether a request that met a crash should not be sent again."""
         return any(
-            self._is_blocked(part.name)
-            or self._count_crashes(part.name, now) > 1
-            for part in parts
+            self._is_blocked(name) or self._count_crashes(name, now) > 1
+            for name in identities
         )
 
     def list_blocks(self) -> dict[str, Block]:
@@ -242,6 +261,31 @@
                 del self.blocks[part]
         return self.table.export(now), tuple(self._export_blocks(now))
 
+    def decide(self, now: float) -> list[str]:
+        """Blocks the identities against which there is enough evidence.
+
+        Args:
+            now: monotonic seconds.
+
+        Returns:
+            The identities that are blocked from now on.
+        """
+        if now - self.decided_at < self.settings.decide_interval_s:
+            return []
+        self.decided_at = now
+        names = list(self.undecided)
+        blocked = self._block_due(names, now)
+        for name in names:
+            # One whose rivals are blamed as well waits for more evidence.
+            is_settled = now - self.table.find_last(name) >= (
+                self.settings.settling_s
+            )
+            if self._is_blocked(name) or (
+                is_settled and not self._has_enough(name, now)
+            ):
+                del self.undecided[name]
+        return blocked
+
     def apply(
         self,
         crashes: Iterable[messages.CrashReport],
@@ -258,11 +302,9 @@
         Returns:
             The parts that are blocked from now on.
         """
-        parts = self.table.merge(crashes, now)
-        blocked = [
-            item.prefix for item in blocks if self._merge_block(item, now)
-        ]
-        return blocked + self._block_due(parts, now)
+        for name in self.table.merge(crashes, now):
+            self.undecided[name] = None
+        return [item.prefix for item in blocks if self._merge_block(item, now)]
 
     def _may_try(self, part: str, block: Block, now: float) -> bool:
         ends_at = block.since + self._find_length(block)
@@ -292,12 +334,22 @@
         while due := [part for part in parts if self._is_due(part, now)]:
             part = max(due, key=lambda name: self._rank(name, now))
             block = self.blocks.get(part)
-            self._block(part, block.level + 1 if block else 0, now)
+            level = block.level + 1 if block else 0
+            self._block(part, level, self.table.find_last(part))
             blocked.append(part)
         return blocked
 
     def _is_due(self, part: str, now: float) -> bool:
-        """Whether there is enough evidence to block a part."""
+        """Whether an identity is to be blocked."""
+        if not self._has_enough(part, now):
+            return False
+        if not request_identity.is_whole_request(part):
+            return True
+        unexplained = self.table.find_open(part) - self._find_explained(part)
+        return not self.table.find_rivals(part, unexplained)
+
+    def _has_enough(self, part: str, now: float) -> bool:
+        """Whether there is enough evidence to block an identity."""
         needed = self.settings.min_crashes
         if len(self.table.by_part.get(part, ())) < needed:
             return False
@@ -305,7 +357,8 @@
             needed *= self.settings.cleared_factor
         return (
             not self._is_blocked(part)
-            and self._count_crashes(part, now) >= needed
+            and self._count_crashes(part, now, self.settings.settling_s)
+            >= needed
         )
 
     def _rank(self, part: str, now: float) -> tuple[int, int]:
@@ -316,15 +369,22 @@
         block = self.blocks.get(part)
         return block is not None and not block.is_lifted
 
-    def _count_crashes(self, part: str, now: float) -> int:
+    def _count_crashes(
+        self, part: str, now: float, min_age_s: float = 0.0
+    ) -> int:
         """Counts the crashes of a part that no blocked part explains."""
-        explained = {
+        return self.table.count(
+            part, self._find_explained(part), now, min_age_s
+        )
+
+    def _find_explained(self, part: str) -> set[crash_table.ProcessKey]:
+        """Returns the processes that another, blocked identity crashed."""
+        return {
             process
             for name, block in self.blocks.items()
             if name != part and not block.is_lifted
             for process in self.table.by_part.get(name, ())
         }
-        return self.table.count(part, explained, now)
 
     def _export_blocks(self, now: float) -> Iterable[messages.BlockReport]:
         for part, block in self.blocks.items():
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_table.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_table.py
@@ -1,4 +1,7 @@
-"""Crashes of targets by the prompt parts that they were preparing answers to.
+"""Crashes of targets by what they were preparing answers to.
+
+That is an identity of requests: a part of their prompts, or the digest of whole
+requests that come again alike.
 
 Each router records what it sees and merges what its peers report. An entry only
 ever changes from open to cleared, so reports may be lost, repeated or arrive in
@@ -24,9 +27,8 @@
     """Settings of the table.
 
     Attributes:
-        min_spacing_s: crashes closer in time than this count as one, in
-            seconds. Targets that crash together for another reason were all
-            preparing answers to the most common parts.
+        report_delay_s: longest time until a crash is known at another router
+            and appears to be as recent there, in seconds.
         memory_s: time after which a crash is forgotten, in seconds.
         max_crashes: maximum number of crashes that are kept; the oldest are
             forgotten first.
@@ -35,7 +37,7 @@
         max_exported: maximum number of crashes in one report.
     """
 
-    min_spacing_s: float = 0.2
+    report_delay_s: float = 0.05
     memory_s: float = 30.0
     max_crashes: int = 2000
     export_delay_s: float = 0.1
@@ -44,16 +46,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Crash:
-    """A crash of a target while it prepared an answer to a part.
+    """A crash of a target while it prepared an answer.
 
     Attributes:
         at: when it occurred, as far as this router knows, monotonic seconds.
+        sent_at: when the request was sent to the target, monotonic seconds.
         is_cleared: whether a request with the part was answered later.
         is_known_to_peers: whether it was received from a peer or sent to one.
         sends_left: number of reports in which it is still to be sent.
     """
 
     at: float
+    sent_at: float
     is_cleared: bool = False
     is_known_to_peers: bool = False
     sends_left: int = SENDS_OF_NEWS
@@ -75,41 +79,79 @@
         self.by_part: dict[str, set[ProcessKey]] = {}
         self.unsent: dict[tuple[str, ProcessKey], None] = {}
 
-    def note(self, part: str, process: ProcessKey, now: float) -> None:
+    def note(
+        self, part: str, process: ProcessKey, sent_at: float, now: float
+    ) -> None:
         """Records a crash that this router has seen."""
         if (part, process) not in self.crashes:
-            self._add(part, process, Crash(now))
+            self._add(part, process, Crash(now, sent_at))
 
     def clear(self, part: str) -> None:
         """Clears a part of its crashes: a request with it was answered."""
         for process in self.by_part.get(part, ()):
             self._clear(part, process)
 
-    def count(self, part: str, explained: set[ProcessKey], now: float) -> int:
+    def count(
+        self,
+        part: str,
+        explained: set[ProcessKey],
+        now: float,
+        min_age_s: float = 0.0,
+    ) -> int:
         """Counts the crashes that speak against a part.
 
         Not counted are those that were cleared, those that are explained, and
-        those that follow another within `Settings.min_spacing_s`.
+        those whose request was sent before the crash counted last. Targets that
+        crash together for another reason were all preparing answers to the most
+        common parts.
 
         Args:
             part: the part.
             explained: processes whose crashes have another cause.
             now: monotonic seconds.
+            min_age_s: age from which crashes are counted, in seconds.
         """
-        times = sorted(
-            self.crashes[part, process].at
-            for process in self.by_part.get(part, set()) - explained
-            if not self.crashes[part, process].is_cleared
-        )
+        crashes = [
+            self.crashes[part, process]
+            for process in self.find_open(part) - explained
+        ]
+        crashes.sort(key=lambda crash: crash.at)
         count = 0
         counted_at = -math.inf
-        for at in times:
-            is_recent = now - at < self.settings.memory_s
-            if is_recent and at - counted_at >= self.settings.min_spacing_s:
+        for crash in crashes:
+            age_s = now - crash.at
+            is_recent = min_age_s <= age_s < self.settings.memory_s
+            sent_by = crash.sent_at + self.settings.report_delay_s
+            if is_recent and sent_by >= counted_at:
                 count += 1
-                counted_at = at
+                counted_at = crash.at
         return count
 
+    def find_open(self, part: str) -> set[ProcessKey]:
+        """Returns the processes whose crashes a part was not cleared of."""
+        return {
+            process
+            for process in self.by_part.get(part, ())
+            if not self.crashes[part, process].is_cleared
+        }
+
+    def find_last(self, part: str) -> float:
+        """Returns when a part met its last crash, monotonic seconds."""
+        return max(
+            (self.crashes[part, p].at for p in self.by_part.get(part, ())),
+            default=-math.inf,
+        )
+
+    def find_rivals(self, part: str, processes: set[ProcessKey]) -> set[str]:
+        """Returns the other identities that the same crashes speak against."""
+        rivals = {
+            other
+            for (other, process), crash in self.crashes.items()
+            if process in processes and not crash.is_cleared
+        }
+        rivals.discard(part)
+        return {name for name in rivals if processes <= self.find_open(name)}
+
     def count_cleared(self, part: str) -> int:
         """Counts the crashes of which a part was cleared."""
         return sum(
@@ -145,7 +187,8 @@
             process = (item.target, item.start_ms)
             crash = self.crashes.get((item.prefix, process))
             if crash is None:
-                crash = Crash(at, item.is_cleared)
+                sent_at = at - item.run_ms / 1000
+                crash = Crash(at, sent_at, item.is_cleared)
                 self._add(item.prefix, process, crash)
                 changed[item.prefix] = None
             elif item.is_cleared:
@@ -187,8 +230,9 @@
         if crash.sends_left == 0:
             del self.unsent[key]
         age_ms = (now - crash.at) * 1000
+        run_ms = (crash.at - crash.sent_at) * 1000
         return messages.CrashReport(
-            part, target, start_ms, age_ms, crash.is_cleared
+            part, target, start_ms, age_ms, crash.is_cleared, run_ms
         )
 
     def _forget_old(self, now: float) -> None:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -302,14 +302,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashReport:
-    """A crash of a target while it prepared an answer to a prompt part.
+    """A crash of a target while it prepared an answer.
 
     Attributes:
-        prefix: the part, as in `PlacedPart`.
+        prefix: the prompt part, as in `PlacedPart`, or the digest of the whole
+            request.
         target: the target.
         start_ms: start of the process that crashed, Unix milliseconds.
         age_ms: time since the crash, in milliseconds.
         is_cleared: whether a request with the part was answered later.
+        run_ms: time from sending the request to the crash, in milliseconds.
     """
 
     prefix: str
@@ -317,14 +319,15 @@
     start_ms: int
     age_ms: float
     is_cleared: bool
+    run_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BlockReport:
-    """A prompt part whose requests are not sent, since it crashes targets.
+    """An identity whose requests are not sent, since they crash targets.
 
     Attributes:
-        prefix: the part, as in `PlacedPart`.
+        prefix: the identity, as in `CrashReport`.
         level: number of blocks of the part before this one.
         age_ms: time since the block began, in milliseconds.
         is_lifted: whether a request with the part was answered since.
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -109,7 +109,7 @@
         finally:
             self.crash_evidence.note_end(
                 request.request_id,
-                request.shared_parts,
+                request.crash_identities,
                 run.progress.send_count > 0,
                 self.clock.monotonic(),
             )
@@ -140,6 +140,7 @@
         self.routers = routers
         self.crash_evidence = forwarder.crash_evidence
         self.is_answered = False
+        self.sent_at = 0.0
         self.progress = progress_lib.Progress(
             event_stream.EventStreamParser(request_head.resume_after)
         )
@@ -170,8 +171,10 @@
         """Returns a refusal if the request would crash its target."""
         request = self.request
         now = self.clock.monotonic()
+        for part in self.crash_evidence.decide(now):
+            self.log.write_event("part_blocked", part=part, source="crash")
         part = self.crash_evidence.find_block(
-            request.request_id, request.shared_parts, now
+            request.request_id, request.crash_identities, now
         )
         if part is None:
             return None
@@ -258,6 +261,7 @@
         self.progress.may_have_run = True
         self.progress.send_count += 1
         self.is_answered = False
+        self.sent_at = self.clock.monotonic()
         connection.start(self._encode_request(placement))
         self._record(
             "sent",
@@ -558,7 +562,9 @@
         now = self.clock.monotonic()
         if (
             outcome.result is progress_lib.SendResult.BROKEN
-            and self.crash_evidence.is_suspect(self.request.shared_parts, now)
+            and self.crash_evidence.is_suspect(
+                self.request.crash_identities, now
+            )
         ):
             self._record("no_retry", reason="crashes_targets")
             return False
@@ -610,8 +616,9 @@
             return
         blocked = self.crash_evidence.note_crash(
             self.request.request_id,
-            self.request.shared_parts,
+            self.request.crash_identities,
             (target.name, target.start_ms),
+            self.sent_at,
             self.clock.monotonic(),
         )
         for part in blocked:
@@ -622,9 +629,9 @@
         if self.is_answered:
             return
         self.is_answered = True
-        parts = self.request.shared_parts
+        identities = self.request.crash_identities
         now = self.clock.monotonic()
-        for part in self.crash_evidence.note_answered(parts, now):
+        for part in self.crash_evidence.note_answered(identities, now):
             self.log.write_event("part_unblocked", part=part, source="answer")
 
     def _note_first_event(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -545,7 +545,7 @@
             own_demand = dispatcher.demand.read_own(now)
             demands.append(messages.PoolDemand(name, own_demand))
         work = work_sums.Work(tuple(loads), tuple(uses), tuple(demands))
-        crashes, blocks = self.prompt_blocks.evidence.export(now)
+        crashes, blocks = self.prompt_blocks.export()
         return report_exchange_lib.OwnWork(work, tuple(placed), crashes, blocks)
 
     def _receive(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/prompt_blocks.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/prompt_blocks.py
@@ -81,6 +81,20 @@
         for part in self.evidence.apply(report.crashes, report.blocks, now):
             self.log.write_event("part_blocked", part=part, source=peer)
 
+    def export(
+        self,
+    ) -> tuple[
+        tuple[messages.CrashReport, ...], tuple[messages.BlockReport, ...]
+    ]:
+        """Decides what to block; returns the news for the next report."""
+        self.decide()
+        return self.evidence.export(self.clock.monotonic())
+
+    def decide(self) -> None:
+        """Blocks what crashes targets, as far as this router knows."""
+        for part in self.evidence.decide(self.clock.monotonic()):
+            self.log.write_event("part_blocked", part=part, source="crash")
+
     def apply_stored(self, part: str, level: int | None) -> None:
         """Applies a block from the store.
 
@@ -104,6 +118,7 @@
             Each part with its level; None instead of the level if it isn't
             blocked any more.
         """
+        self.decide()
         unstored = []
         for part, block in self.evidence.blocks.items():
             stored = self.stored.get(part)
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -136,6 +136,7 @@
   startMs @2 :UInt64;
   ageMs @3 :UInt32;
   isCleared @4 :Bool;
+  runMs @5 :UInt32;
 }
 
 struct BlockReport {
--- a/tests/forwarding/report_fleet.py
+++ b/tests/forwarding/report_fleet.py
@@ -110,6 +110,7 @@
         )
         placed, self.placed = tuple(self.placed), []
         now = self.fleet.clock.monotonic()
+        self.crash_evidence.decide(now)
         return report_exchange.OwnWork(
             work_sums.Work((load,), (use,)),
             placed,
--- a/tests/forwarding/test_crash_evidence.py
+++ b/tests/forwarding/test_crash_evidence.py
@@ -18,7 +18,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import crash_evidence
-from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import request_identity
 
 STEP_S = 0.01
 REPORT_INTERVAL_S = 0.04
@@ -46,7 +46,7 @@
 
     name: str
     router: str
-    parts: tuple[requests.Part, ...]
+    parts: tuple[str, ...]
     started_at: float
     length_s: float
 
@@ -106,11 +106,11 @@
 
     def _send(self, is_deadly):
         number = next(self.names)
-        parts = [requests.Part(f"first-{self.rng.randrange(3)}", 500)]
+        parts = [f"first-{self.rng.randrange(3)}"]
         if is_deadly:
-            parts.append(requests.Part(DEADLY, 300))
+            parts.append(DEADLY)
         else:
-            parts.append(requests.Part(f"own-{self.rng.randrange(100)}", 300))
+            parts.append(f"own-{self.rng.randrange(100)}")
         router = self.rng.choice(list(self.routers))
         evidence = self.routers[router]
         found = evidence.find_block(str(number), parts, self.now)
@@ -137,9 +137,8 @@
         for target, runs in list(self.runs.items()):
             for run in list(runs):
                 age_s = self.now - run.started_at
-                names = [part.name for part in run.parts]
                 if (
-                    DEADLY in names
+                    DEADLY in run.parts
                     and age_s >= PREFILL_S
                     and self.is_deadly(self.now)
                 ):
@@ -165,7 +164,9 @@
             if evidence is None:
                 continue
             if self.now - run.started_at < ANSWERED_S:
-                evidence.note_crash(run.name, run.parts, process, self.now)
+                evidence.note_crash(
+                    run.name, run.parts, process, run.started_at, self.now
+                )
             evidence.note_end(run.name, run.parts, True, self.now)
 
     def _report(self):
@@ -173,6 +174,8 @@
             name: evidence.export(self.now)
             for name, evidence in self.routers.items()
         }
+        for evidence in self.routers.values():
+            evidence.decide(self.now)
         for sender, (crashes, blocks) in reports.items():
             for name, evidence in self.routers.items():
                 if name != sender and self.rng.random() >= REPORT_LOSS:
@@ -250,11 +253,11 @@
 
 def test_retry_of_a_request_that_met_a_crash_is_judged_by_its_parts():
     evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: True)
-    parts = [requests.Part("a", 1)]
+    parts = ["a"]
     assert not evidence.is_suspect(parts, 0.0)
-    evidence.note_crash("x", parts, (ids.TargetId("t1"), 1), 0.0)
+    evidence.note_crash("x", parts, (ids.TargetId("t1"), 1), 0.0, 0.0)
     assert not evidence.is_suspect(parts, 1.0)
-    evidence.note_crash("y", parts, (ids.TargetId("t2"), 1), 1.0)
+    evidence.note_crash("y", parts, (ids.TargetId("t2"), 1), 1.0, 1.0)
     assert evidence.is_suspect(parts, 1.0)
     evidence.note_answered(parts, 1.0)
     assert not evidence.is_suspect(parts, 1.0)
@@ -267,7 +270,7 @@
     is_sent, pause_s
 ):
     evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: True)
-    parts = [requests.Part("a", 1)]
+    parts = ["a"]
     evidence.put_block("a", 1, 0.0)
     assert evidence.find_block("x", parts, 10.1) is None
     evidence.note_end("x", parts, is_sent, 11.0)
@@ -279,24 +282,26 @@
 # that no record of the store can hold would end the router that writes it.
 def test_part_with_a_name_that_is_too_long_is_never_blocked():
     evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: True)
-    parts = [requests.Part("a" * 300, 1)]
+    parts = ["a" * 300]
     for number in range(5):
         process = (ids.TargetId(f"t{number}"), 1)
-        evidence.note_crash("x", parts, process, float(number))
+        evidence.note_crash("x", parts, process, float(number), float(number))
+    evidence.decide(5.0)
     assert evidence.list_blocks() == {}
     assert evidence.export(6.0) == ((), ())
 
 
 def test_trial_that_crashes_its_target_lengthens_the_block():
     evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: True)
-    parts = [requests.Part("a", 1)]
+    parts = ["a"]
     for number in range(3):
         process = (ids.TargetId(f"t{number}"), 1)
-        evidence.note_crash("x", parts, process, float(number))
+        evidence.note_crash("x", parts, process, float(number), float(number))
+    evidence.decide(2.4)
     assert evidence.find_block("y", parts, 3.9) == "a"
     assert evidence.find_block("y", parts, 4.1) is None
     assert evidence.find_block("z", parts, 4.1) == "a"
-    evidence.note_crash("y", parts, (ids.TargetId("t9"), 1), 4.2)
+    evidence.note_crash("y", parts, (ids.TargetId("t9"), 1), 4.1, 4.2)
     evidence.note_end("y", parts, True, 4.2)
     assert evidence.find_block("z", parts, 14.1) == "a"
     assert evidence.find_block("z", parts, 14.3) is None
@@ -326,10 +331,10 @@
     now = 0.0
     for number, (operation, first, second) in enumerate(operations):
         now += 0.1
-        parts = [requests.Part(f"p{second}", 1)]
+        parts = [f"p{second}"]
         if operation == "crash":
             process = (ids.TargetId(f"t{number}"), 1)
-            routers[first].note_crash("x", parts, process, now)
+            routers[first].note_crash("x", parts, process, now, now)
         elif operation == "answer":
             routers[first].note_answered(parts, now)
         elif operation == "report":
@@ -339,6 +344,8 @@
             now += 1.0
     for _ in range(60):
         now += 0.1
+        for router in routers:
+            router.decide(now)
         for sender in routers:
             report = sender.export(now)
             for receiver in routers:
@@ -349,3 +356,83 @@
         for router in routers
     ]
     assert blocks[0] == blocks[1] == blocks[2]
+
+
+WHOLE = request_identity.compute("w", ("GET", "h", "/look/1", ""), b"")
+OTHER = request_identity.compute("w", ("GET", "h", "/look/2", ""), b"")
+
+
+def crash(evidence, number, identities, sent_at, at):
+    """Records the crash of a target under one request."""
+    process = (ids.TargetId(f"t{number}"), 1)
+    evidence.note_crash("x", identities, process, sent_at, at)
+
+
+# Guards against BUDGET: attempts in quick succession count as one crash.
+def test_whole_request_is_blocked_after_three_crashes_in_quick_succession():
+    evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: False)
+    for number in range(3):
+        crash(evidence, number, [WHOLE], number * 0.08, number * 0.08 + 0.06)
+    evidence.decide(0.6)
+    assert evidence.find_block("y", [WHOLE], 0.6) == WHOLE
+    assert evidence.find_block("y", [OTHER], 0.6) is None
+
+
+# Guards against LOST: targets that crash together for another reason.
+def test_crashes_of_targets_that_ended_together_count_once():
+    evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: False)
+    for number in range(5):
+        crash(evidence, number, [WHOLE], 0.0, 1.0 + 0.02 * number)
+    assert evidence.decide(2.0) == []
+
+
+# Guards against LOST: a sound request that was sent again met each crash of the
+# deadly one, which is known to other routers only.
+def test_sound_request_that_met_all_crashes_of_another_is_not_blocked():
+    beside = crash_evidence.CrashEvidence(SETTINGS, lambda part: False)
+    other = crash_evidence.CrashEvidence(SETTINGS, lambda part: False)
+    now = 0.0
+    for number in range(3):
+        crash(beside, number, [OTHER], now, now + 0.05)
+        crash(other, number, [WHOLE], now, now + 0.05)
+        for _ in range(10):
+            now += 0.05
+            beside.decide(now)
+            beside.apply(*other.export(now), now)
+    assert beside.find_block("y", [OTHER], now) is None
+    # The next crash shows which of the two is the cause.
+    crash(other, 3, [WHOLE], now, now + 0.05)
+    for _ in range(10):
+        now += 0.05
+        beside.apply(*other.export(now), now)
+        beside.decide(now)
+    assert beside.find_block("y", [WHOLE], now) == WHOLE
+    assert beside.find_block("y", [OTHER], now) is None
+    assert not beside.is_suspect([OTHER], now)
+
+
+# Guards against BUDGET: a deadly prompt part and whole requests are told apart.
+def test_part_is_blocked_if_requests_with_it_are_not_alike():
+    evidence = crash_evidence.CrashEvidence(SETTINGS, lambda part: False)
+    for number in range(3):
+        whole = request_identity.compute("w", ("POST",), b"%d" % number)
+        crash(evidence, number, ["dead", whole], number, number + 0.1)
+    assert evidence.decide(3.0) == ["dead"]
+
+
+def test_identity_depends_on_workspace_address_and_body():
+    def compute(workspace="w", path="/a", query="", body=b""):
+        return request_identity.compute(
+            workspace, ("GET", "h", path, query), body
+        )
+
+    found = {
+        compute(),
+        compute(workspace="v"),
+        compute(path="/b"),
+        compute(query="a"),
+        compute(path="/", query="a"),
+        compute(body=b"a"),
+    }
+    assert len(found) == 6
+    assert compute() == compute()
--- a/tests/forwarding/test_deadly_prompts.py
+++ b/tests/forwarding/test_deadly_prompts.py
@@ -10,7 +10,6 @@
 import pytest
 
 from lentilbeam_core import ids
-from lentilbeam_core.forwarding import requests
 from tests.forwarding import fake_target
 from tests.forwarding import test_forwarding
 
@@ -146,7 +145,7 @@
 # on it clears the part of what is known.
 def test_rejected_request_does_not_clear_its_part():
     reject = fake_target.make_script(fake_target.make_response(b"", status=400))
-    parts = [requests.Part("dead", 300)]
+    parts = ["dead"]
 
     async def scenario(router, targets):
         del targets
@@ -154,7 +153,7 @@
         now = router.dispatcher.clock.monotonic()
         for number in range(2):
             process = (ids.TargetId(f"other-{number}"), 1)
-            evidence.note_crash("x", parts, process, now + number)
+            evidence.note_crash("x", parts, process, now + number, now + number)
         response = await router.call(
             token_count="900,80", prefix_hash="dead:300,a1:100"
         )
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -10,7 +10,6 @@
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
-from lentilbeam_core.forwarding import requests
 from tests.forwarding import in_process_router
 from tests.forwarding import makers
 from tests.forwarding import report_fleet
@@ -77,12 +76,12 @@
 @pytest.mark.parametrize("count", [7, LARGE_FLEET])
 def test_crashes_seen_by_different_routers_block_a_part_at_all(count):
     fleet = start_fleet(count)
-    parts = [requests.Part("dead", 100)]
+    parts = ["dead"]
     for name in ("r1", "r3", "r5"):
         process = (ids.TargetId(name), 1)
         now = fleet.clock.monotonic()
         evidence = fleet.routers[name].crash_evidence
-        evidence.note_crash("x", parts, process, now)
+        evidence.note_crash("x", parts, process, now, now)
         fleet.run(0.3)
     fleet.run(MAX_PROPAGATION_S)
     assert all(
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -19,7 +19,6 @@
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core import poll_times
-from lentilbeam_core.forwarding import requests
 from lentilbeam_platform import call_wire
 from lentilbeam_platform import followers
 from lentilbeam_platform import node_file
@@ -291,11 +290,11 @@
 def block_part(world, router):
     """Lets one router see three targets crash because of a part."""
     gateway = world.routers[router]
-    parts = [requests.Part("dead", 100)]
+    parts = ["dead"]
     for number in range(3):
         now = gateway.clock.monotonic()
         process = (ids.TargetId(f"t{number}"), 1)
-        gateway.prompt_blocks.evidence.note_crash("x", parts, process, now)
+        gateway.prompt_blocks.evidence.note_crash("x", parts, process, now, now)
         world.wait(0.5)
     return parts
 
