--- a/packages/lentilbeam-cli/src/lentilbeam_cli/commands/explain.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/commands/explain.py
@@ -24,6 +24,7 @@
         "target_avoided",
         "target_ejected",
         "target_gone",
+        "target_limit",
         "target_listed",
         "target_unlisted",
     }
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -22,9 +22,10 @@
     "running": 16,
     "start_ms": 64,
     "level": 8,
+    "routers": 16,
 }
 """Size of the integer fields that don't have 32 bits."""
-FLOAT32_FIELDS = {"outcomes", "failures"}
+FLOAT32_FIELDS = {"outcomes", "failures", "requests"}
 """Fields that hold 32-bit floating point numbers."""
 ITEM_TYPES = {
     "workspaces": messages.WorkspaceDemand,
@@ -38,6 +39,7 @@
     "included": messages.Included,
     "crashes": messages.CrashReport,
     "blocks": messages.BlockReport,
+    "demands": messages.PoolDemand,
 }
 """Types of the items of list fields, by the name of the field."""
 
