Name identities in the crash evidence, and drop an unused search

Read as a newcomer: crash_evidence and crash_table called whole requests parts. TargetList.find_quiet_end has no caller since supplies are asked for.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_evidence.py
@@ -37,12 +37,12 @@
             blocked.
         settling_s: time after a crash until it counts, in seconds. Routers
             that had other requests at the target have reported it by then.
-        cleared_factor: factor by which more crashes are needed for a part that
-            was cleared of an earlier one.
+        cleared_factor: factor by which more crashes are needed for an
+            identity that was cleared of an earlier one.
         decide_interval_s: shortest time between two decisions on what to block,
             in seconds.
         base_block_s: length of the first block, in seconds. After it, a single
-            request with the part is tried.
+            request with the identity is tried.
         block_growth: factor by which each further block is longer.
         trial_pause_s: time until the next trial if one was not sent to a
             target, in seconds. After one that was sent and showed nothing, it
@@ -52,7 +52,7 @@
         lifted_memory_s: time after which a lifted block is forgotten, in
             seconds.
         max_blocks: maximum number of blocks that are kept.
-        max_name_bytes: longest name of a part that is recorded. Names are
+        max_name_bytes: longest name of an identity that is recorded. Names are
             chosen by callers, and are sent to peers and kept in the store.
     """
 
@@ -74,16 +74,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Block:
-    """A part whose requests are not sent to targets.
+    """An identity whose requests are not sent to targets.
 
     Attributes:
-        level: number of blocks of the part before this one.
+        level: number of blocks of the identity before this one.
         since: when it began, monotonic seconds.
-        lifted_at: when this router learned that a request with the part was
+        lifted_at: when this router learned that a request with the identity was
             answered, monotonic seconds; None while the block is in force.
         sends_left: number of reports in which it is still to be sent.
         sent_at: when it was last sent, monotonic seconds.
-        trial: request with the part that this router tries; None if none.
+        trial: request with the identity that this router tries; None if none.
         next_trial_at: earliest time of the next trial, monotonic seconds.
     """
 
@@ -97,7 +97,7 @@
 
     @property
     def is_lifted(self) -> bool:
-        """Whether a request with the part was answered since."""
+        """Whether a request with the identity was answered since."""
         return self.lifted_at is not None
 
     def lift(self, now: float) -> None:
@@ -107,13 +107,14 @@
 
 
 class CrashEvidence:
-    """What this router and its peers know about parts that crash targets.
+    """What this router and its peers know about identities that crash targets.
 
     Attributes:
         settings: settings of blocking.
-        is_tried_here: returns whether this router tries a part for the fleet.
+        is_tried_here: returns whether this router tries an identity for the
+            fleet.
         table: crashes of targets.
-        blocks: blocks by part, lifted ones included.
+        blocks: blocks by identity, lifted ones included.
         undecided: identities with crashes that `decide` has yet to judge.
         decided_at: when `decide` last judged them, monotonic seconds.
     """
@@ -147,7 +148,7 @@
             now: monotonic seconds.
 
         Returns:
-            The parts that are blocked from now on.
+            The identities that are blocked from now on.
         """
         blocked = []
         names = [
@@ -173,7 +174,7 @@
             now: monotonic seconds.
 
         Returns:
-            The parts whose blocks are lifted.
+            The identities whose blocks are lifted.
         """
         lifted = []
         for name in identities:
@@ -211,7 +212,7 @@
     def find_block(
         self, request_id: str, identities: Iterable[str], now: float
     ) -> str | None:
-        """Returns a part because of which a request must not be sent.
+        """Returns an identity because of which a request must not be sent.
 
         None if there is none, or if the request is a trial.
         """
@@ -232,20 +233,20 @@
         )
 
     def list_blocks(self) -> dict[str, Block]:
-        """Returns the blocks in force, by part."""
+        """Returns the blocks in force, by identity."""
         return {n: b for n, b in self.blocks.items() if not b.is_lifted}
 
-    def put_block(self, part: str, level: int, now: float) -> None:
+    def put_block(self, identity: str, level: int, now: float) -> None:
         """Adds a block that was kept outside of the fleet.
 
         Args:
-            part: the part.
+            identity: the identity.
             level: level of the block.
             now: monotonic seconds; the block is taken to begin now.
         """
-        known = self.blocks.get(part)
+        known = self.blocks.get(identity)
         if known is None or known.level < level:
-            self._block(part, level, now)
+            self._block(identity, level, now)
 
     def export(
         self, now: float
@@ -253,12 +254,12 @@
         tuple[messages.CrashReport, ...], tuple[messages.BlockReport, ...]
     ]:
         """Returns the news for the next report to peers."""
-        for part, block in list(self.blocks.items()):
+        for identity, block in list(self.blocks.items()):
             if (
                 block.lifted_at is not None
                 and now - block.lifted_at >= self.settings.lifted_memory_s
             ):
-                del self.blocks[part]
+                del self.blocks[identity]
         return self.table.export(now), tuple(self._export_blocks(now))
 
     def decide(self, now: float) -> list[str]:
@@ -300,94 +301,98 @@
             now: monotonic seconds.
 
         Returns:
-            The parts that are blocked from now on.
+            The identities that are blocked from now on.
         """
         for name in self.table.merge(crashes, now):
             self.undecided[name] = None
         return [item.prefix for item in blocks if self._merge_block(item, now)]
 
-    def _may_try(self, part: str, block: Block, now: float) -> bool:
+    def _may_try(self, identity: str, block: Block, now: float) -> bool:
         ends_at = block.since + self._find_length(block)
         return (
             block.trial is None
             and now >= max(ends_at, block.next_trial_at)
-            and self.is_tried_here(part)
+            and self.is_tried_here(identity)
         )
 
     def _find_length(self, block: Block) -> float:
         growth = self.settings.block_growth**block.level
         return self.settings.base_block_s * growth
 
-    def _block(self, part: str, level: int, since: float) -> None:
-        self.blocks.pop(part, None)
-        self.blocks[part] = Block(level, since)
+    def _block(self, identity: str, level: int, since: float) -> None:
+        self.blocks.pop(identity, None)
+        self.blocks[identity] = Block(level, since)
         while len(self.blocks) > self.settings.max_blocks:
             del self.blocks[next(iter(self.blocks))]
 
-    def _block_due(self, parts: list[str], now: float) -> list[str]:
-        """Blocks those of some parts against which there is enough evidence.
+    def _block_due(self, identities: list[str], now: float) -> list[str]:
+        """Blocks those of the identities that are due.
 
-        The part with the strongest evidence is blocked first, since it may
+        The identity with the strongest evidence is blocked first, since it may
         explain the crashes that count against the others.
         """
         blocked = []
-        while due := [part for part in parts if self._is_due(part, now)]:
-            part = max(due, key=lambda name: self._rank(name, now))
-            block = self.blocks.get(part)
+        while due := [
+            identity for identity in identities if self._is_due(identity, now)
+        ]:
+            identity = max(due, key=lambda name: self._rank(name, now))
+            block = self.blocks.get(identity)
             level = block.level + 1 if block else 0
-            self._block(part, level, self.table.find_last(part))
-            blocked.append(part)
+            self._block(identity, level, self.table.find_last(identity))
+            blocked.append(identity)
         return blocked
 
-    def _is_due(self, part: str, now: float) -> bool:
+    def _is_due(self, identity: str, now: float) -> bool:
         """Whether an identity is to be blocked."""
-        if not self._has_enough(part, now):
+        if not self._has_enough(identity, now):
             return False
-        if not request_identity.is_whole_request(part):
+        if not request_identity.is_whole_request(identity):
             return True
-        unexplained = self.table.find_open(part) - self._find_explained(part)
-        return not self.table.find_rivals(part, unexplained)
+        unexplained = self.table.find_open(identity) - self._find_explained(
+            identity
+        )
+        return not self.table.find_rivals(identity, unexplained)
 
-    def _has_enough(self, part: str, now: float) -> bool:
+    def _has_enough(self, identity: str, now: float) -> bool:
         """Whether there is enough evidence to block an identity."""
         needed = self.settings.min_crashes
-        if len(self.table.by_part.get(part, ())) < needed:
+        if len(self.table.by_identity.get(identity, ())) < needed:
             return False
-        if self.table.count_cleared(part):
+        if self.table.count_cleared(identity):
             needed *= self.settings.cleared_factor
         return (
-            not self._is_blocked(part)
-            and self._count_crashes(part, now, self.settings.settling_s)
+            not self._is_blocked(identity)
+            and self._count_crashes(identity, now, self.settings.settling_s)
             >= needed
         )
 
-    def _rank(self, part: str, now: float) -> tuple[int, int]:
-        cleared = self.table.count_cleared(part)
-        return -cleared, self._count_crashes(part, now)
+    def _rank(self, identity: str, now: float) -> tuple[int, int]:
+        cleared = self.table.count_cleared(identity)
+        return -cleared, self._count_crashes(identity, now)
 
-    def _is_blocked(self, part: str) -> bool:
-        block = self.blocks.get(part)
+    def _is_blocked(self, identity: str) -> bool:
+        block = self.blocks.get(identity)
         return block is not None and not block.is_lifted
 
     def _count_crashes(
-        self, part: str, now: float, min_age_s: float = 0.0
+        self, identity: str, now: float, min_age_s: float = 0.0
     ) -> int:
-        """Counts the crashes of a part that no blocked part explains."""
+        """Counts the crashes of an identity that no blocked one explains."""
         return self.table.count(
-            part, self._find_explained(part), now, min_age_s
+            identity, self._find_explained(identity), now, min_age_s
         )
 
-    def _find_explained(self, part: str) -> set[crash_table.ProcessKey]:
+    def _find_explained(self, identity: str) -> set[crash_table.ProcessKey]:
         """Returns the processes that another, blocked identity crashed."""
         return {
             process
             for name, block in self.blocks.items()
-            if name != part and not block.is_lifted
-            for process in self.table.by_part.get(name, ())
+            if name != identity and not block.is_lifted
+            for process in self.table.by_identity.get(name, ())
         }
 
     def _export_blocks(self, now: float) -> Iterable[messages.BlockReport]:
-        for part, block in self.blocks.items():
+        for identity, block in self.blocks.items():
             is_due = now - block.sent_at >= self.settings.resend_interval_s
             if block.sends_left == 0 and (block.is_lifted or not is_due):
                 continue
@@ -395,11 +400,11 @@
             block.sent_at = now
             age_ms = (now - block.since) * 1000
             yield messages.BlockReport(
-                part, block.level, age_ms, block.is_lifted
+                identity, block.level, age_ms, block.is_lifted
             )
 
     def _merge_block(self, item: messages.BlockReport, now: float) -> bool:
-        """Returns whether the part is blocked from now on."""
+        """Returns whether the identity is blocked from now on."""
         known = self.blocks.get(item.prefix)
         if known is None or known.level < item.level:
             self._block(item.prefix, item.level, now - item.age_ms / 1000)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_table.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/crash_table.py
@@ -51,7 +51,7 @@
     Attributes:
         at: when it occurred, as far as this router knows, monotonic seconds.
         sent_at: when the request was sent to the target, monotonic seconds.
-        is_cleared: whether a request with the part was answered later.
+        is_cleared: whether a request with the identity was answered later.
         is_known_to_peers: whether it was received from a peer or sent to one.
         sends_left: number of reports in which it is still to be sent.
     """
@@ -68,52 +68,52 @@
 
     Attributes:
         settings: settings of the table.
-        crashes: crashes by part and process, the oldest first.
-        by_part: processes that crashed, by part.
+        crashes: crashes by identity and process, the oldest first.
+        by_identity: processes that crashed, by identity.
         unsent: keys of the crashes that are still to be sent to peers.
     """
 
     def __init__(self, settings: Settings):
         self.settings = settings
         self.crashes: dict[tuple[str, ProcessKey], Crash] = {}
-        self.by_part: dict[str, set[ProcessKey]] = {}
+        self.by_identity: dict[str, set[ProcessKey]] = {}
         self.unsent: dict[tuple[str, ProcessKey], None] = {}
 
     def note(
-        self, part: str, process: ProcessKey, sent_at: float, now: float
+        self, identity: str, process: ProcessKey, sent_at: float, now: float
     ) -> None:
         """Records a crash that this router has seen."""
-        if (part, process) not in self.crashes:
-            self._add(part, process, Crash(now, sent_at))
+        if (identity, process) not in self.crashes:
+            self._add(identity, process, Crash(now, sent_at))
 
-    def clear(self, part: str) -> None:
-        """Clears a part of its crashes: a request with it was answered."""
-        for process in self.by_part.get(part, ()):
-            self._clear(part, process)
+    def clear(self, identity: str) -> None:
+        """Clears an identity of its crashes: a request with it was answered."""
+        for process in self.by_identity.get(identity, ()):
+            self._clear(identity, process)
 
     def count(
         self,
-        part: str,
+        identity: str,
         explained: set[ProcessKey],
         now: float,
         min_age_s: float = 0.0,
     ) -> int:
-        """Counts the crashes that speak against a part.
+        """Counts the crashes that speak against an identity.
 
         Not counted are those that were cleared, those that are explained, and
         those whose request was sent before the crash counted last. Targets that
         crash together for another reason were all preparing answers to the most
-        common parts.
+        common identities.
 
         Args:
-            part: the part.
+            identity: the identity.
             explained: processes whose crashes have another cause.
             now: monotonic seconds.
             min_age_s: age from which crashes are counted, in seconds.
         """
         crashes = [
-            self.crashes[part, process]
-            for process in self.find_open(part) - explained
+            self.crashes[identity, process]
+            for process in self.find_open(identity) - explained
         ]
         crashes.sort(key=lambda crash: crash.at)
         count = 0
@@ -127,46 +127,51 @@
                 counted_at = crash.at
         return count
 
-    def find_open(self, part: str) -> set[ProcessKey]:
-        """Returns the processes whose crashes a part was not cleared of."""
+    def find_open(self, identity: str) -> set[ProcessKey]:
+        """Returns the processes whose crashes still speak against one."""
         return {
             process
-            for process in self.by_part.get(part, ())
-            if not self.crashes[part, process].is_cleared
+            for process in self.by_identity.get(identity, ())
+            if not self.crashes[identity, process].is_cleared
         }
 
-    def find_last(self, part: str) -> float:
-        """Returns when a part met its last crash, monotonic seconds."""
+    def find_last(self, identity: str) -> float:
+        """Returns when an identity met its last crash, monotonic seconds."""
         return max(
-            (self.crashes[part, p].at for p in self.by_part.get(part, ())),
+            (
+                self.crashes[identity, p].at
+                for p in self.by_identity.get(identity, ())
+            ),
             default=-math.inf,
         )
 
-    def find_rivals(self, part: str, processes: set[ProcessKey]) -> set[str]:
+    def find_rivals(
+        self, identity: str, processes: set[ProcessKey]
+    ) -> set[str]:
         """Returns the other identities that the same crashes speak against."""
         rivals = {
             other
             for (other, process), crash in self.crashes.items()
             if process in processes and not crash.is_cleared
         }
-        rivals.discard(part)
+        rivals.discard(identity)
         return {name for name in rivals if processes <= self.find_open(name)}
 
-    def count_cleared(self, part: str) -> int:
-        """Counts the crashes of which a part was cleared."""
+    def count_cleared(self, identity: str) -> int:
+        """Counts the crashes of which an identity was cleared."""
         return sum(
-            self.crashes[part, process].is_cleared
-            for process in self.by_part.get(part, ())
+            self.crashes[identity, process].is_cleared
+            for process in self.by_identity.get(identity, ())
         )
 
     def export(self, now: float) -> tuple[messages.CrashReport, ...]:
         """Returns the news for the next report to peers.
 
-        The parts with most crashes go first, if not all fit.
+        The identities with most crashes go first, if not all fit.
         """
         self._forget_old(now)
         ready = [key for key in list(self.unsent) if self._is_ready(key, now)]
-        ready.sort(key=lambda key: len(self.by_part[key[0]]), reverse=True)
+        ready.sort(key=lambda key: len(self.by_identity[key[0]]), reverse=True)
         return tuple(
             self._send(key, now) for key in ready[: self.settings.max_exported]
         )
@@ -177,7 +182,7 @@
         """Merges the crashes that a peer has reported.
 
         Returns:
-            The parts with crashes that this router did not know.
+            The identities with crashes that this router did not know.
         """
         changed: dict[str, None] = {}
         for item in reports:
@@ -196,19 +201,19 @@
             crash.is_known_to_peers = True
         return list(changed)
 
-    def _add(self, part: str, process: ProcessKey, crash: Crash) -> None:
-        self.crashes[part, process] = crash
-        self.by_part.setdefault(part, set()).add(process)
-        self.unsent[part, process] = None
+    def _add(self, identity: str, process: ProcessKey, crash: Crash) -> None:
+        self.crashes[identity, process] = crash
+        self.by_identity.setdefault(identity, set()).add(process)
+        self.unsent[identity, process] = None
         if len(self.crashes) > self.settings.max_crashes:
             self._forget(next(iter(self.crashes)))
 
-    def _clear(self, part: str, process: ProcessKey) -> None:
-        crash = self.crashes[part, process]
+    def _clear(self, identity: str, process: ProcessKey) -> None:
+        crash = self.crashes[identity, process]
         if not crash.is_cleared:
             crash.is_cleared = True
             crash.sends_left = SENDS_OF_NEWS
-            self.unsent[part, process] = None
+            self.unsent[identity, process] = None
 
     def _is_ready(self, key: tuple[str, ProcessKey], now: float) -> bool:
         """Whether a crash is to be sent now; drops it if it never is."""
@@ -223,7 +228,7 @@
     def _send(
         self, key: tuple[str, ProcessKey], now: float
     ) -> messages.CrashReport:
-        part, (target, start_ms) = key
+        identity, (target, start_ms) = key
         crash = self.crashes[key]
         crash.is_known_to_peers = True
         crash.sends_left -= 1
@@ -232,7 +237,7 @@
         age_ms = (now - crash.at) * 1000
         run_ms = (crash.at - crash.sent_at) * 1000
         return messages.CrashReport(
-            part, target, start_ms, age_ms, crash.is_cleared, run_ms
+            identity, target, start_ms, age_ms, crash.is_cleared, run_ms
         )
 
     def _forget_old(self, now: float) -> None:
@@ -243,9 +248,9 @@
             self._forget(key)
 
     def _forget(self, key: tuple[str, ProcessKey]) -> None:
-        part, process = key
+        identity, process = key
         del self.crashes[key]
         self.unsent.pop(key, None)
-        self.by_part[part].discard(process)
-        if not self.by_part[part]:
-            del self.by_part[part]
+        self.by_identity[identity].discard(process)
+        if not self.by_identity[identity]:
+            del self.by_identity[identity]
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -246,19 +246,6 @@
             and self.entries[name].state is TargetState.READY
         }
 
-    def find_quiet_end(self, pool: ids.PoolId, now: float) -> float | None:
-        """Returns when the first quiet target of a pool takes requests again.
-
-        Returns:
-            Monotonic seconds; None if no ready target is quiet.
-        """
-        ends = [
-            self.quiet_until[entry.name]
-            for entry in self.find_ready(pool)
-            if self.is_quiet(entry.name, now)
-        ]
-        return min(ends, default=None)
-
     def remove(self, name: ids.TargetId, now: float) -> bool:
         """Removes an entry, at the end of the grace period if there is one.
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/prompt_blocks.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/prompt_blocks.py
@@ -1,4 +1,7 @@
-"""Blocked prompt parts of one router: who tries them and who stores them."""
+"""Blocked identities of requests: who tries them and who stores them.
+
+Identities are prompt parts and digests of whole requests, see `crash_evidence`.
+"""
 
 from collections.abc import Callable
 import math
@@ -22,10 +25,10 @@
 
 
 class PromptBlocks:
-    """What this router knows and does about blocked prompt parts.
+    """What this router knows and does about blocked identities.
 
-    For each part one router of the fleet is responsible. It tries whether
-    requests with the part are sound again, and writes the block to the store.
+    For each identity one router of the fleet is responsible. It tries whether
+    requests with it are sound again, and writes the block to the store.
 
     Attributes:
         own_name: ID of this router.
