One place for the send time and for checks of targets

Read as a whole: a run recorded the time of sending twice and passed one of them on as a parameter; the time to a first event now counts from before the request is encoded, some tenths of a millisecond earlier. TargetList had the check for a listed process three times, the dispatcher the one for failing targets twice. No decision changes. Lint; 86 tests of forwarding, notices, stalls and prompts and 30 of limits and requests that crash targets pass.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -147,8 +147,7 @@
             Whether this is new. It isn't if another process of the target is
             listed.
         """
-        entry = self.entries.get(name)
-        if entry is None or entry.start_ms != start_ms or name in self.leaving:
+        if name in self.leaving or not self._is_listed(name, start_ms):
             return False
         self.leaving[name] = start_ms
         return True
@@ -194,8 +193,7 @@
         Returns:
             Whether another limit counts than before.
         """
-        listed = self.entries.get(entry.name)
-        if listed is None or listed.start_ms != entry.start_ms:
+        if not self._is_listed(entry.name, entry.start_ms):
             return False
         before = self.limits.read_rate(entry.name, now)
         self.limits.note_response(
@@ -216,8 +214,7 @@
         Returns:
             Whether another limit counts than before.
         """
-        entry = self.entries.get(name)
-        if entry is None or entry.start_ms != limit.start_ms:
+        if not self._is_listed(name, limit.start_ms):
             return False
         before = self.limits.read_rate(name, now)
         self.limits.note_reported(name, limit)
@@ -276,6 +273,11 @@
             self._drop(name, now)
         return expired
 
+    def _is_listed(self, name: ids.TargetId, start_ms: int) -> bool:
+        """Whether the list has this process of a target."""
+        entry = self.entries.get(name)
+        return entry is not None and entry.start_ms == start_ms
+
     def _drop(self, name: ids.TargetId, now: float) -> None:
         """Drops an entry with all notices of its target."""
         entry = self.entries.pop(name, None)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -356,8 +356,7 @@
             self._refresh_avoided(ready, now)
         self._update_credits(ready, now)
         for entry in ready:
-            is_ejected = self.ejector.is_ejected(entry.name, now)
-            if is_ejected or entry.name in self.avoided:
+            if self._is_failing(entry.name, now):
                 continue
             if self.targets.is_quiet(entry.name, now):
                 continue
@@ -370,6 +369,10 @@
             usable.append(entry)
         return usable
 
+    def _is_failing(self, target: ids.TargetId, now: float) -> bool:
+        """Whether a target is ejected or avoided."""
+        return target in self.avoided or self.ejector.is_ejected(target, now)
+
     def _update_credits(
         self, ready: list[target_list.Entry], now: float
     ) -> None:
@@ -392,8 +395,7 @@
         next_at = unlimited_from = math.inf
         per_s = 0.0
         for entry in self.targets.find_ready(self.pool.name):
-            is_ejected = self.ejector.is_ejected(entry.name, now)
-            if is_ejected or entry.name in self.avoided:
+            if self._is_failing(entry.name, now):
                 continue
             quiet_until = now
             if self.targets.is_quiet(entry.name, now):
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -323,12 +323,11 @@
         connection: connection_lib.TargetConnection,
         placement: placement_lib.Placement,
     ) -> progress_lib.SendOutcome:
-        started_at = self.clock.monotonic()
         head = await connection.receive()
         response = self.forwarder.codec.decode_response(
             head.status, head.headers
         )
-        self._apply_notices(placement.target, response, started_at)
+        self._apply_notices(placement.target, response)
         invalid = self._check_head(response)
         if invalid is not None:
             return invalid
@@ -337,7 +336,7 @@
             return await self._pass_on_stream(
                 connection,
                 response,
-                lambda: self._note_first_event(placement, started_at),
+                lambda: self._note_first_event(placement),
             )
         outcome = await self._pass_on_non_stream(connection, response)
         is_done = outcome.result is progress_lib.SendResult.DONE
@@ -346,18 +345,9 @@
         return outcome
 
     def _apply_notices(
-        self,
-        target: target_list.Entry,
-        response: wire_lib.Response,
-        sent_at: float,
+        self, target: target_list.Entry, response: wire_lib.Response
     ) -> None:
-        """Records what a response says about the target itself.
-
-        Args:
-            target: the target.
-            response: the head of its response.
-            sent_at: when the request was sent, monotonic seconds.
-        """
+        """Records what a response says about the target itself."""
         if response.is_other_instance:
             return
         targets = self.dispatcher.targets
@@ -384,7 +374,7 @@
             or len(response.bad_notices) > 0
         )
         if not says_nothing and targets.note_limit(
-            target, response.limit_per_s, sent_at, now
+            target, response.limit_per_s, self.sent_at, now
         ):
             self.dispatcher.is_changed = True
             self.log.write_event(
@@ -634,12 +624,10 @@
         for part in self.crash_evidence.note_answered(identities, now):
             self.log.write_event("part_unblocked", part=part, source="answer")
 
-    def _note_first_event(
-        self, placement: placement_lib.Placement, started_at: float
-    ) -> None:
+    def _note_first_event(self, placement: placement_lib.Placement) -> None:
         now = self.clock.monotonic()
         self.dispatcher.note_first_event(
-            self.request.request_id, placement, now - started_at
+            self.request.request_id, placement, now - self.sent_at
         )
         elapsed_s = now - self.request.arrived_at
         if self.progress.first_event_s is None:
