Log the software version of targets and what a request resumes

Neither was logged, so the hypotheses on ORDER could not be told apart: `sent` now has software, resumes and resume_after, and `target_listed` has software and start_ms. No decision changes.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -56,6 +56,7 @@
         state: whether it takes new requests.
         started_at_ms: when its process started, Unix milliseconds; 0 if
             unknown.
+        version: version of its software; empty if unknown.
     """
 
     name: ids.TargetId
@@ -66,6 +67,7 @@
     slots: int
     state: TargetState
     started_at_ms: int = 0
+    version: str = ""
 
     @property
     def start_ms(self) -> int:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -271,6 +271,9 @@
             fetch=placement.fetch_from.name if placement.fetch_from else None,
             attempt=self.progress.send_count,
             version=self.request.configuration_version,
+            software=target.version,
+            resumes=self.request_head.resumes,
+            resume_after=self.progress.events.last_event_id,
             **self._describe_request(),
         )
         try:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -285,6 +285,8 @@
             target=entry.name,
             pool=entry.pool,
             state=entry.state.value,
+            software=entry.version,
+            start_ms=entry.started_at_ms,
         )
         if previous and previous.started_at_ms != entry.started_at_ms:
             self._forget_target(entry.name)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
@@ -33,6 +33,8 @@
             for a model engine.
         resume_after: ID of the last event that the caller has received; None
             if it doesn't resume a stream.
+        resumes: ID of the request that brought the first event of the stream
+            that is resumed; empty if it can't be read, None if it isn't given.
         headers: headers that are forwarded unchanged.
     """
 
@@ -45,6 +47,7 @@
     deadline_s: float | None
     prompt: requests.Prompt | None
     resume_after: int | None
+    resumes: str | None
     headers: RawHeaders
 
 
