--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -21,6 +21,7 @@
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_platform import call_wire
 from lentilbeam_router import addresses
+from lentilbeam_router.forwarding import caller_channel
 from lentilbeam_router.forwarding import connection as connection_lib
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import gateway as gateway_lib
@@ -32,7 +33,9 @@
 NETWORK_DELAY_S = 0.003
 RESPONSE_S = 0.04
 DATA_CENTRES = "abc"
+EVENT_INTERVAL_S = 0.05
 _REQUEST_ID = re.compile(rb"request-id: (\S+)", re.IGNORECASE)
+_LAST_EVENT_ID = re.compile(rb"last-event-id: (\d+)", re.IGNORECASE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,10 +65,17 @@
         arrivals: the requests that reached it.
         is_up: whether it accepts connections and answers.
         connections: open connections.
+        version: software version of the process that runs.
+        born_ms: start of that process, Unix milliseconds; differs from the
+            entry until the list has been updated.
+        stream_length: number of events in a stream.
     """
 
     def __init__(self, entry: target_list.Entry):
         self.entry = entry
+        self.version = entry.version
+        self.born_ms = entry.started_at_ms
+        self.stream_length = 20
         self.headers = ""
         self.respond = self.respond_plainly
         self.arrivals: list[Arrival] = []
@@ -79,6 +89,14 @@
             b"done", headers=self.headers, request_id=request_id
         )
 
+    def make_event(self, number: int) -> bytes:
+        """Returns an event of a stream, which tells the version."""
+        return b"id: %d\ndata: %s/%d\n\n" % (
+            number,
+            self.version.encode(),
+            number,
+        )
+
     def crash(self) -> None:
         """Ends the process: all connections break."""
         self.is_up = False
@@ -148,12 +166,20 @@
             return
         loop = asyncio.get_running_loop()
         head = data.partition(b"\r\n\r\n")[0]
+        if head.startswith(b"GET /v1/report "):
+            body = b'{"born":%d}' % self.target.born_ms
+            report = fake_target.make_response(body, request_id="", seal="")
+            loop.call_later(NETWORK_DELAY_S, self._deliver, report)
+            return
         self.target.arrivals.append(Arrival(loop.time(), self.router, head))
         loop.call_later(RESPONSE_S, self._respond, head)
 
     def _respond(self, head: bytes) -> None:
         if not self.target.is_up:
             return
+        if head.startswith(b"POST /chat/"):
+            self._stream(head, self.target.born_ms)
+            return
         response = self.target.respond(head)
         if response is None:
             self.target.crash()
@@ -161,6 +187,27 @@
         loop = asyncio.get_running_loop()
         loop.call_later(NETWORK_DELAY_S, self._deliver, response)
 
+    def _stream(self, head: bytes, born_ms: int) -> None:
+        """Sends a stream, one event after the other."""
+        loop = asyncio.get_running_loop()
+        request_id = _REQUEST_ID.search(head)[1].decode()
+        found = _LAST_EVENT_ID.search(head)
+        first = int(found[1]) + 1 if found else 1
+        pieces = [fake_target.make_stream_head(request_id)]
+        for number in range(first, self.target.stream_length + 1):
+            event = self.target.make_event(number)
+            pieces.append(fake_target.encode_chunk(event))
+        pieces.append(fake_target.encode_chunk(b""))
+
+        def send_next(index: int) -> None:
+            if not self.target.is_up or self.target.born_ms != born_ms:
+                return
+            self._deliver(pieces[index])
+            if index + 1 < len(pieces):
+                loop.call_later(EVENT_INTERVAL_S, send_next, index + 1)
+
+        loop.call_later(NETWORK_DELAY_S, send_next, 0)
+
     def _deliver(self, response: bytes) -> None:
         if not self.is_closed and self.target.is_up:
             self.connection.data_received(response)
@@ -196,6 +243,9 @@
         ended_at: monotonic seconds; infinite if there was no answer.
         status: HTTP status; None if there was no answer.
         retry_after_s: value of `Retry-After`; None if there was none.
+        request_id: ID of the request.
+        body: what was received of the body.
+        is_complete: whether the end of the answer was received.
     """
 
     router: str
@@ -203,6 +253,9 @@
     ended_at: float = math.inf
     status: int | None = None
     retry_after_s: float | None = None
+    request_id: str = ""
+    body: bytes = b""
+    is_complete: bool = False
 
 
 class Fleet:
@@ -219,6 +272,7 @@
         results: what all callers got, in the order of their requests.
         tasks: tasks of each router, by name.
         output: file descriptor to which the routers log.
+        engine: engine that the targets run; None if they run none.
     """
 
     def __init__(
@@ -228,7 +282,9 @@
         seed: int = 1,
         routes=(makers.CHAT, makers.BOOK, makers.LOOK_UP),
         output: int | None = None,
+        engine: configuration.Engine | None = None,
     ):
+        self.engine = engine
         self.clock = clock_lib.ManualClock(virtual_time.START)
         self.rng = random.Random(seed)
         self.routes = routes
@@ -275,17 +331,36 @@
         self._list_target(target)
         return target
 
-    def restart_target(self, name: str) -> Target:
-        """Lists a new process of a target, which answers at once."""
+    def restart_target(
+        self, name: str, version: str | None = None, is_listed: bool = True
+    ) -> Target:
+        """Starts a new process of a target, which answers at once.
+
+        Args:
+            name: the target.
+            version: software version of the process; None for the same.
+            is_listed: whether the routers read its entry.
+        """
         target = self.targets[name]
-        started_at_ms = target.entry.started_at_ms + 1000
-        target.entry = dataclasses.replace(
-            target.entry, started_at_ms=started_at_ms
-        )
+        target.born_ms += 1000
+        if version is not None:
+            target.version = version
         target.is_up = True
-        self._list_target(target)
+        if is_listed:
+            target.entry = dataclasses.replace(
+                target.entry,
+                started_at_ms=target.born_ms,
+                version=target.version,
+            )
+            self._list_target(target)
         return target
 
+    def remove_target(self, name: str) -> None:
+        """Ends a target and removes it from the list."""
+        self.targets.pop(name).crash()
+        for gateway in self.gateways.values():
+            gateway.remove_target(ids.TargetId(name))
+
     def start_router(self, name: str) -> gateway_lib.Gateway:
         """Starts a router without state."""
         if name not in self.entries:
@@ -383,13 +458,25 @@
         path: str = "/look/1",
         body: bytes = b"",
         deadline_ms: int = 1500,
+        result: Result | None = None,
         **headers: str,
     ) -> Result:
-        """Sends a request; returns what its caller got."""
+        """Sends a request; returns what its caller got.
+
+        Args:
+            router: the router that is asked.
+            path: path of the request.
+            body: body of the request.
+            deadline_ms: how long the caller waits, in milliseconds.
+            result: filled in while the answer comes; None for a new one.
+            **headers: headers that are added or replaced.
+        """
         loop = asyncio.get_running_loop()
-        result = Result(router, loop.time())
+        result = result or Result(router, 0.0)
+        result.sent_at = loop.time()
         self.results.append(result)
         request_id = f"q{len(self.results)}"
+        result.request_id = request_id
         all_headers = {
             "host": "studio.example",
             "request_id": request_id,
@@ -407,12 +494,18 @@
                 found = dict(message["headers"]).get(b"retry-after")
                 if found is not None:
                     result.retry_after_s = float(found)
+            else:
+                result.body += message.get("body", b"")
+                result.is_complete = not message.get("more_body", False)
             result.ended_at = loop.time()
 
         gateway = self.gateways[router]
-        await gateway.request_handler(
-            scope, caller_messages.get, receive_response
-        )
+        try:
+            await gateway.request_handler(
+                scope, caller_messages.get, receive_response
+            )
+        except caller_channel.ResponseAbortedError:
+            result.is_complete = False
         return result
 
     def _keep(self, router: str, job: Coroutine) -> asyncio.Task:
@@ -445,7 +538,9 @@
         return configuration.Configuration(
             version=1,
             routes=self.routes,
-            pools={makers.POOL: configuration.Pool(makers.POOL, 100, None)},
+            pools={
+                makers.POOL: configuration.Pool(makers.POOL, 100, self.engine)
+            },
             limits=configuration.Limits(),
             workspaces={in_process_router.API_KEY: ids.WorkspaceId("ashby")},
         )
@@ -454,8 +549,8 @@
         async def connect(host, port, clock):
             del port
             await asyncio.sleep(NETWORK_DELAY_S)
-            target = self.targets[host]
-            if not target.is_up:
+            target = self.targets.get(host)
+            if target is None or not target.is_up:
                 raise connection_lib.ConnectFailedError("refused")
             connection = connection_lib.TargetConnection(clock)
             transport = _TargetTransport(target, connection, router)
