Continue streams only at the version that began them

Cause: the version of a target was read by nobody, so a second attempt in an answer and a caller's next try were placed at any target. A router did not know what another one had begun. Change: the origin (pool and version) of a stream is part of the request that goes on with it; admission places such requests at this version only, before others, and refuses them at once if no target runs it. Nobody waits unless a stream is taken up. What is unknown is refused; callers without `Resumes` go on if there is one version.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -50,6 +50,8 @@
 
     NO_ROOM = "no_room"  # No target had capacity in time.
     NO_TARGET = "no_target"  # The pool has no usable target.
+    UNKNOWN_ORIGIN = "unknown_origin"  # Nobody knows what began the stream.
+    VERSION_GONE = "version_gone"  # No target runs the version that began it.
     ROUTER_BUSY = "router_busy"  # The router can't keep up.
     LIMITED = "limited"  # The targets take a limited number of requests.
     CRASHES_TARGETS = "crashes_targets"  # Requests like it crashed targets.
@@ -65,6 +67,9 @@
         at_fair_share_wait_s: maximum time in the queue for a request whose
             workspace has the status `AT_FAIR_SHARE` or `ABOVE_FAIR_SHARE`, in
             seconds.
+        resumed_wait_s: minimum of that limit for a request that goes on with a
+            stream, in seconds. Few targets can serve it, and an answer that
+            has begun is lost if it is refused.
         retry_after_range_s: minimum and maximum retry delay for refused
             callers, in seconds; the delay is drawn from this range. It is
             shorter than most response-time goals, so that a retry can still
@@ -75,6 +80,7 @@
 
     wait_fraction: float = 0.6
     at_fair_share_wait_s: float = 0.05
+    resumed_wait_s: float = 1.0
     retry_after_range_s: tuple[float, float] = (0.25, 0.7)
     retry_after_fraction: float = 0.3
 
@@ -119,12 +125,28 @@
         queued_at: when it was added to the queue, monotonic seconds.
         refuse_at: latest time at which it is refused, monotonic seconds.
         excluded: targets that it must not be sent to.
+        version: the only software version that may run it, since it goes on
+            with a stream; None if any may.
     """
 
     request: requests.Request
     queued_at: float
     refuse_at: float
     excluded: frozenset[ids.TargetId]
+    version: str | None = None
+
+    def select(
+        self, targets: list[target_list.Entry]
+    ) -> list[target_list.Entry]:
+        """Returns the targets that the request may be sent to."""
+        if not self.excluded and self.version is None:
+            return targets
+        return [
+            target
+            for target in targets
+            if target.name not in self.excluded
+            and self.version in (None, target.version)
+        ]
 
 
 class Admission:
@@ -168,6 +190,7 @@
         request: requests.Request,
         now: float,
         excluded: frozenset[ids.TargetId] = frozenset(),
+        version: str | None = None,
     ) -> None:
         """Adds a request to the queue.
 
@@ -177,15 +200,19 @@
             excluded: targets that it has already been sent to and that it
                 must not be sent to again. If not empty, this is a retry,
                 and its cost isn't added to the requested cost a second time.
+            version: the only software version that may run it, since it goes
+                on with a stream; None if any may.
         """
         if not excluded:
             cost = requests.estimate_cost(request)
             self.usage.note_asked(request.workspace, cost, now)
         wait_s = request.route.goal_s * self.settings.wait_fraction
+        if version is not None:
+            wait_s = max(wait_s, self.settings.resumed_wait_s)
         refuse_at = min(
             max(request.arrived_at, now) + wait_s, request.deadline_at
         )
-        queued = QueuedRequest(request, now, refuse_at, excluded)
+        queued = QueuedRequest(request, now, refuse_at, excluded, version)
         queue = self.queues.setdefault(request.workspace, collections.deque())
         queue.append(queued)
 
@@ -249,7 +276,8 @@
     ) -> list[Placed]:
         """Places requests, of the workspace with the least service first."""
         self.placer.loads.refresh(now)
-        placements = []
+        placements = self._place_resumed(targets, now)
+        targets = self._drop_spent(targets)
         full_bounds: set[placement_lib.Bounds] = set()
         order = [
             (
@@ -276,9 +304,7 @@
             if placed is None:
                 continue
             placements.append(placed)
-            target = placed.placement.target.name
-            if not self.limit_parts.may_send(target):
-                targets = [t for t in targets if t.name != target]
+            targets = self._drop_spent(targets)
             if workspace in self.queues:
                 served = self.usage.total_served(workspace, now)
                 heapq.heappush(order, (True, served, workspace))
@@ -287,6 +313,42 @@
         self.left_out = (remaining & self.left_out) or remaining
         return placements
 
+    def _place_resumed(
+        self, targets: list[target_list.Entry], now: float
+    ) -> list[Placed]:
+        """Places the requests that go on with streams, before all others.
+
+        They have waited already, and only few targets can serve them.
+        """
+        placements = []
+        resumed = [
+            (workspace, queued)
+            for workspace, queue in self.queues.items()
+            for queued in queue
+            if queued.version is not None
+        ]
+        for workspace, queued in resumed[:MAX_FAILED_CHOICES]:
+            placement = self.placer.choose(
+                queued.request,
+                queued.select(self._drop_spent(targets)),
+                placement_lib.BELOW_GUARANTEE_BOUNDS,
+                now,
+            )
+            if placement is not None:
+                placements.append(
+                    self._start(workspace, queued, placement, now)
+                )
+        return placements
+
+    def _drop_spent(
+        self, targets: list[target_list.Entry]
+    ) -> list[target_list.Entry]:
+        """Returns the targets whose limits allow another request."""
+        limit_parts = self.limit_parts
+        if not limit_parts.credits:
+            return targets
+        return [t for t in targets if limit_parts.may_send(t.name)]
+
     def _place_one(
         self,
         workspace: ids.WorkspaceId,
@@ -296,15 +358,25 @@
     ) -> Placed | None:
         queue = self.queues[workspace]
         for queued in itertools.islice(queue, MAX_HEAD_CANDIDATES):
-            usable = targets
-            if queued.excluded:
-                usable = [t for t in targets if t.name not in queued.excluded]
-            placement = self.placer.choose(queued.request, usable, bounds, now)
+            placement = self.placer.choose(
+                queued.request, queued.select(targets), bounds, now
+            )
             if placement is not None:
                 break
             self.failed_choices += 1
         else:
             return None
+        return self._start(workspace, queued, placement, now)
+
+    def _start(
+        self,
+        workspace: ids.WorkspaceId,
+        queued: QueuedRequest,
+        placement: placement_lib.Placement,
+        now: float,
+    ) -> Placed:
+        """Takes a placed request from its queue and counts it."""
+        queue = self.queues[workspace]
         queue.remove(queued)
         if not queue:
             del self.queues[workspace]
@@ -336,7 +408,8 @@
             lambda queued: (
                 queued.refuse_at <= now
                 or (
-                    queued.queued_at <= latest_queued_at
+                    queued.version is None
+                    and queued.queued_at <= latest_queued_at
                     and waits_briefly[queued.request.workspace]
                 )
             ),
@@ -344,6 +417,33 @@
             now,
         )
 
+    def refuse_without_version(
+        self, has_version: Callable[[str], bool], now: float
+    ) -> list[Decision]:
+        """Refuses the requests that no target can go on with any more.
+
+        Args:
+            has_version: whether a target runs a software version.
+            now: monotonic seconds.
+        """
+        gone = {
+            queued.request.request_id
+            for queue in self.queues.values()
+            for queued in queue
+            if queued.version is not None and not has_version(queued.version)
+        }
+        if not gone:
+            return []
+        decisions = self._refuse_where(
+            lambda queued: queued.request.request_id in gone, [], now
+        )
+        return [
+            self.refuse_for_long(
+                decision.request, RefusalReason.VERSION_GONE, now
+            )
+            for decision in decisions
+        ]
+
     def _refuse_beyond(
         self,
         supply: limit_parts_lib.Supply,
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -8,6 +8,7 @@
 processing them again.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import random
@@ -95,6 +96,9 @@
             unread prompt tokens) is at most this many seconds is accepted
             even beyond the goal and prefill bounds; the slot bound still
             applies.
+        lone_version_penalty_s: penalty for the only target of its software
+            version while others run, if callers may take up the stream: it
+            could go on nowhere else.
         plain_overcommit: maximum number of requests at a plain target, as a
             multiple of its slots.
         plain_remote_penalty: penalty for a plain target in another data
@@ -113,6 +117,7 @@
     sampled_targets: int = 5
     noise_s: float = 0.01
     bounds_exempt_backlog_s: float = 0.05
+    lone_version_penalty_s: float = 0.05
     plain_overcommit: float = 1.5
     plain_remote_penalty: float = 0.3
 
@@ -258,12 +263,16 @@
         if request.prompt is None or self.pool.engine is None:
             return self._choose_plain(targets, now)
         prefix = self._find_cached(request.prompt, targets)
+        lone = find_lone(targets) if request.route.is_resumable else frozenset()
         best = None
         for index in self._sample(targets, prefix):
             entry = targets[index]
             candidate = self._evaluate(
                 request, entry, prefix, index, bounds, now
             )
+            if candidate and entry.version in lone:
+                cost_s = candidate.cost_s + self.settings.lone_version_penalty_s
+                candidate = dataclasses.replace(candidate, cost_s=cost_s)
             if candidate and (best is None or candidate.cost_s < best.cost_s):
                 best = candidate
         if best is None:
@@ -454,3 +463,11 @@
         """
         nearby = [h for h in holders if h.data_centre == target.data_centre]
         return self.rng.choice(nearby or holders)
+
+
+def find_lone(targets: Iterable[target_list.Entry]) -> frozenset[str]:
+    """Returns the software versions that only one of several targets runs."""
+    counts = collections.Counter(entry.version for entry in targets)
+    if len(counts) < 2:
+        return frozenset()
+    return frozenset(name for name, count in counts.items() if count == 1)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -104,6 +104,8 @@
             requests, monotonic seconds.
         limits: limits that targets have set on the rate of their requests.
         removed: targets that were removed lately, by name.
+        versions_ended_at: when a target of each pool and version was last
+            removed or replaced, monotonic seconds.
     """
 
     def __init__(self):
@@ -114,6 +116,7 @@
         self.quiet_until: dict[ids.TargetId, float] = {}
         self.limits = target_limits.TargetLimits()
         self.removed: dict[ids.TargetId, RemovedTarget] = {}
+        self.versions_ended_at: dict[tuple[ids.PoolId, str], float] = {}
 
     def note_store_returned(self, now: float) -> None:
         """Starts a grace period: the store is available again."""
@@ -291,6 +294,32 @@
                 del self.removed[other]
         if entry is not None:
             self.removed[name] = RemovedTarget(entry.start_ms, now)
+            self.note_version_ended(entry, now)
+
+    def note_version_ended(self, entry: Entry, now: float) -> None:
+        """Records that a process of some version is no longer listed."""
+        self.versions_ended_at[entry.pool, entry.version] = now
+        for key, ended_at in list(self.versions_ended_at.items()):
+            if now - ended_at > REMEMBER_REMOVED_S:
+                del self.versions_ended_at[key]
+
+    def find_versions(self, pool: ids.PoolId, now: float) -> set[str]:
+        """Returns the software versions that a pool has or had lately."""
+        return {e.version for e in self.entries.values() if e.pool == pool} | {
+            version
+            for (ended_pool, version), at in self.versions_ended_at.items()
+            if ended_pool == pool and now - at <= REMEMBER_REMOVED_S
+        }
+
+    def has_version(self, pool: ids.PoolId, version: str) -> bool:
+        """Whether a ready target of a pool runs a software version."""
+        return version != "" and any(
+            entry.version == version for entry in self.find_ready(pool)
+        )
+
+    def is_listed(self, entry: Entry) -> bool:
+        """Whether the list has the same process of a target."""
+        return self._is_listed(entry.name, entry.start_ms)
 
     def is_in_grace_period(self, now: float) -> bool:
         """Returns whether the grace period lasts.
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -401,4 +401,43 @@
     demands: tuple[PoolDemand, ...] = ()
 
 
-PeerMessage = Heartbeat | DemandReport | GrantUpdate | LoadReport
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """What a router knows of the origin of a stream.
+
+    Attributes:
+        key: key of the stream, see `stream_origins.compute_key`.
+        pool: the pool that runs it; empty if unknown.
+        version: software version that began it; empty if unknown.
+        kept_ms: for how long the sender remembers it, in milliseconds; 0 if it
+            knows nothing of the stream.
+    """
+
+    key: int
+    pool: ids.PoolId
+    version: str
+    kept_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginReport:
+    """Tells a router what began streams, also in answer to a question."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginQuestion:
+    """Asks a router what began a stream, given by its key."""
+
+    key: int
+
+
+PeerMessage = (
+    Heartbeat
+    | DemandReport
+    | GrantUpdate
+    | LoadReport
+    | OriginReport
+    | OriginQuestion
+)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -117,19 +117,22 @@
         self,
         request: requests.Request,
         excluded: frozenset[ids.TargetId] = frozenset(),
+        version: str | None = None,
     ) -> admission.Decision:
         """Queues a request until it is placed at a target or refused.
 
         Args:
             request: the request.
             excluded: targets that it must not be sent to.
+            version: the only software version that may run it, since it goes
+                on with a stream; None if any may.
         """
         future = asyncio.get_running_loop().create_future()
         self.waiters[request.request_id] = future
         now = self.clock.monotonic()
         if not excluded:
             self.demand.note_request(now)
-        self.admission.enqueue(request, now, excluded)
+        self.admission.enqueue(request, now, excluded, version)
         self.decide()
         try:
             return await future
@@ -193,9 +196,14 @@
         if now < self.next_pass_at:
             self._set_timer(self.next_pass_at, now)
             return
-        for decision in self.admission.decide(
+        pool = self.pool.name
+        decisions = self.admission.refuse_without_version(
+            lambda version: self.targets.has_version(pool, version), now
+        )
+        decisions += self.admission.decide(
             self.find_usable(), now, lambda: self._find_supply(now)
-        ):
+        )
+        for decision in decisions:
             if isinstance(decision, admission.Placed):
                 self._note_placed(decision)
             future = self.waiters.get(decision.request.request_id)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
@@ -16,6 +17,7 @@
 from lentilbeam_core.forwarding import event_stream
 from lentilbeam_core.forwarding import placement as placement_lib
 from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import stream_origins
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router.forwarding import caller_channel
@@ -23,6 +25,7 @@
 from lentilbeam_router.forwarding import connection_pool
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
+from lentilbeam_router.forwarding import origin_exchange as origin_exchange_lib
 from lentilbeam_router.forwarding import progress as progress_lib
 from lentilbeam_router.forwarding import wire as wire_lib
 
@@ -35,6 +38,11 @@
 ANSWERED_AFTER_EVENTS = 3
 """Number of events of a stream after which its target counts as unharmed by the
 request. A target that a request crashes sends one or two at most."""
+KEPT_MARGIN_S = 5.0
+"""Time, in seconds, for which the origin of a stream is remembered beyond the
+deadline of the request that began it."""
+
+FindDispatcher = Callable[[ids.PoolId], dispatcher_lib.Dispatcher]
 
 
 class Forwarder:
@@ -46,6 +54,7 @@
         clock: source of monotonic time.
         poll_times: times of the polls of the event loop.
         crash_evidence: tells which requests crash their targets.
+        origin_exchange: tells and finds out what began streams.
         metrics: counts events of requests.
         log: log of decisions.
         bad_notices: target and header of each invalid notice that was logged.
@@ -58,6 +67,7 @@
         clock: clock_lib.Clock,
         poll_times: poll_times_lib.PollTimes,
         crash_evidence: crash_evidence_lib.CrashEvidence,
+        origin_exchange: origin_exchange_lib.OriginExchange,
         metrics: metrics_lib.Metrics,
         log: decision_log.DecisionLog,
     ):
@@ -66,6 +76,7 @@
         self.clock = clock
         self.poll_times = poll_times
         self.crash_evidence = crash_evidence
+        self.origin_exchange = origin_exchange
         self.metrics = metrics
         self.log = log
         self.bad_notices: set[tuple[ids.TargetId, str]] = set()
@@ -82,7 +93,7 @@
         request_head: wire_lib.RequestHead,
         body: bytes,
         request: requests.Request,
-        dispatcher: dispatcher_lib.Dispatcher,
+        find_dispatcher: FindDispatcher,
         channel: caller_channel.CallerChannel,
         routers: int,
     ) -> None:
@@ -92,13 +103,19 @@
             request_head: decoded head of the request.
             body: whole body of the request.
             request: the request as the dispatcher sees it.
-            dispatcher: dispatcher of the request's pool.
+            find_dispatcher: returns the dispatcher of a pool.
             channel: sends the response to the caller.
             routers: number of routers that share the retry budget, this one
                 included.
         """
         run = _Run(
-            self, request_head, body, request, dispatcher, channel, routers
+            self,
+            request_head,
+            body,
+            request,
+            find_dispatcher,
+            channel,
+            routers,
         )
         remaining_s = max(request.deadline_at - self.clock.monotonic(), 0.0)
         try:
@@ -107,6 +124,7 @@
         except TimeoutError:
             await run.give_up("timeout")
         finally:
+            self.origin_exchange.note_end(request.request_id)
             self.crash_evidence.note_end(
                 request.request_id,
                 request.crash_identities,
@@ -124,7 +142,7 @@
         request_head: wire_lib.RequestHead,
         body: bytes,
         request: requests.Request,
-        dispatcher: dispatcher_lib.Dispatcher,
+        find_dispatcher: FindDispatcher,
         channel: caller_channel.CallerChannel,
         routers: int,
     ):
@@ -135,23 +153,32 @@
         self.body = body
         self.request = request
         self.route = request.route
-        self.dispatcher = dispatcher
+        self.find_dispatcher = find_dispatcher
+        self.dispatcher = find_dispatcher(request.pool)
         self.channel = channel
         self.routers = routers
         self.crash_evidence = forwarder.crash_evidence
         self.is_answered = False
         self.sent_at = 0.0
+        self.origin: stream_origins.Origin | None = None
         self.progress = progress_lib.Progress(
             event_stream.EventStreamParser(request_head.resume_after)
         )
 
     async def serve(self) -> None:
         """Sends the request to targets until one responds or it fails."""
+        refused = await self._find_origin()
+        if refused is not None:
+            await self._end_refused(refused)
+            return
         while True:
             decision = self._refuse_if_blocked()
             if decision is None:
-                tried = frozenset(self.progress.tried)
-                decision = await self.dispatcher.place(self.request, tried)
+                decision = await self.dispatcher.place(
+                    self.request,
+                    frozenset(self.progress.tried),
+                    self.origin.version if self.origin else None,
+                )
             if isinstance(decision, admission.Placed):
                 blocked = self._refuse_if_blocked()
                 if blocked is not None:
@@ -167,6 +194,81 @@
                 await self._end_failed(outcome)
                 return
 
+    async def _find_origin(self) -> admission.Refused | None:
+        """Finds out what began the stream that the request goes on with.
+
+        Returns:
+            A refusal if it can't go on here; else None.
+        """
+        is_stream = self.route.kind is configuration.RouteKind.STREAMING
+        if not is_stream or self.request_head.resume_after is None:
+            return None
+        resumes = self.request_head.resumes
+        if resumes is None:
+            self.origin = self._find_only_origin()
+        elif resumes:
+            self.origin = await self.forwarder.origin_exchange.find(
+                self._compute_key()
+            )
+        now = self.clock.monotonic()
+        if self.origin is None:
+            # Another router may know, or this one when it is heard again.
+            return self.dispatcher.admission.refuse(
+                self.request, admission.RefusalReason.UNKNOWN_ORIGIN, now
+            )
+        pools = {weight.pool for weight in self.route.pool_weights}
+        if self.origin.pool not in pools:
+            return self.dispatcher.admission.refuse_for_long(
+                self.request, admission.RefusalReason.VERSION_GONE, now
+            )
+        if self.origin.pool != self.request.pool:
+            self.request = dataclasses.replace(
+                self.request, pool=self.origin.pool
+            )
+            self.dispatcher = self.find_dispatcher(self.origin.pool)
+        return None
+
+    def _find_only_origin(self) -> stream_origins.Origin | None:
+        """Returns the origin of any stream if there is only one version.
+
+        Callers that don't name the request that began their stream predate
+        software versions.
+        """
+        pool = self.request.pool
+        versions = self.dispatcher.targets.find_versions(
+            pool, self.clock.monotonic()
+        )
+        if len(versions) != 1 or len(self.route.pool_weights) != 1:
+            return None
+        return stream_origins.Origin(pool, versions.pop())
+
+    def _compute_key(self) -> int:
+        """Returns the key of the stream: that of its caller's first request."""
+        return stream_origins.compute_key(
+            self.request.workspace,
+            self.request_head.resumes or self.request.request_id,
+        )
+
+    def _note_stream_began(self, target: target_list.Entry) -> None:
+        """Records what began the stream, before its first event is passed on.
+
+        A stream that goes on is recorded again: routers that knew it may have
+        been restarted.
+        """
+        if self.origin is None:
+            self.origin = stream_origins.Origin(
+                self.request.pool, target.version
+            )
+        if not self.route.is_resumable or not self.origin.version:
+            return
+        deadline_s = self.request_head.deadline_s or 0.0
+        self.forwarder.origin_exchange.note_began(
+            self.request.request_id,
+            self._compute_key(),
+            self.origin,
+            max(deadline_s, self.route.timeout_s) + KEPT_MARGIN_S,
+        )
+
     def _refuse_if_blocked(self) -> admission.Refused | None:
         """Returns a refusal if the request would crash its target."""
         request = self.request
@@ -337,6 +439,7 @@
         is_stream = self.route.kind is configuration.RouteKind.STREAMING
         if is_stream and response.status < 300:
             return await self._pass_on_stream(
+                placement.target,
                 connection,
                 response,
                 lambda: self._note_first_event(placement),
@@ -420,6 +523,7 @@
 
     async def _pass_on_stream(
         self,
+        target: target_list.Entry,
         connection: connection_lib.TargetConnection,
         response: wire_lib.Response,
         note_first_event: Callable[[], None],
@@ -440,6 +544,7 @@
             if is_first:
                 is_first = False
                 note_first_event()
+                self._note_stream_began(target)
             if events.numbered_event_count >= answered_at:
                 self._note_answered()
             if not self.channel.is_started:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -31,6 +31,7 @@
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import forwarder as forwarder_lib
 from lentilbeam_router.forwarding import listening
+from lentilbeam_router.forwarding import origin_exchange as origin_exchange_lib
 from lentilbeam_router.forwarding import peers as peers_lib
 from lentilbeam_router.forwarding import prompt_blocks as prompt_blocks_lib
 from lentilbeam_router.forwarding import report_exchange as report_exchange_lib
@@ -114,6 +115,7 @@
         stop: set on SIGTERM and SIGINT.
         dispatchers: dispatcher of each pool that has had a request.
         prompt_blocks: prompt parts that are blocked, since they crash targets.
+        origin_exchange: tells and finds out what began streams.
         connections: idle connections to targets.
     """
 
@@ -158,6 +160,9 @@
             clock,
             self.log,
         )
+        self.origin_exchange = origin_exchange_lib.OriginExchange(
+            self.peers, self.link, clock
+        )
         self.prompt_blocks = prompt_blocks_lib.PromptBlocks(
             settings.instance,
             self.peers,
@@ -172,6 +177,7 @@
             clock,
             poll_times,
             self.prompt_blocks.evidence,
+            self.origin_exchange,
             self.metrics,
             self.log,
         )
@@ -289,6 +295,7 @@
             start_ms=entry.started_at_ms,
         )
         if previous and previous.started_at_ms != entry.started_at_ms:
+            self.targets.note_version_ended(previous, self.clock.monotonic())
             self._forget_target(entry.name)
         self._decide_all()
 
@@ -514,6 +521,7 @@
             await asyncio.sleep(interval_s)
             self.note_lateness(due_at)
             is_changed = any(d.is_changed for d in self.dispatchers.values())
+            self.origin_exchange.tell_again()
             self.report_exchange.send_if_due(
                 self._build_status(), is_changed, self._collect_work
             )
@@ -553,6 +561,9 @@
     def _receive(
         self, sender: ids.InstanceId, message: messages.PeerMessage
     ) -> None:
+        if isinstance(message, messages.OriginReport | messages.OriginQuestion):
+            self.origin_exchange.receive(sender, message)
+            return
         if not isinstance(message, messages.LoadReport):
             self.metrics.count("peer.unexpected")
             return
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -118,12 +118,20 @@
         """Seconds without a report after which a router counts as down."""
         return max(PEER_TIMEOUT_S, PEER_TIMEOUT_REPORTS * self.min_interval_s)
 
+    def is_alive(self, name: ids.InstanceId, now: float) -> bool:
+        """Whether a peer has sent a report lately."""
+        last_report = self.last_reports.get(name)
+        return (
+            last_report is not None
+            and now - last_report.received_at < self.peer_timeout_s
+        )
+
     def is_serving(self, name: ids.InstanceId, now: float) -> bool:
         """Whether a peer is up and takes requests."""
         last_report = self.last_reports.get(name)
         if last_report is None or not last_report.takes_requests:
             return False
-        return now - last_report.received_at < self.peer_timeout_s
+        return self.is_alive(name, now)
 
     def list_receivers(self, now: float) -> list[addresses.Address]:
         """Returns the addresses for a report to all peers.
@@ -137,10 +145,7 @@
         receivers = []
         for entry in self.listed.values():
             last_report = self.last_reports.get(entry.name)
-            is_alive = (
-                last_report is not None
-                and now - last_report.received_at < self.peer_timeout_s
-            )
+            is_alive = self.is_alive(entry.name, now)
             if (
                 last_report
                 and not is_alive
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -215,7 +215,7 @@
                 request_head,
                 body,
                 request,
-                dispatcher,
+                self.gateway.find_dispatcher,
                 channel,
                 self.gateway.peers.count_routers(),
             )
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -11,6 +11,8 @@
     report @2 :DemandReport;
     update @3 :GrantUpdate;
     load @4 :LoadReport;
+    origins @5 :OriginReport;
+    question @6 :OriginQuestion;
   }
 }
 
@@ -164,3 +166,19 @@
   routers @14 :UInt16;
   demands @15 :List(PoolDemand);
 }
+
+struct StreamOrigin {
+  key @0 :UInt64;
+  pool @1 :UInt16;
+  version @2 :UInt16;
+  keptMs @3 :UInt32;
+}
+
+struct OriginReport {
+  origins @0 :List(StreamOrigin);
+  names @1 :List(Text);
+}
+
+struct OriginQuestion {
+  key @0 :UInt64;
+}
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -72,6 +72,8 @@
     messages.DemandReport: "report",
     messages.GrantUpdate: "update",
     messages.LoadReport: "load",
+    messages.OriginReport: "origins",
+    messages.OriginQuestion: "question",
 }
 _MESSAGE_TYPES = {
     member: message_type for message_type, member in _UNION_MEMBERS.items()
@@ -89,6 +91,7 @@
     "crashes": messages.CrashReport,
     "blocks": messages.BlockReport,
     "demands": messages.PoolDemand,
+    "origins": messages.StreamOrigin,
 }
 
 
@@ -121,7 +124,15 @@
     return re.sub(r"_(\w)", lambda match: match.group(1).upper(), name)
 
 
-_NAME_FIELDS = {"workspace", "target", "preferred", "prefix", "pool", "router"}
+_NAME_FIELDS = {
+    "workspace",
+    "target",
+    "preferred",
+    "prefix",
+    "pool",
+    "router",
+    "version",
+}
 _ENUM_TYPES = {"kind": messages.ReportKind}
 _BIT_WIDTHS = {"uint8": 8, "uint16": 16, "uint32": 32, "uint64": 64}
 _STRUCTS = {
@@ -141,6 +152,9 @@
     messages.CrashReport: _schema.CrashReport,
     messages.BlockReport: _schema.BlockReport,
     messages.PoolDemand: _schema.PoolDemand,
+    messages.OriginReport: _schema.OriginReport,
+    messages.OriginQuestion: _schema.OriginQuestion,
+    messages.StreamOrigin: _schema.StreamOrigin,
 }
 
 
--- a/tests/forwarding/fake_target.py
+++ b/tests/forwarding/fake_target.py
@@ -26,6 +26,8 @@
         connections: number of connections accepted.
         closed: set once a connection was closed, by either side.
         server: the server; None until `start`.
+        entry: its entry; None until `start`.
+        reports: number of reports that were read.
     """
 
     def __init__(self, script: Script):
@@ -35,6 +37,8 @@
         self.connections = 0
         self.closed = asyncio.Event()
         self.server: asyncio.Server | None = None
+        self.entry: target_list.Entry | None = None
+        self.reports = 0
 
     async def start(self, name: str, **changes) -> target_list.Entry:
         """Starts the server; returns the entry of the target.
@@ -45,7 +49,8 @@
         """
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
-        return makers.make_target(name, port=port, **changes)
+        self.entry = makers.make_target(name, port=port, **changes)
+        return self.entry
 
     async def stop(self) -> None:
         """Stops listening."""
@@ -58,6 +63,10 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"GET /v1/report "):
+                    self.reports += 1
+                    writer.write(make_report(self.entry.started_at_ms))
+                    continue
                 self.heads.append(head)
                 length = 0
                 for line in head.lower().split(b"\r\n"):
@@ -71,6 +80,12 @@
             writer.close()
 
 
+def make_report(born_ms: int) -> bytes:
+    """Returns the response with which a target tells its start."""
+    body = b'{"born":%d}' % born_ms
+    return make_response(body, request_id="", seal="")
+
+
 def make_response(
     body: bytes,
     status: int = 200,
--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -167,8 +167,7 @@
         loop = asyncio.get_running_loop()
         head = data.partition(b"\r\n\r\n")[0]
         if head.startswith(b"GET /v1/report "):
-            body = b'{"born":%d}' % self.target.born_ms
-            report = fake_target.make_response(body, request_id="", seal="")
+            report = fake_target.make_report(self.target.born_ms)
             loop.call_later(NETWORK_DELAY_S, self._deliver, report)
             return
         self.target.arrivals.append(Arrival(loop.time(), self.router, head))
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -20,11 +20,14 @@
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_platform import call_wire
 from lentilbeam_router import metrics
+from lentilbeam_router import peer_link
 from lentilbeam_router.forwarding import caller_channel
 from lentilbeam_router.forwarding import connection_pool
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import dispatcher
 from lentilbeam_router.forwarding import forwarder
+from lentilbeam_router.forwarding import origin_exchange
+from lentilbeam_router.forwarding import peers
 from lentilbeam_router.forwarding import request_handler
 from tests.forwarding import makers
 
@@ -149,6 +152,15 @@
                 clock,
                 poll_times,
                 self.crash_evidence,
+                origin_exchange.OriginExchange(
+                    peers.Peers(ids.InstanceId("router-1"), clock, log),
+                    peer_link.PeerLink(
+                        ids.InstanceId("router-1"),
+                        lambda sender, message: None,
+                        router_metrics,
+                    ),
+                    clock,
+                ),
                 router_metrics,
                 log,
             ),
--- a/tests/forwarding/makers.py
+++ b/tests/forwarding/makers.py
@@ -58,6 +58,7 @@
         data_centre=ids.DataCentreId("east"),
         slots=64,
         state=target_list.TargetState.READY,
+        version="v1",
     )
     return dataclasses.replace(entry, **changes)
 
--- a/tests/forwarding/test_deadly_prompts.py
+++ b/tests/forwarding/test_deadly_prompts.py
@@ -71,11 +71,13 @@
             writer.transport.abort()
 
 
-def restart(listed, name):
+def restart(listed, target):
     """Lists a new process of a target, which serves at once."""
-    entry = listed.entries[name]
-    started_at_ms = entry.started_at_ms + 1000
-    listed.put(dataclasses.replace(entry, started_at_ms=started_at_ms))
+    started_at_ms = target.entry.started_at_ms + 1000
+    target.entry = dataclasses.replace(
+        target.entry, started_at_ms=started_at_ms
+    )
+    listed.put(target.entry)
 
 
 def send(router, number, part):
@@ -101,11 +103,9 @@
     scripts = [CrashingTarget(ending) for _ in range(TARGETS)]
 
     async def scenario(router, targets):
-        del targets
         listed = router.dispatcher.targets
-        for number, script in enumerate(scripts):
-            name = ids.TargetId(f"t{number}")
-            script.restart = functools.partial(restart, listed, name)
+        for target in targets:
+            target.script.restart = functools.partial(restart, listed, target)
         responses = []
         for number in range(DEADLY_REQUESTS):
             await send(router, number, "dead")
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -50,8 +50,11 @@
     def is_whole(self) -> bool:
         """Whether all events came, each once, and the end."""
         numbers = [number for number, _ in self.events]
-        return self.tries[-1].is_complete and numbers == list(
-            range(1, len(numbers) + 1)
+        last = self.tries[-1]
+        return (
+            last.status == 200
+            and last.is_complete
+            and numbers == list(range(1, len(numbers) + 1))
         )
 
     def begin(self, router: str) -> None:
