Send streams only to the process that the list tells

Cause: a stream began or went on at whatever process had the id of the target, while the version was that of the entry, which is older by the delay of the list, and by minutes at a router that is cut off from the store. Change: a connection ends with the process that accepted it. A router asks a target on a new connection when its process started, unless another connection to it is open, whose process is known; it sends streams that may be taken up only where that is the process of the entry. One round trip on the first connection to a target, for these streams only.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -104,6 +104,8 @@
         is_invalid: whether it was closed because of invalid bytes.
         may_reuse: whether the target keeps the connection open.
         reusable_until: when an idle connection expires, monotonic seconds.
+        process_start_ms: when the process at the other end started, Unix
+            milliseconds; 0 if it hasn't told.
     """
 
     def __init__(self, clock: clock_lib.Clock):
@@ -122,6 +124,7 @@
         self.is_invalid = False
         self.may_reuse = False
         self.reusable_until = 0.0
+        self.process_start_ms = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Sets the options that detect a dead peer (called by asyncio)."""
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection_pool.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection_pool.py
@@ -21,6 +21,7 @@
         metrics: counts the connections that are opened.
         connect: opens a connection.
         idle: idle connections by target ID, the last used at the end.
+        open: connections by target ID, idle or in use, that may be open.
     """
 
     def __init__(
@@ -33,6 +34,7 @@
         self.metrics = metrics
         self.connect = connect
         self.idle: dict[str, list[connection_lib.TargetConnection]] = {}
+        self.open: dict[str, list[connection_lib.TargetConnection]] = {}
 
     async def acquire(
         self, target: target_list.Entry, must_be_new: bool
@@ -55,7 +57,9 @@
                 return connection
             connection.close()
         self.metrics.count("target.connections")
-        return await self.connect(target.host, target.port, self.clock)
+        connection = await self.connect(target.host, target.port, self.clock)
+        self._adopt(target.name, connection)
+        return connection
 
     def release(
         self,
@@ -70,6 +74,7 @@
 
     def forget(self, target: str) -> None:
         """Closes the idle connections to a target, given by its ID."""
+        self.open.pop(target, None)
         for connection in self.idle.pop(target, []):
             connection.close()
 
@@ -85,6 +90,24 @@
                 self.idle[target] = reusable
             else:
                 del self.idle[target]
+        for target, connections in list(self.open.items()):
+            self.open[target] = [c for c in connections if not c.is_broken]
+            if not self.open[target]:
+                del self.open[target]
+
+    def _adopt(
+        self, target: str, connection: connection_lib.TargetConnection
+    ) -> None:
+        """Records a new connection and the process at its other end.
+
+        A connection ends with the process that accepted it. As long as one is
+        open, a new one therefore leads to the same process.
+        """
+        still_open = [c for c in self.open.get(target, ()) if not c.is_broken]
+        connection.process_start_ms = max(
+            (c.process_start_ms for c in still_open), default=0
+        )
+        self.open[target] = [*still_open, connection]
 
     def close(self) -> None:
         """Closes all idle connections."""
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -41,6 +41,8 @@
 KEPT_MARGIN_S = 5.0
 """Time, in seconds, for which the origin of a stream is remembered beyond the
 deadline of the request that began it."""
+CONFIRM_TIMEOUT_S = 0.5
+"""Longest time, in seconds, for a target to tell when its process started."""
 
 FindDispatcher = Callable[[ids.PoolId], dispatcher_lib.Dispatcher]
 
@@ -323,6 +325,9 @@
             self.dispatcher.note_end(self.request.request_id)
             raise
         try:
+            unconfirmed = await self._confirm_process(target, connection)
+            if unconfirmed is not None:
+                return unconfirmed
             await self._catch_up()
             self._check_deadline()
             return await self._exchange(placement, connection)
@@ -330,6 +335,71 @@
             self.dispatcher.note_end(self.request.request_id)
             self.forwarder.connections.release(target, connection)
 
+    async def _confirm_process(
+        self,
+        target: target_list.Entry,
+        connection: connection_lib.TargetConnection,
+    ) -> progress_lib.SendOutcome | None:
+        """Makes sure that a stream is sent to the process that is listed.
+
+        A target may be back under its ID at another version before the list
+        tells. Unless the process is known, the target is asked first, on the
+        connection that the request will use.
+
+        Returns:
+            The outcome if another process runs, or if it can't be told.
+        """
+        if (
+            not self.route.is_resumable
+            or self.dispatcher.pool.engine is None
+            or target.started_at_ms == 0
+        ):
+            return None
+        if connection.process_start_ms == 0:
+            connection.process_start_ms = await self._ask_process_start(
+                target, connection
+            )
+        start_ms = connection.process_start_ms
+        is_listed = self.dispatcher.targets.is_listed(target)
+        if start_ms == target.started_at_ms and is_listed:
+            return None
+        self.progress.tried.add(target.name)
+        self._record(
+            "process_unconfirmed",
+            target=target.name,
+            listed_start_ms=target.started_at_ms,
+            start_ms=start_ms,
+        )
+        connection.close()
+        self._note_failure(target, is_fault=start_ms == 0)
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.NOT_RUN, "process not confirmed"
+        )
+
+    async def _ask_process_start(
+        self,
+        target: target_list.Entry,
+        connection: connection_lib.TargetConnection,
+    ) -> int:
+        """Returns when the process started; 0 if it doesn't tell."""
+        codec = self.forwarder.codec
+        connection.start(codec.encode_process_query(target))
+        body = b""
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                head = await connection.receive()
+                while isinstance(item := await connection.receive(), bytes):
+                    body += item
+        except (
+            TimeoutError,
+            connection_lib.BrokenError,
+            connection_lib.InvalidResponseError,
+        ):
+            return 0
+        if head.status != 200 or not connection.may_reuse:
+            return 0
+        return codec.decode_process_start(body) or 0
+
     async def _catch_up(self) -> None:
         """Lets the event loop read what has arrived, if it has not lately.
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
@@ -11,6 +11,7 @@
 
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import target_list
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 Scope = dict[str, Any]
@@ -119,6 +120,10 @@
             `InvalidRequestHeadError`.
         encode_request: encodes head and body of a request to a target.
         decode_response: decodes status and headers of a target's response.
+        encode_process_query: encodes a request with which a target tells when
+            its process started.
+        decode_process_start: returns that time from the body of the response,
+            Unix milliseconds; None if the body doesn't tell it.
         build_own_headers: returns the headers of a response that the router
             itself generates. Its arguments are the request ID and the seconds
             after which the caller may retry, or None.
@@ -127,6 +132,8 @@
     decode_request_head: Callable[[Scope], RequestHead]
     encode_request: Callable[[RequestHead, RoutingInfo, bytes], bytes]
     decode_response: Callable[[int, RawHeaders], Response]
+    encode_process_query: Callable[[target_list.Entry], bytes]
+    decode_process_start: Callable[[bytes], int | None]
     build_own_headers: Callable[[str, float | None], RawHeaders]
 
 
