--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,6 +5,7 @@
 import enum
 import itertools
 import random
+import re
 
 import httpx
 
@@ -20,6 +21,10 @@
 """Timeout of the HTTP client, slightly longer than `DEADLINE_MS`."""
 PATHS = ("/chat/x", "/book/x", "/look/x")
 """One path for each kind of route: streaming, non-idempotent, idempotent."""
+MAX_TAKE_UPS = 2
+"""How often a caller takes up a stream that was cut."""
+TAKE_UP_DELAY_S = 0.2
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \S+\n\n")
 
 
 class CallEnd(enum.Enum):
@@ -45,6 +50,9 @@
         status: HTTP status of the response; 0 if none was received.
         body: the part of the body that was received.
         headers: response headers, with names in lower case.
+        resumes: request that brought the first event of the stream that was
+            taken up; empty if none was.
+        resume_after: number of the last event that the caller had.
     """
 
     request_id: str
@@ -56,6 +64,16 @@
     status: int = 0
     body: bytes = b""
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    resumes: str = ""
+    resume_after: int = 0
+
+    @property
+    def events(self) -> list[tuple[int, str]]:
+        """Number and version of each complete event of a stream."""
+        return [
+            (int(number), version.decode())
+            for number, version in _EVENT.findall(self.body)
+        ]
 
     @property
     def is_complete(self) -> bool:
@@ -64,12 +82,9 @@
         A stream is complete if it has the IDs of all events, in order.
         """
         if self.path.startswith("/chat/"):
-            ids = [
-                int(line[3:])
-                for line in self.body.decode().splitlines()
-                if line.startswith("id:")
-            ]
-            return ids == list(range(1, opaque_target.EVENT_COUNT + 1))
+            ids = [number for number, _ in self.events]
+            first = self.resume_after + 1
+            return ids == list(range(first, opaque_target.EVENT_COUNT + 1))
         return self.body == b"done"
 
 
@@ -112,21 +127,54 @@
             while True:
                 router = self.rng.choice(sorted(self.world.routers))
                 path = self.rng.choice((*PATHS, self.newest_path))
-                self.records.append(await self.call(http, router, path))
+                record = await self.call(http, router, path)
+                self.records.append(record)
+                await self._take_up(http, record)
                 await asyncio.sleep(self.rng.uniform(*CALL_PAUSE_RANGE_S))
 
+    async def _take_up(
+        self, http: httpx.AsyncClient, first: CallRecord
+    ) -> None:
+        """Takes up a stream that was cut, at any router."""
+        last = first
+        for _ in range(MAX_TAKE_UPS):
+            if not first.events or (last.status == 200 and last.is_complete):
+                return
+            await asyncio.sleep(TAKE_UP_DELAY_S)
+            after = last.events[-1][0] if last.events else last.resume_after
+            if after == opaque_target.EVENT_COUNT:
+                return
+            router = self.rng.choice(sorted(self.world.routers))
+            last = await self.call(
+                http, router, first.path, first.request_id, after
+            )
+            self.records.append(last)
+
     async def call(
-        self, http: httpx.AsyncClient, router: str, path: str
+        self,
+        http: httpx.AsyncClient,
+        router: str,
+        path: str,
+        resumes: str = "",
+        resume_after: int = 0,
     ) -> CallRecord:
         """Sends one request to a router and returns its result.
 
         HTTP errors are recorded in `CallRecord.end` and not raised.
+
+        Args:
+            http: client of the caller.
+            router: name of the router.
+            path: path of the request.
+            resumes: request that began the stream to take up; empty to begin.
+            resume_after: number of the last event that the caller has.
         """
         request_id = next(self.request_ids)
         sent_at = world_lib.read_time()
         body = b""
         status = 0
         headers: dict[str, str] = {}
+        resumed = {"resumes": resumes, "last-event-id": str(resume_after)}
         end = CallEnd.ANSWERED
         try:
             async with http.stream(
@@ -137,6 +185,7 @@
                     "api-key": platform_world.API_KEY,
                     "request-id": request_id,
                     "request-deadline": str(DEADLINE_MS),
+                    **(resumed if resumes else {}),
                 },
             ) as response:
                 status = response.status_code
@@ -160,4 +209,6 @@
             status,
             body,
             headers,
+            resumes,
+            resume_after,
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -61,6 +61,7 @@
     """Runs all checks; returns one line for each violated guarantee."""
     checks = (
         check_answers,
+        check_streams,
         check_not_run,
         check_at_most_once,
         check_planned_changes,
@@ -90,6 +91,20 @@
             )
 
 
+def check_streams(observations: Observations) -> Iterator[str]:
+    """Checks that each stream has the events of one version, each once."""
+    events: dict[str, list[tuple[int, str]]] = collections.defaultdict(list)
+    for record in observations.records:
+        if record.path.startswith("/chat/"):
+            events[record.resumes or record.request_id] += record.events
+    for request_id, found in events.items():
+        numbers = [number for number, _ in found]
+        if numbers != list(range(1, len(numbers) + 1)):
+            yield f"events missing or repeated: {request_id} {numbers}"
+        if len({version for _, version in found}) > 1:
+            yield f"events of several versions: {request_id} {found}"
+
+
 def check_not_run(observations: Observations) -> Iterator[str]:
     """Checks that requests refused as not run were run by no target."""
     for record in observations.records:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -83,6 +83,7 @@
             self._terminate_router,
             self._reload_router,
             self._kill_target,
+            self._restart_target,
             self._pause_target,
             self._drain_target,
             self._quieten_target,
@@ -236,6 +237,17 @@
         await self.world.write("keyed.servers", name, b"")
         await self._add_target()
 
+    async def _restart_target(self) -> None:
+        """Kills a target; it is back under its name at another version."""
+        with self._disturb(Kind.KILL, self._list_disturbable_targets()) as name:
+            if name is None:
+                return
+            self.world.kill(name)
+            await self._wait_fault_duration()
+            version = self.rng.choice(world_lib.VERSIONS)
+            await self.world.start_target(name, version)
+            await self.world.wait_until(lambda: self.world.is_running(name))
+
     async def _drain_target(self) -> None:
         """Adds a target, then drains and kills another one as planned."""
         name = self._reserve(self._list_disturbable_targets())
--- a/soak/world.py
+++ b/soak/world.py
@@ -12,6 +12,8 @@
 from tests.forwarding import platform_world
 
 STORE = "store"
+VERSIONS = ("v1", "v2")
+"""Versions of the software of targets, which serve side by side."""
 WRITE_RETRY_S = 0.2
 """Pause before a write that failed is retried."""
 
@@ -44,6 +46,12 @@
         """Returns the address of the proxy in front of a target."""
         return await self._get_proxy_address(f"*>{name}", self.targets[name])
 
+    async def add_target(self, name: str, version: str = "") -> None:
+        """Starts a target; by default, each version has half of them."""
+        if not version:
+            version = VERSIONS[len(self.targets) % len(VERSIONS)]
+        await super().add_target(name, version)
+
     async def write(self, topic: str, key: str, value: bytes) -> None:
         """Writes a record of a keyed topic.
 
--- a/tests/forwarding/platform_world.py
+++ b/tests/forwarding/platform_world.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import dataclasses
 import itertools
 import json
 import os
@@ -25,6 +26,8 @@
 """Longest time that a test waits for a condition. On a busy machine, a start
 takes half of it."""
 POLL_INTERVAL_S = 0.02
+TARGET_SLOTS = 30
+NS_PER_MS = 1_000_000
 _REQUEST_NUMBERS = itertools.count(1)
 
 
@@ -43,6 +46,19 @@
     return len(record).to_bytes(4, "big") + record
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetProcess:
+    """A process of a target.
+
+    Attributes:
+        version: version of its software.
+        born_ms: start of the process, Unix milliseconds.
+    """
+
+    version: str
+    born_ms: int
+
+
 class PlatformWorld:
     """A store, targets and routers that run as processes.
 
@@ -54,6 +70,7 @@
         routers: addresses that each router listens on, by name of the router
             and then by role: "front", "ready" or "directory".
         targets: address that each target listens on, by name.
+        target_processes: process that each target runs or ran last, by name.
         store_address: address that the store listens on.
         version: version of the configuration published last; 0 if none.
         python_path: PYTHONPATH of the processes.
@@ -68,6 +85,7 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.routers: dict[str, dict[str, str]] = {}
         self.targets: dict[str, str] = {}
+        self.target_processes: dict[str, TargetProcess] = {}
         self.store_address = f"{ports.HOST}:{self._take_port()}"
         self.version = 0
         self.python_path = os.pathsep.join(
@@ -132,7 +150,13 @@
         config = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": "pool", "max_conns": 100}],
+            "services": [
+                {
+                    "name": "pool",
+                    "max_conns": 100,
+                    "engine": {"slots": TARGET_SLOTS, "kv_tokens": 100_000},
+                }
+            ],
             "tenants": [{"name": "ashby", "api_keys": [API_KEY]}],
         }
         await self.write("keyed.op", "config", json.dumps(config).encode())
@@ -160,22 +184,52 @@
         )
         response.raise_for_status()
 
-    async def add_target(self, name: str) -> None:
-        """Starts a target and registers it in the store as ready."""
-        port = self._take_port()
-        self.targets[name] = f"{ports.HOST}:{port}"
-        module = "tests.standins.opaque_target"
-        self._spawn(name, "-m", module, ports.HOST, str(port), name)
+    async def add_target(self, name: str, version: str = "v1") -> None:
+        """Starts a target and registers it in the store as ready.
+
+        Args:
+            name: name of the target.
+            version: version of its software.
+        """
+        self.targets[name] = f"{ports.HOST}:{self._take_port()}"
+        await self.start_target(name, version)
+
+    async def start_target(self, name: str, version: str) -> None:
+        """Starts a process of a target at its address and registers it."""
+        process = TargetProcess(version, time.time_ns() // NS_PER_MS)
+        self.target_processes[name] = process
+        host, port = self.targets[name].split(":")
+        self._spawn(
+            name,
+            "-m",
+            "tests.standins.opaque_target",
+            host,
+            port,
+            name,
+            version,
+            str(process.born_ms),
+        )
         await self.write_target_entry(name, "ready")
 
+    async def is_running(self, name: str) -> bool:
+        """Returns whether a target answers."""
+        try:
+            await self.http.get(f"http://{self.targets[name]}/runs")
+        except httpx.HTTPError:
+            return False
+        return True
+
     async def write_target_entry(self, name: str, state: str) -> None:
         """Writes the entry of a target, with this state, to the store."""
+        process = self.target_processes[name]
         entry = {
             "service": "pool",
             "address": await self.get_target_address(name),
             "zone": "east",
-            "slots": 30,
+            "slots": TARGET_SLOTS,
             "state": state,
+            "version": process.version,
+            "born": process.born_ms,
         }
         await self.write("keyed.servers", name, json.dumps(entry).encode())
 
--- a/tests/standins/opaque_target.py
+++ b/tests/standins/opaque_target.py
@@ -1,8 +1,10 @@
 """Stand-in for a target of the forwarding router.
 
-Run as `python -m tests.standins.opaque_target HOST PORT NAME`. Requests to
-paths below `/chat/` are answered with a stream of 20 events, 50 ms apart, all
-others with a short body. A request for another instance is refused with 421.
+Run as `python -m tests.standins.opaque_target HOST PORT NAME VERSION BORN_MS`.
+Requests to paths below `/chat/` are answered with a stream of 20 events, 50 ms
+apart, whose text names the version, all others with a short body. A request for
+another instance is refused with 421. `GET /v1/report` tells the start of the
+process.
 
 `PUT /notices` with `{"leaving": true}` makes all responses say that the target
 is leaving; with `{"quiet_s": 0.5}` requests are turned away for that time.
@@ -28,13 +30,17 @@
 
     Attributes:
         name: name of this instance.
+        version: version of its software.
+        born_ms: start of its process, Unix milliseconds.
         runs: ids of the requests that ran, in the order of their start.
         is_leaving: whether responses say that the target is leaving.
         quiet_until: until when requests are turned away, monotonic seconds.
     """
 
-    def __init__(self, name: str):
+    def __init__(self, name: str, version: str, born_ms: int):
         self.name = name
+        self.version = version
+        self.born_ms = born_ms
         self.runs: list[str] = []
         self.is_leaving = False
         self.quiet_until = 0.0
@@ -58,6 +64,10 @@
         if headers.get(b"expected-instance") != self.name.encode():
             await self.send_response(send, 421, [], b"")
             return
+        if scope["path"] == "/v1/report":
+            report = json.dumps({"born": self.born_ms})
+            await self.send_response(send, 200, [], report.encode())
+            return
         quiet_s = self.quiet_until - time.monotonic()
         if quiet_s > 0:
             turned_away = [
@@ -106,17 +116,25 @@
         )
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
-            event = b"id: %d\ndata: word%d\n\n" % (number, number)
+            text = f"id: {number}\ndata: {self.version} word{number}\n\n"
             await send(
-                {"type": "http.response.body", "body": event, "more_body": True}
+                {
+                    "type": "http.response.body",
+                    "body": text.encode(),
+                    "more_body": True,
+                }
             )
         await send({"type": "http.response.body", "body": b""})
 
 
-def main(host: str, port: str, name: str) -> None:
+def main(host: str, port: str, name: str, version: str, born: str) -> None:
     """Serves the target until the process is stopped."""
     config = uvicorn.Config(
-        Target(name), host=host, port=int(port), lifespan="off", log_config=None
+        Target(name, version, int(born)),
+        host=host,
+        port=int(port),
+        lifespan="off",
+        log_config=None,
     )
     uvicorn.Server(config).run()
 
