--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -69,6 +69,7 @@
         born_ms: start of that process, Unix milliseconds; differs from the
             entry until the list has been updated.
         stream_length: number of events in a stream.
+        reports: number of reports that were read.
     """
 
     def __init__(self, entry: target_list.Entry):
@@ -76,6 +77,7 @@
         self.version = entry.version
         self.born_ms = entry.started_at_ms
         self.stream_length = 20
+        self.reports = 0
         self.headers = ""
         self.respond = self.respond_plainly
         self.arrivals: list[Arrival] = []
@@ -167,6 +169,7 @@
         loop = asyncio.get_running_loop()
         head = data.partition(b"\r\n\r\n")[0]
         if head.startswith(b"GET /v1/report "):
+            self.target.reports += 1
             report = fake_target.make_report(self.target.born_ms)
             loop.call_later(NETWORK_DELAY_S, self._deliver, report)
             return
@@ -346,14 +349,16 @@
             target.version = version
         target.is_up = True
         if is_listed:
-            target.entry = dataclasses.replace(
-                target.entry,
-                started_at_ms=target.born_ms,
-                version=target.version,
-            )
-            self._list_target(target)
+            self.list_process(target)
         return target
 
+    def list_process(self, target: Target) -> None:
+        """Lists the process that a target runs now."""
+        target.entry = dataclasses.replace(
+            target.entry, started_at_ms=target.born_ms, version=target.version
+        )
+        self._list_target(target)
+
     def remove_target(self, name: str) -> None:
         """Ends a target and removes it from the list."""
         self.targets.pop(name).crash()
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -26,11 +26,13 @@
     Attributes:
         fleet: the routers and targets.
         tries: what each try got.
+        tasks: tries that may not have ended yet.
     """
 
     def __init__(self, fleet: gateway_fleet.Fleet):
         self.fleet = fleet
         self.tries: list[gateway_fleet.Result] = []
+        self.tasks: list[asyncio.Task] = []
 
     @property
     def events(self) -> list[tuple[int, str]]:
@@ -46,6 +48,11 @@
         """The versions that wrote the events."""
         return {version for _, version in self.events}
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether no try goes on."""
+        return all(task.done() for task in self.tasks)
+
     @property
     def is_whole(self) -> bool:
         """Whether all events came, each once, and the end."""
@@ -59,7 +66,7 @@
 
     def begin(self, router: str) -> None:
         """Sends the first try."""
-        self._send(router)
+        self.tasks.append(self._send(router))
 
     async def take_up(self, router: str, **headers: str) -> None:
         """Sends the next try, as callers do; returns when it has ended.
