--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/stream_origins.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/stream_origins.py
@@ -14,7 +14,7 @@
 KEY_BYTES = 8
 MAX_STREAMS = 20_000
 """Number of streams that are remembered; the oldest are dropped first. At this
-number they take about 6 MB."""
+number they take about 5 MB."""
 MAX_KEPT_S = 3600.0
 """Longest time, in seconds, for which a stream is remembered."""
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -17,7 +17,6 @@
 from lentilbeam_core.forwarding import event_stream
 from lentilbeam_core.forwarding import placement as placement_lib
 from lentilbeam_core.forwarding import requests
-from lentilbeam_core.forwarding import stream_origins
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router.forwarding import caller_channel
@@ -26,7 +25,9 @@
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
 from lentilbeam_router.forwarding import origin_exchange as origin_exchange_lib
+from lentilbeam_router.forwarding import process_check
 from lentilbeam_router.forwarding import progress as progress_lib
+from lentilbeam_router.forwarding import resumption as resumption_lib
 from lentilbeam_router.forwarding import wire as wire_lib
 
 MAX_BUFFERED_BYTES = 65_536
@@ -38,12 +39,6 @@
 ANSWERED_AFTER_EVENTS = 3
 """Number of events of a stream after which its target counts as unharmed by the
 request. A target that a request crashes sends one or two at most."""
-KEPT_MARGIN_S = 5.0
-"""Time, in seconds, for which the origin of a stream is remembered beyond the
-deadline of the request that began it."""
-CONFIRM_TIMEOUT_S = 0.5
-"""Longest time, in seconds, for a target to tell when its process started."""
-
 FindDispatcher = Callable[[ids.PoolId], dispatcher_lib.Dispatcher]
 
 
@@ -126,7 +121,7 @@
         except TimeoutError:
             await run.give_up("timeout")
         finally:
-            self.origin_exchange.note_end(request.request_id)
+            run.resumption.note_end()
             self.crash_evidence.note_end(
                 request.request_id,
                 request.crash_identities,
@@ -162,7 +157,9 @@
         self.crash_evidence = forwarder.crash_evidence
         self.is_answered = False
         self.sent_at = 0.0
-        self.origin: stream_origins.Origin | None = None
+        self.resumption = resumption_lib.Resumption(
+            request_head, request, forwarder.origin_exchange, self.clock
+        )
         self.progress = progress_lib.Progress(
             event_stream.EventStreamParser(request_head.resume_after)
         )
@@ -179,7 +176,7 @@
                 decision = await self.dispatcher.place(
                     self.request,
                     frozenset(self.progress.tried),
-                    self.origin.version if self.origin else None,
+                    self.resumption.version,
                 )
             if isinstance(decision, admission.Placed):
                 blocked = self._refuse_if_blocked()
@@ -197,80 +194,36 @@
                 return
 
     async def _find_origin(self) -> admission.Refused | None:
-        """Finds out what began the stream that the request goes on with.
+        """Finds out what began the stream that the caller takes up.
 
         Returns:
-            A refusal if it can't go on here; else None.
+            A refusal if the stream can't go on here; else None.
         """
-        is_stream = self.route.kind is configuration.RouteKind.STREAMING
-        if not is_stream or self.request_head.resume_after is None:
+        resumption = self.resumption
+        if not resumption.is_taken_up:
             return None
-        resumes = self.request_head.resumes
-        if resumes is None:
-            self.origin = self._find_only_origin()
-        elif resumes:
-            self.origin = await self.forwarder.origin_exchange.find(
-                self._compute_key()
-            )
+        is_known = await resumption.find_origin(self.dispatcher.targets)
         now = self.clock.monotonic()
-        if self.origin is None:
+        if not is_known:
+            self._record(
+                "origin_unknown",
+                resumes=self.request_head.resumes,
+                resume_after=self.request_head.resume_after,
+            )
             # Another router may know, or this one when it is heard again.
             return self.dispatcher.admission.refuse(
                 self.request, admission.RefusalReason.UNKNOWN_ORIGIN, now
             )
-        pools = {weight.pool for weight in self.route.pool_weights}
-        if self.origin.pool not in pools:
+        pool = resumption.origin.pool
+        if pool not in {weight.pool for weight in self.route.pool_weights}:
             return self.dispatcher.admission.refuse_for_long(
                 self.request, admission.RefusalReason.VERSION_GONE, now
             )
-        if self.origin.pool != self.request.pool:
-            self.request = dataclasses.replace(
-                self.request, pool=self.origin.pool
-            )
-            self.dispatcher = self.find_dispatcher(self.origin.pool)
+        if pool != self.request.pool:
+            self.request = dataclasses.replace(self.request, pool=pool)
+            self.dispatcher = self.find_dispatcher(pool)
         return None
 
-    def _find_only_origin(self) -> stream_origins.Origin | None:
-        """Returns the origin of any stream if there is only one version.
-
-        Callers that don't name the request that began their stream predate
-        software versions.
-        """
-        pool = self.request.pool
-        versions = self.dispatcher.targets.find_versions(
-            pool, self.clock.monotonic()
-        )
-        if len(versions) != 1 or len(self.route.pool_weights) != 1:
-            return None
-        return stream_origins.Origin(pool, versions.pop())
-
-    def _compute_key(self) -> int:
-        """Returns the key of the stream: that of its caller's first request."""
-        return stream_origins.compute_key(
-            self.request.workspace,
-            self.request_head.resumes or self.request.request_id,
-        )
-
-    def _note_stream_began(self, target: target_list.Entry) -> None:
-        """Records what began the stream, before its first event is passed on.
-
-        A stream that goes on is recorded again: routers that knew it may have
-        been restarted.
-        """
-        if self.origin is None:
-            self.origin = stream_origins.Origin(
-                self.request.pool, target.version
-            )
-        if not self.route.is_resumable or not self.origin.version:
-            return
-        deadline_s = self.request_head.deadline_s or 0.0
-        self.forwarder.origin_exchange.note_began(
-            self.request.request_id,
-            self._compute_key(),
-            self.origin,
-            max(deadline_s, self.route.timeout_s) + KEPT_MARGIN_S,
-        )
-
     def _refuse_if_blocked(self) -> admission.Refused | None:
         """Returns a refusal if the request would crash its target."""
         request = self.request
@@ -309,14 +262,14 @@
     ) -> progress_lib.SendOutcome:
         target = placement.target
         try:
-            # A request that isn't retryable gets a new connection: an idle one
-            # may be dead, and then it is unknown whether the request ran.
-            connection = await self.forwarder.connections.acquire(
-                target, not self.route.is_retryable
-            )
+            connection = await self._acquire_connection(target)
         except connection_lib.ConnectFailedError as error:
             self.dispatcher.note_end(self.request.request_id)
-            self._note_failure(target, is_fault=True)
+            is_other_process = (
+                isinstance(error, process_check.UnconfirmedError)
+                and error.start_ms != 0
+            )
+            self._note_failure(target, is_fault=not is_other_process)
             self.progress.tried.add(target.name)
             return progress_lib.SendOutcome(
                 progress_lib.SendResult.NOT_RUN, f"connect: {error}"
@@ -325,9 +278,6 @@
             self.dispatcher.note_end(self.request.request_id)
             raise
         try:
-            unconfirmed = await self._confirm_process(target, connection)
-            if unconfirmed is not None:
-                return unconfirmed
             await self._catch_up()
             self._check_deadline()
             return await self._exchange(placement, connection)
@@ -335,70 +285,41 @@
             self.dispatcher.note_end(self.request.request_id)
             self.forwarder.connections.release(target, connection)
 
-    async def _confirm_process(
-        self,
-        target: target_list.Entry,
-        connection: connection_lib.TargetConnection,
-    ) -> progress_lib.SendOutcome | None:
-        """Makes sure that a stream is sent to the process that is listed.
-
-        A target may be back under its ID at another version before the list
-        tells. Unless the process is known, the target is asked first, on the
-        connection that the request will use.
+    async def _acquire_connection(
+        self, target: target_list.Entry
+    ) -> connection_lib.TargetConnection:
+        """Returns a connection to a target.
 
-        Returns:
-            The outcome if another process runs, or if it can't be told.
+        Raises:
+            ConnectFailedError: it couldn't be opened, or does not lead to the
+                listed process, whose version the stream needs.
         """
+        connections = self.forwarder.connections
+        # A request that isn't retryable gets a new connection: an idle one may
+        # be dead, and then it is unknown whether the request ran.
+        must_be_new = not self.route.is_retryable
         if (
             not self.route.is_resumable
             or self.dispatcher.pool.engine is None
             or target.started_at_ms == 0
         ):
-            return None
-        if connection.process_start_ms == 0:
-            connection.process_start_ms = await self._ask_process_start(
-                target, connection
-            )
-        start_ms = connection.process_start_ms
-        is_listed = self.dispatcher.targets.is_listed(target)
-        if start_ms == target.started_at_ms and is_listed:
-            return None
-        self.progress.tried.add(target.name)
-        self._record(
-            "process_unconfirmed",
-            target=target.name,
-            listed_start_ms=target.started_at_ms,
-            start_ms=start_ms,
-        )
-        connection.close()
-        self._note_failure(target, is_fault=start_ms == 0)
-        return progress_lib.SendOutcome(
-            progress_lib.SendResult.NOT_RUN, "process not confirmed"
-        )
-
-    async def _ask_process_start(
-        self,
-        target: target_list.Entry,
-        connection: connection_lib.TargetConnection,
-    ) -> int:
-        """Returns when the process started; 0 if it doesn't tell."""
-        codec = self.forwarder.codec
-        connection.start(codec.encode_process_query(target))
-        body = b""
+            return await connections.acquire(target, must_be_new)
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
-                head = await connection.receive()
-                while isinstance(item := await connection.receive(), bytes):
-                    body += item
-        except (
-            TimeoutError,
-            connection_lib.BrokenError,
-            connection_lib.InvalidResponseError,
-        ):
-            return 0
-        if head.status != 200 or not connection.may_reuse:
-            return 0
-        return codec.decode_process_start(body) or 0
+            connection = await process_check.acquire(
+                connections, target, must_be_new, self.forwarder.codec
+            )
+            if not self.dispatcher.targets.is_listed(target):
+                connections.release(target, connection)
+                raise process_check.UnconfirmedError(target.started_at_ms)
+        except process_check.UnconfirmedError as error:
+            self._record(
+                "process_unconfirmed",
+                target=target.name,
+                listed_start_ms=target.started_at_ms,
+                start_ms=error.start_ms,
+            )
+            raise
+        return connection
 
     async def _catch_up(self) -> None:
         """Lets the event loop read what has arrived, if it has not lately.
@@ -614,7 +535,7 @@
             if is_first:
                 is_first = False
                 note_first_event()
-                self._note_stream_began(target)
+                self.resumption.note_began(target)
             if events.numbered_event_count >= answered_at:
                 self._note_answered()
             if not self.channel.is_started:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -365,6 +365,7 @@
             "targets_listed": len(self.targets.entries),
             "targets_lapsing": len(self.targets.pending_removals),
             "parts_blocked": len(self.prompt_blocks.evidence.list_blocks()),
+            "streams_remembered": len(self.origin_exchange.origins.records),
             "log_lines_dropped": self.log.total_dropped,
         }
         for name, dispatcher in self.dispatchers.items():
--- a/tests/forwarding/test_stream_origins.py
+++ b/tests/forwarding/test_stream_origins.py
@@ -196,3 +196,27 @@
     assert known == [10]
     if disturbance == "none":
         assert sent == [30]
+
+
+# Guards against streams at unknown processes, and against needless refusals:
+# some targets close the connection after an answer, or do not tell their start.
+@pytest.mark.parametrize(
+    ("headers", "status", "is_served_there"),
+    [("", 200, True), ("Connection: close\r\n", 200, False), ("", 404, False)],
+)
+def test_a_target_that_does_not_tell_its_process_begins_no_stream(
+    headers, status, is_served_there
+):
+    reached = []
+
+    async def scenario(fleet):
+        streams_lib.add_targets(fleet, t0="v1", t1="v1")
+        fleet.targets["t0"].report_headers = headers
+        fleet.targets["t0"].report_status = status
+        streams = await streams_lib.begin_streams(fleet, 10)
+        await asyncio.sleep(2.0)
+        assert all(stream.is_whole for stream in streams)
+        reached.append(len(fleet.targets["t0"].arrivals) > 0)
+
+    streams_lib.build_fleet().run(scenario)
+    assert reached == [is_served_there]
