--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,7 +24,7 @@
 MAX_TAKE_UPS = 2
 """How often a caller takes up a stream that was cut."""
 TAKE_UP_DELAY_S = 0.2
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \S+\n\n")
+_EVENT = re.compile(rb"id: (\d+)\ndata: \S+ (\S+)\n\n")
 
 
 class CallEnd(enum.Enum):
--- a/soak/run.py
+++ b/soak/run.py
@@ -50,7 +50,8 @@
     Attributes:
         violations: one line for each violated guarantee.
         end_counts: number of requests by HTTP status, or by the value of
-            `callers.CallEnd` if there was no response.
+            `callers.CallEnd` if there was no response; and the numbers of
+            streams that were taken up, and that went on.
         disturbance_counts: number of disturbances by the value of
             `disturbances.Kind`.
     """
@@ -95,6 +96,9 @@
     end_counts = collections.Counter(
         str(record.status or record.end.value) for record in callers.records
     )
+    taken_up = [record for record in callers.records if record.resumes]
+    end_counts["taken_up"] = len(taken_up)
+    end_counts["went_on"] = sum(bool(record.events) for record in taken_up)
     kinds = collections.Counter(
         e.kind.value for e in injector.disturbance_log.entries
     )
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -282,3 +282,68 @@
         await world.wait_until(is_newer_in_force)
 
     run_scenario(tmp_path, scenario)
+
+
+# Guards against ORDER with real processes: a caller whose router was killed
+# takes its stream up at another one.
+def test_stream_of_a_killed_router_goes_on_at_its_version(tmp_path):
+    async def read_part(world, router, request_id):
+        """Returns what came of a stream until its router was killed."""
+        received = b""
+        headers = {
+            "host": platform_world.HOST,
+            "api-key": platform_world.API_KEY,
+            "request-id": request_id,
+            "request-deadline": "8000",
+        }
+        url = f"http://{world.routers[router]['front']}/chat/1"
+        try:
+            async with world.http.stream("POST", url, headers=headers) as part:
+                async for chunk in part.aiter_raw():
+                    received += chunk
+        except httpx.HTTPError:
+            pass
+        return received
+
+    async def scenario(world):
+        await world.add_target("t3", "v2")
+        await world.add_target("t4", "v2")
+
+        async def are_listed():
+            return all(
+                f'"target":"{name}"' in world.read_log(router)
+                for name in ("t3", "t4")
+                for router in world.routers
+            )
+
+        await world.wait_until(are_listed)
+        await world.wait_until(lambda: world.is_running("t3"))
+        await world.wait_until(lambda: world.is_running("t4"))
+        names = [f"began-{number}" for number in range(12)]
+        parts = [
+            asyncio.create_task(read_part(world, "router-1", name))
+            for name in names
+        ]
+        await asyncio.sleep(0.5)
+        world.processes["router-1"].kill()
+        begun = [
+            (name, part)
+            for name, part in zip(
+                names, await asyncio.gather(*parts), strict=True
+            )
+            if b"id: " in part
+        ]
+        for name, part in begun:
+            last = part.count(b"id: ")
+            response = await world.call(
+                "router-2",
+                "/chat/1",
+                **{"resumes": name, "last-event-id": str(last)},
+            )
+            assert response.status_code == 200
+            whole = (part + response.content).decode()
+            assert whole.count("data: word") == 20
+            assert whole.count(" v1\n") in (0, 20)
+        return len(begun)
+
+    assert run_scenario(tmp_path, scenario) > 0
--- a/tests/standins/opaque_target.py
+++ b/tests/standins/opaque_target.py
@@ -116,7 +116,7 @@
         )
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
-            text = f"id: {number}\ndata: {self.version} word{number}\n\n"
+            text = f"id: {number}\ndata: word{number} {self.version}\n\n"
             await send(
                 {
                     "type": "http.response.body",
