--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -194,6 +194,9 @@
 
     def _arrive(self, request: requests.Request, now: float) -> None:
         index = self.rng.randrange(len(self.routers))
+        for rank in self.pattern.one_router:
+            if request.workspace == f"w{rank}":
+                index = rank % len(self.routers)
         self.router_by_request[request.request_id] = index
         self.routers[index].enqueue(request, now)
         self._decide(index, now)
--- a/bench/overload/patterns.py
+++ b/bench/overload/patterns.py
@@ -89,6 +89,8 @@
         lost_engines: number of engines that fail when the peak begins.
         impatient: fraction of the callers that retry immediately after a
             refusal.
+        one_router: workspaces, by rank of their size, whose callers all come
+            to the same router.
     """
 
     name: str
@@ -99,6 +101,7 @@
     long_prompts: float = 1.0
     lost_engines: int = 0
     impatient: float = 0.0
+    one_router: tuple[int, ...] = ()
 
 
 PATTERNS = (
@@ -109,6 +112,8 @@
     Pattern("long_prompts", long_prompts=3.0),
     Pattern("lost_engines", lost_engines=2, burst=1.5),
     Pattern("impatient", burst=2.5, impatient=0.5),
+    Pattern("few_engines", lost_engines=5, burst=2.5, one_router=(4,)),
+    Pattern("few_engines_two", lost_engines=5, burst=2.5, one_router=(4, 9)),
 )
 
 
--- a/tests/forwarding/test_load_patterns.py
+++ b/tests/forwarding/test_load_patterns.py
@@ -21,10 +21,13 @@
 
 
 @functools.cache
-def simulate(pattern: str, policy: str, seed: int):
+def simulate(pattern: str, policy: str, seed: int, engines: int = 6):
     """Returns the summary of a pattern of load under a routing policy."""
     fleet = fleet_lib.Fleet(
-        PATTERNS[pattern], POLICIES[policy], fleet_lib.FleetSize(), seed
+        PATTERNS[pattern],
+        POLICIES[policy],
+        fleet_lib.FleetSize(engines=engines),
+        seed,
     )
     return report.summarize(fleet, fleet.run(seed))
 
@@ -38,6 +41,16 @@
     assert summary["worst_due"] > MIN_FAIR_FRACTION
 
 
+# Guards against FAIR when five of eight engines are gone, four times what the
+# others can begin is asked for, and the callers of a workspace or of two come
+# to one router only.
+@pytest.mark.parametrize("seed", (1, 2, 3))
+@pytest.mark.parametrize("pattern", ["few_engines", "few_engines_two"])
+def test_each_workspace_gets_half_its_fair_share_of_few_engines(pattern, seed):
+    summary = simulate(pattern, "shipped", seed, engines=8)
+    assert summary["worst_due"] > MIN_FAIR_FRACTION
+
+
 @pytest.mark.parametrize("pattern", ["burst", "lost_engines", "flood"])
 def test_worth_is_much_closer_to_the_limit_than_with_prefix_hashing(pattern):
     by_hash = simulate(pattern, "prefix_hash", 1)
