--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -263,7 +263,9 @@
         if request.prompt is None or self.pool.engine is None:
             return self._choose_plain(targets, now)
         prefix = self._find_cached(request.prompt, targets)
-        lone = find_lone(targets) if request.route.is_resumable else frozenset()
+        lone = frozenset()
+        if request.route.is_resumable:
+            lone = find_lone_versions(targets)
         best = None
         for index in self._sample(targets, prefix):
             entry = targets[index]
@@ -465,7 +467,7 @@
         return self.rng.choice(nearby or holders)
 
 
-def find_lone(targets: Iterable[target_list.Entry]) -> frozenset[str]:
+def find_lone_versions(targets: Iterable[target_list.Entry]) -> frozenset[str]:
     """Returns the software versions that only one of several targets runs."""
     counts = collections.Counter(entry.version for entry in targets)
     if len(counts) < 2:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -164,3 +164,34 @@
     queue.placer.loads.apply_report("peer", (two_free_slots,), 0.1)
     placed, _ = decide(queue, 0.1, targets)
     assert [d.request.request_id for d in placed] == ["second"]
+
+
+def test_request_that_resumes_a_stream_goes_before_new_ones():
+    queue = makers.make_admission()
+    for n in range(4):
+        queue.enqueue(makers.make_request(f"n{n}", SMALL_PART), 0.0)
+    resumed = makers.make_request("resumed", SMALL_PART)
+    queue.enqueue(resumed, 0.0, version="v1")
+    placed, _ = decide(queue, 0.0)
+    assert placed[0].request.request_id == "resumed"
+
+
+def test_request_that_resumes_a_stream_waits_for_its_version():
+    queue = makers.make_admission()
+    resumed = makers.make_request("resumed", SMALL_PART)
+    queue.enqueue(resumed, 0.0, version="v2")
+    assert decide(queue, 0.9) == ([], [])
+    others = [*TARGETS, makers.make_target("b", version="v2")]
+    placed, _ = decide(queue, 0.91, others)
+    assert [d.placement.target.name for d in placed] == ["b"]
+
+
+def test_request_that_resumes_a_stream_is_refused_once_its_version_is_gone():
+    queue = makers.make_admission()
+    resumed = makers.make_request("resumed", SMALL_PART)
+    queue.enqueue(resumed, 0.0, version="v2")
+    queue.enqueue(makers.make_request("new", SMALL_PART), 0.0)
+    refused = queue.refuse_without_version(lambda version: False, 0.0)
+    assert [d.request.request_id for d in refused] == ["resumed"]
+    assert refused[0].reason is admission.RefusalReason.VERSION_GONE
+    assert queue.count_waiting() == 1
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -1,6 +1,7 @@
 """Choice of a target by load, cached prompt parts and reserved capacity."""
 
 import collections
+import dataclasses
 
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import configuration
@@ -219,3 +220,21 @@
 
 def test_long_body_goes_elsewhere_rather_than_miss_its_goal():
     assert choose_with_backlogs(0.6, 0.0, body_bytes=100_000) == "far"
+
+
+def test_streams_avoid_the_only_target_of_a_version():
+    placer = makers.make_placer()
+    targets = [
+        makers.make_target("a", version="v2"),
+        makers.make_target("b"),
+        makers.make_target("c"),
+    ]
+    report_load(placer, "b", running=5)
+    report_load(placer, "c", running=5)
+    request = makers.make_request("r", ("p", 500))
+    chosen = placer.choose(request, targets, BELOW_GUARANTEE, 0.0).target
+    assert chosen.name != "a"
+    plain = dataclasses.replace(request.route, is_resumable=False)
+    request = dataclasses.replace(request, route=plain)
+    chosen = placer.choose(request, targets, BELOW_GUARANTEE, 0.0).target
+    assert chosen.name == "a"
