--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -11,7 +11,7 @@
 from soak import run as run_lib
 from soak import world as world_lib
 
-BODY = "".join(f"id: {n}\ndata: word{n}\n\n" for n in range(1, 21)).encode()
+BODY = "".join(f"id: {n}\ndata: word{n} v1\n\n" for n in range(1, 21)).encode()
 CI_SEED = 1
 CI_DURATION_S = 6.0
 
@@ -62,6 +62,38 @@
     )
 
 
+def make_taken_up(version="v1", first=11):
+    """Returns the records of a stream that was cut and taken up once.
+
+    Args:
+        version: version that wrote the second half.
+        first: number of the first event of the second half.
+    """
+    begun = BODY[: BODY.index(b"id: 11\n")]
+    rest = BODY[BODY.index(b"id: %d\n" % first) :]
+    cut = make_record(
+        "/chat/x", body=begun, end=callers.CallEnd.ABORTED, status=200
+    )
+    taken_up = make_record(
+        "/chat/x",
+        request_id="s",
+        headers={"request-id": "s"},
+        body=rest.replace(b" v1", f" {version}".encode()),
+        resumes="r",
+        resume_after=first - 1,
+    )
+    return cut, taken_up
+
+
+def test_a_stream_that_was_taken_up_is_no_violation():
+    assert find_violations(*make_taken_up()) == []
+
+
+@pytest.mark.parametrize("changes", [{"version": "v2"}, {"first": 10}])
+def test_a_stream_with_two_versions_or_repeated_events_is_a_violation(changes):
+    assert len(find_violations(*make_taken_up(**changes))) == 1
+
+
 def test_correct_responses_are_no_violation():
     records = (
         make_record(),
