--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -198,7 +198,7 @@
         Returns:
             Whether another limit counts than before.
         """
-        if not self._is_listed(entry.name, entry.start_ms):
+        if not self.is_listed(entry):
             return False
         before = self.limits.read_rate(entry.name, now)
         self.limits.note_response(
--- a/tests/forwarding/fake_target.py
+++ b/tests/forwarding/fake_target.py
@@ -27,7 +27,6 @@
         closed: set once a connection was closed, by either side.
         server: the server; None until `start`.
         entry: its entry; None until `start`.
-        reports: number of reports that were read.
     """
 
     def __init__(self, script: Script):
@@ -38,7 +37,6 @@
         self.closed = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.entry: target_list.Entry | None = None
-        self.reports = 0
 
     async def start(self, name: str, **changes) -> target_list.Entry:
         """Starts the server; returns the entry of the target.
@@ -64,7 +62,6 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 if head.startswith(b"GET /v1/report "):
-                    self.reports += 1
                     writer.write(make_report(self.entry.started_at_ms))
                     continue
                 self.heads.append(head)
