Split forwarder, gateway, admission and placement by responsibility

Cause: each feature so far landed in the same five modules. Decisions about requests, bounds on the load of targets, settings of a router, checks of responses and notices of targets now have modules of their own, so that several features can be built side by side.

--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -11,7 +11,7 @@
 from bench.overload import policies
 from lentilbeam_core import ids
 from lentilbeam_core import messages
-from lentilbeam_core.forwarding import admission
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 
@@ -157,7 +157,7 @@
         ]
         self.outcomes: dict[str, Outcome] = {}
         self.router_by_request: dict[str, int] = {}
-        self.placements: dict[str, admission.Placed] = {}
+        self.placements: dict[str, decisions_lib.Placed] = {}
         self.events: list[tuple[float, int, Any]] = []
         self.order = itertools.count()
         max_deadline_s = max(kind.deadline_s for kind in patterns.KINDS)
@@ -204,12 +204,14 @@
     def _decide(self, index: int, now: float) -> None:
         usable = [t for t in self.targets if t.name not in self.failed_engines]
         for decision in self.routers[index].decide(usable, now):
-            if isinstance(decision, admission.Placed):
+            if isinstance(decision, decisions_lib.Placed):
                 self._send(index, decision, now)
             else:
                 self._refuse(decision, now)
 
-    def _send(self, index: int, placed: admission.Placed, now: float) -> None:
+    def _send(
+        self, index: int, placed: decisions_lib.Placed, now: float
+    ) -> None:
         request = placed.request
         target = placed.placement.target.name
         self.outcomes[request.request_id].sent_at = now
@@ -220,7 +222,7 @@
             )
         self._schedule(now + NETWORK_DELAY_S, self._deliver, placed)
 
-    def _deliver(self, placed: admission.Placed, now: float) -> None:
+    def _deliver(self, placed: decisions_lib.Placed, now: float) -> None:
         name = placed.placement.target.name
         if name in self.failed_engines:
             self._release(placed.request.request_id, now)
@@ -239,7 +241,7 @@
         engine.receive_parts(cached_parts)
         self._schedule(received_at, self._submit, placed)
 
-    def _submit(self, placed: admission.Placed, now: float) -> None:
+    def _submit(self, placed: decisions_lib.Placed, now: float) -> None:
         name = placed.placement.target.name
         outcome = self.outcomes[placed.request.request_id]
         job = engine_lib.Job(placed.request, outcome.arrival.output)
@@ -293,7 +295,7 @@
         self.routers[index].placer.loads.end_request(name)
         self._decide(index, now)
 
-    def _refuse(self, refused: admission.Refused, now: float) -> None:
+    def _refuse(self, refused: decisions_lib.Refused, now: float) -> None:
         request = refused.request
         outcome = self.outcomes[request.request_id]
         outcome.refusals += 1
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -11,24 +11,25 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import enum
 import heapq
 import itertools
 import math
 import random
 
 from lentilbeam_core import ids
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import limit_parts as limit_parts_lib
+from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import placement as placement_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
 
 BOUNDS_BY_SHARE_STATUS = {
-    shares.ShareStatus.BELOW_GUARANTEE: placement_lib.BELOW_GUARANTEE_BOUNDS,
-    shares.ShareStatus.BELOW_FAIR_SHARE: placement_lib.BELOW_FAIR_SHARE_BOUNDS,
-    shares.ShareStatus.AT_FAIR_SHARE: placement_lib.AT_FAIR_SHARE_BOUNDS,
-    shares.ShareStatus.ABOVE_FAIR_SHARE: placement_lib.ABOVE_FAIR_SHARE_BOUNDS,
+    shares.ShareStatus.BELOW_GUARANTEE: load_bounds.BELOW_GUARANTEE_BOUNDS,
+    shares.ShareStatus.BELOW_FAIR_SHARE: load_bounds.BELOW_FAIR_SHARE_BOUNDS,
+    shares.ShareStatus.AT_FAIR_SHARE: load_bounds.AT_FAIR_SHARE_BOUNDS,
+    shares.ShareStatus.ABOVE_FAIR_SHARE: load_bounds.ABOVE_FAIR_SHARE_BOUNDS,
 }
 
 MAX_FAILED_CHOICES = 16
@@ -45,18 +46,6 @@
 between two passes."""
 
 
-class RefusalReason(enum.Enum):
-    """Why a request was refused."""
-
-    NO_ROOM = "no_room"  # No target had capacity in time.
-    NO_TARGET = "no_target"  # The pool has no usable target.
-    UNKNOWN_ORIGIN = "unknown_origin"  # Nobody knows what began the stream.
-    VERSION_GONE = "version_gone"  # No target runs the version that began it.
-    ROUTER_BUSY = "router_busy"  # The router can't keep up.
-    LIMITED = "limited"  # The targets take a limited number of requests.
-    CRASHES_TARGETS = "crashes_targets"  # Requests like it crashed targets.
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """Settings of the admission queue.
@@ -85,37 +74,6 @@
     retry_after_fraction: float = 0.3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placed:
-    """Decision to send a request to a target.
-
-    Attributes:
-        request: the request to send.
-        placement: where to send it.
-    """
-
-    request: requests.Request
-    placement: placement_lib.Placement
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """Decision not to run a request.
-
-    Attributes:
-        request: the refused request.
-        reason: why it was refused.
-        retry_after_s: delay after which the caller should retry, in seconds.
-    """
-
-    request: requests.Request
-    reason: RefusalReason
-    retry_after_s: float
-
-
-Decision = Placed | Refused
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueuedRequest:
     """A request in the queue.
@@ -248,7 +206,7 @@
         targets: list[target_list.Entry],
         now: float,
         find_supply: Callable[[], limit_parts_lib.Supply | None] = lambda: None,
-    ) -> list[Decision]:
+    ) -> list[decisions_lib.Decision]:
         """Removes from the queue all requests that can be sent or have expired.
 
         Args:
@@ -273,12 +231,12 @@
 
     def _place_waiting(
         self, targets: list[target_list.Entry], now: float
-    ) -> list[Placed]:
+    ) -> list[decisions_lib.Placed]:
         """Places requests, of the workspace with the least service first."""
         self.placer.loads.refresh(now)
         placements = self._place_resumed(targets, now)
         targets = self._drop_spent(targets)
-        full_bounds: set[placement_lib.Bounds] = set()
+        full_bounds: set[load_bounds.Bounds] = set()
         order = [
             (
                 name not in self.left_out,
@@ -315,7 +273,7 @@
 
     def _place_resumed(
         self, targets: list[target_list.Entry], now: float
-    ) -> list[Placed]:
+    ) -> list[decisions_lib.Placed]:
         """Places the requests that go on with streams, before all others.
 
         They have waited already, and only few targets can serve them.
@@ -331,7 +289,7 @@
             placement = self.placer.choose(
                 queued.request,
                 queued.select(self._drop_spent(targets)),
-                placement_lib.BELOW_GUARANTEE_BOUNDS,
+                load_bounds.BELOW_GUARANTEE_BOUNDS,
                 now,
             )
             if placement is not None:
@@ -353,9 +311,9 @@
         self,
         workspace: ids.WorkspaceId,
         targets: list[target_list.Entry],
-        bounds: placement_lib.Bounds,
+        bounds: load_bounds.Bounds,
         now: float,
-    ) -> Placed | None:
+    ) -> decisions_lib.Placed | None:
         queue = self.queues[workspace]
         for queued in itertools.islice(queue, MAX_HEAD_CANDIDATES):
             placement = self.placer.choose(
@@ -374,7 +332,7 @@
         queued: QueuedRequest,
         placement: placement_lib.Placement,
         now: float,
-    ) -> Placed:
+    ) -> decisions_lib.Placed:
         """Takes a placed request from its queue and counts it."""
         queue = self.queues[workspace]
         queue.remove(queued)
@@ -390,11 +348,11 @@
         if request.prompt is not None:
             self.placer.note_prompt_placed(target, request.prompt.parts, now)
         self.usage.note_served(workspace, requests.estimate_cost(request), now)
-        return Placed(request, placement)
+        return decisions_lib.Placed(request, placement)
 
     def _refuse_expired(
         self, targets: list[target_list.Entry], now: float
-    ) -> list[Decision]:
+    ) -> list[decisions_lib.Decision]:
         latest_queued_at = now - self.settings.at_fair_share_wait_s
         waits_briefly = {
             workspace: self._find_share_status(workspace, now)
@@ -419,7 +377,7 @@
 
     def refuse_without_version(
         self, has_version: Callable[[str], bool], now: float
-    ) -> list[Decision]:
+    ) -> list[decisions_lib.Decision]:
         """Refuses the requests that no target can go on with any more.
 
         Args:
@@ -439,7 +397,7 @@
         )
         return [
             self.refuse_for_long(
-                decision.request, RefusalReason.VERSION_GONE, now
+                decision.request, decisions_lib.RefusalReason.VERSION_GONE, now
             )
             for decision in decisions
         ]
@@ -449,7 +407,7 @@
         supply: limit_parts_lib.Supply,
         targets: list[target_list.Entry],
         now: float,
-    ) -> list[Decision]:
+    ) -> list[decisions_lib.Decision]:
         """Refuses the requests that would have to wait for too long.
 
         The retry delay is the time until a target takes the request, behind
@@ -470,9 +428,9 @@
         decisions = self._refuse_where(
             lambda queued: queued.request.request_id in retry_at, targets, now
         )
-        reason = RefusalReason.NO_TARGET
+        reason = decisions_lib.RefusalReason.NO_TARGET
         if supply.per_s > 0:
-            reason = RefusalReason.LIMITED
+            reason = decisions_lib.RefusalReason.LIMITED
         spread_s = self.settings.retry_after_range_s[0]
         return [
             dataclasses.replace(
@@ -529,10 +487,14 @@
         is_refused: Callable[[QueuedRequest], bool],
         targets: list[target_list.Entry],
         now: float,
-    ) -> list[Decision]:
+    ) -> list[decisions_lib.Decision]:
         """Removes the requests for which `is_refused` returns True."""
-        reason = RefusalReason.NO_ROOM if targets else RefusalReason.NO_TARGET
-        refused: list[Decision] = []
+        reason = (
+            decisions_lib.RefusalReason.NO_ROOM
+            if targets
+            else decisions_lib.RefusalReason.NO_TARGET
+        )
+        refused: list[decisions_lib.Decision] = []
         for workspace, queue in list(self.queues.items()):
             kept = collections.deque()
             for queued in queue:
@@ -554,8 +516,11 @@
         )
 
     def refuse(
-        self, request: requests.Request, reason: RefusalReason, now: float
-    ) -> Refused:
+        self,
+        request: requests.Request,
+        reason: decisions_lib.RefusalReason,
+        now: float,
+    ) -> decisions_lib.Refused:
         """Returns a refusal with a random retry delay.
 
         The delay spreads the retries of callers that are refused together.
@@ -564,16 +529,19 @@
         left_s = max(request.deadline_at - now, 0.0)
         wanted_s = self.rng.uniform(*self.settings.retry_after_range_s)
         bound_s = left_s * self.settings.retry_after_fraction
-        return Refused(request, reason, min(wanted_s, bound_s))
+        return decisions_lib.Refused(request, reason, min(wanted_s, bound_s))
 
     def refuse_for_long(
-        self, request: requests.Request, reason: RefusalReason, now: float
-    ) -> Refused:
+        self,
+        request: requests.Request,
+        reason: decisions_lib.RefusalReason,
+        now: float,
+    ) -> decisions_lib.Refused:
         """Returns a refusal with the longest retry delay that callers accept.
 
         The queue isn't changed.
         """
         left_s = max(request.deadline_at - now, 0.0)
-        return Refused(
+        return decisions_lib.Refused(
             request, reason, left_s * self.settings.retry_after_fraction
         )
--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -0,0 +1,50 @@
+"""What is decided about a request: where it is sent, or why it is refused."""
+
+import dataclasses
+import enum
+
+from lentilbeam_core.forwarding import placement as placement_lib
+from lentilbeam_core.forwarding import requests
+
+
+class RefusalReason(enum.Enum):
+    """Why a request was refused."""
+
+    NO_ROOM = "no_room"  # No target had capacity in time.
+    NO_TARGET = "no_target"  # The pool has no usable target.
+    UNKNOWN_ORIGIN = "unknown_origin"  # Nobody knows what began the stream.
+    VERSION_GONE = "version_gone"  # No target runs the version that began it.
+    ROUTER_BUSY = "router_busy"  # The router can't keep up.
+    LIMITED = "limited"  # The targets take a limited number of requests.
+    CRASHES_TARGETS = "crashes_targets"  # Requests like it crashed targets.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """Decision to send a request to a target.
+
+    Attributes:
+        request: the request to send.
+        placement: where to send it.
+    """
+
+    request: requests.Request
+    placement: placement_lib.Placement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Decision not to run a request.
+
+    Attributes:
+        request: the refused request.
+        reason: why it was refused.
+        retry_after_s: delay after which the caller should retry, in seconds.
+    """
+
+    request: requests.Request
+    reason: RefusalReason
+    retry_after_s: float
+
+
+Decision = Placed | Refused
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -16,47 +16,13 @@
 from lentilbeam_core import ids
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import prefill_rates
 from lentilbeam_core.forwarding import prompt_cache
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bounds:
-    """Limits on the load of a target that may get another request.
-
-    The constants below give the attributes in this order.
-
-    Attributes:
-        goal_fraction: fraction of the remaining response-time goal within
-            which the first event must be expected; the rest allows for
-            errors of the estimate.
-        prefill_fraction: maximum fraction of an engine's time that is spent
-            on prefill; the engine needs the rest to decode its running
-            streams without long gaps.
-        slots_fraction: maximum fraction of the slots that are in use before
-            the request is sent.
-    """
-
-    goal_fraction: float
-    prefill_fraction: float
-    slots_fraction: float
-
-
-BELOW_GUARANTEE_BOUNDS = Bounds(0.9, 0.85, 1.0)
-"""For workspaces that received less service than their guaranteed share."""
-BELOW_FAIR_SHARE_BOUNDS = Bounds(0.8, 0.72, 0.9)
-"""For workspaces above their guarantee that received much less service than
-their fair share of the actual throughput."""
-AT_FAIR_SHARE_BOUNDS = Bounds(0.7, 0.6, 0.8)
-"""For workspaces that received about their fair share of service. The capacity
-above these bounds is reserved for workspaces that received less."""
-ABOVE_FAIR_SHARE_BOUNDS = Bounds(0.4, 0.4, 0.55)
-"""For workspaces that received more service than their fair share."""
-
-
 MAX_KNOWN_HOMES = 10_000
 """Number of keys whose home target is remembered."""
 
@@ -222,7 +188,7 @@
         )
 
     def has_room(
-        self, targets: list[target_list.Entry], bounds: Bounds
+        self, targets: list[target_list.Entry], bounds: load_bounds.Bounds
     ) -> bool:
         """Returns whether any target has a free slot within the bounds.
 
@@ -244,7 +210,7 @@
         self,
         request: requests.Request,
         targets: list[target_list.Entry],
-        bounds: Bounds,
+        bounds: load_bounds.Bounds,
         now: float,
     ) -> Placement | None:
         """Returns the placement with the lowest cost.
@@ -400,7 +366,7 @@
         entry: target_list.Entry,
         prefix: _CachedPrefix,
         index: int,
-        bounds: Bounds,
+        bounds: load_bounds.Bounds,
         now: float,
     ) -> _Candidate | None:
         settings = self.settings
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -12,6 +12,7 @@
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import admission
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import fleet_demand
 from lentilbeam_core.forwarding import limit_parts as limit_parts_lib
 from lentilbeam_core.forwarding import loads as loads_lib
@@ -87,7 +88,7 @@
             admission.Settings(), self.placer, self.usage, rng
         )
         self.ejector = ejection.Ejector(ejection.Settings())
-        self.waiters: dict[str, asyncio.Future[admission.Decision]] = {}
+        self.waiters: dict[str, asyncio.Future[decisions_lib.Decision]] = {}
         self.placed: list[tuple[messages.PlacedPart, ...]] = []
         self.timer: asyncio.TimerHandle | None = None
         self.next_pass_at = -math.inf
@@ -118,7 +119,7 @@
         request: requests.Request,
         excluded: frozenset[ids.TargetId] = frozenset(),
         version: str | None = None,
-    ) -> admission.Decision:
+    ) -> decisions_lib.Decision:
         """Queues a request until it is placed at a target or refused.
 
         Args:
@@ -204,7 +205,7 @@
             self.find_usable(), now, lambda: self._find_supply(now)
         )
         for decision in decisions:
-            if isinstance(decision, admission.Placed):
+            if isinstance(decision, decisions_lib.Placed):
                 self._note_placed(decision)
             future = self.waiters.get(decision.request.request_id)
             if future is not None and not future.done():
@@ -241,7 +242,7 @@
         self.placed.clear()
         return placed
 
-    def refuse(self, request: requests.Request) -> admission.Refused:
+    def refuse(self, request: requests.Request) -> decisions_lib.Refused:
         """Refuses a new request because this router is too busy for it.
 
         The request counts in what its workspace has asked for.
@@ -251,7 +252,7 @@
         self.usage.note_asked(
             request.workspace, requests.estimate_cost(request), now
         )
-        reason = admission.RefusalReason.ROUTER_BUSY
+        reason = decisions_lib.RefusalReason.ROUTER_BUSY
         return self.admission.refuse(request, reason, now)
 
     def has_had_fair_share(self, workspace: ids.WorkspaceId) -> bool:
@@ -430,7 +431,7 @@
             totals, slots, outliers.Settings()
         )
 
-    def _note_placed(self, decision: admission.Placed) -> None:
+    def _note_placed(self, decision: decisions_lib.Placed) -> None:
         self.is_changed = True
         prompt = decision.request.prompt
         if prompt is None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -11,9 +11,9 @@
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core import poll_times as poll_times_lib
-from lentilbeam_core.forwarding import admission
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import crash_evidence as crash_evidence_lib
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import event_stream
 from lentilbeam_core.forwarding import placement as placement_lib
 from lentilbeam_core.forwarding import requests
@@ -27,7 +27,9 @@
 from lentilbeam_router.forwarding import origin_exchange as origin_exchange_lib
 from lentilbeam_router.forwarding import process_check
 from lentilbeam_router.forwarding import progress as progress_lib
+from lentilbeam_router.forwarding import response_checks
 from lentilbeam_router.forwarding import resumption as resumption_lib
+from lentilbeam_router.forwarding import target_notices
 from lentilbeam_router.forwarding import wire as wire_lib
 
 MAX_BUFFERED_BYTES = 65_536
@@ -178,12 +180,12 @@
                     frozenset(self.progress.tried),
                     self.resumption.version,
                 )
-            if isinstance(decision, admission.Placed):
+            if isinstance(decision, decisions_lib.Placed):
                 blocked = self._refuse_if_blocked()
                 if blocked is not None:
                     self.dispatcher.note_end(self.request.request_id)
                     decision = blocked
-            if isinstance(decision, admission.Refused):
+            if isinstance(decision, decisions_lib.Refused):
                 await self._end_refused(decision)
                 return
             outcome = await self._send(decision.placement)
@@ -193,7 +195,7 @@
                 await self._end_failed(outcome)
                 return
 
-    async def _find_origin(self) -> admission.Refused | None:
+    async def _find_origin(self) -> decisions_lib.Refused | None:
         """Finds out what began the stream that the caller takes up.
 
         Returns:
@@ -212,19 +214,19 @@
             )
             # Another router may know, or this one when it is heard again.
             return self.dispatcher.admission.refuse(
-                self.request, admission.RefusalReason.UNKNOWN_ORIGIN, now
+                self.request, decisions_lib.RefusalReason.UNKNOWN_ORIGIN, now
             )
         pool = resumption.origin.pool
         if pool not in {weight.pool for weight in self.route.pool_weights}:
             return self.dispatcher.admission.refuse_for_long(
-                self.request, admission.RefusalReason.VERSION_GONE, now
+                self.request, decisions_lib.RefusalReason.VERSION_GONE, now
             )
         if pool != self.request.pool:
             self.request = dataclasses.replace(self.request, pool=pool)
             self.dispatcher = self.find_dispatcher(pool)
         return None
 
-    def _refuse_if_blocked(self) -> admission.Refused | None:
+    def _refuse_if_blocked(self) -> decisions_lib.Refused | None:
         """Returns a refusal if the request would crash its target."""
         request = self.request
         now = self.clock.monotonic()
@@ -237,7 +239,7 @@
             return None
         self._record("blocked", part=part)
         return self.dispatcher.admission.refuse_for_long(
-            request, admission.RefusalReason.CRASHES_TARGETS, now
+            request, decisions_lib.RefusalReason.CRASHES_TARGETS, now
         )
 
     async def give_up(self, reason: str) -> None:
@@ -423,8 +425,19 @@
         response = self.forwarder.codec.decode_response(
             head.status, head.headers
         )
-        self._apply_notices(placement.target, response)
-        invalid = self._check_head(response)
+        target_notices.apply_response(
+            self.dispatcher,
+            self.log,
+            placement.target,
+            response,
+            self.sent_at,
+            self.clock.monotonic(),
+        )
+        for notice in response.bad_notices:
+            self.forwarder.log_bad_notice(placement.target.name, notice)
+        invalid = response_checks.check_head(
+            response, self.request_head.request_id
+        )
         if invalid is not None:
             return invalid
         is_stream = self.route.kind is configuration.RouteKind.STREAMING
@@ -441,77 +454,6 @@
             self._note_answered()
         return outcome
 
-    def _apply_notices(
-        self, target: target_list.Entry, response: wire_lib.Response
-    ) -> None:
-        """Records what a response says about the target itself."""
-        if response.is_other_instance:
-            return
-        targets = self.dispatcher.targets
-        now = self.clock.monotonic()
-        if response.is_leaving and targets.note_leaving(
-            target.name, target.start_ms
-        ):
-            self.dispatcher.is_changed = True
-            self.log.write_event(
-                "target_leaving", target=target.name, source="response"
-            )
-        if response.quiet_s is not None:
-            until = targets.note_quiet(target.name, response.quiet_s, now)
-            self.log.write_event(
-                "target_quiet",
-                target=target.name,
-                asked_s=response.quiet_s,
-                quiet_s=round(until - now, 3),
-            )
-        # What a failing or rejecting target leaves out says nothing.
-        says_nothing = response.limit_per_s is None and (
-            response.status >= 500
-            or response.is_not_run
-            or len(response.bad_notices) > 0
-        )
-        if not says_nothing and targets.note_limit(
-            target, response.limit_per_s, self.sent_at, now
-        ):
-            self.dispatcher.is_changed = True
-            self.log.write_event(
-                "target_limit",
-                target=target.name,
-                limit_per_s=response.limit_per_s,
-                source="response",
-            )
-        for notice in response.bad_notices:
-            self.forwarder.log_bad_notice(target.name, notice)
-
-    def _check_head(
-        self, response: wire_lib.Response
-    ) -> progress_lib.SendOutcome | None:
-        """Returns the outcome if a head is unusable, else None."""
-        if response.is_other_instance:
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.NOT_RUN, "wrong target instance"
-            )
-        if response.is_not_run:
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.NOT_RUN,
-                f"status {response.status}",
-                is_refused_by_target=True,
-            )
-        if response.request_id != self.request_head.request_id:
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN,
-                f"response to request {response.request_id!r}",
-            )
-        if response.is_encoded:
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN, "unexpected content encoding"
-            )
-        if response.status < 300 and not response.is_sealed:
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN, "no response seal"
-            )
-        return None
-
     async def _pass_on_stream(
         self,
         target: target_list.Entry,
@@ -541,7 +483,9 @@
             if not self.channel.is_started:
                 await self.channel.start(response.status, response.headers)
             await self.channel.write(data)
-        broken = self._check_stream_end(item, has_events=not is_first)
+        broken = response_checks.check_stream_end(
+            events, item, has_events=not is_first
+        )
         if broken is not None:
             return broken
         if not is_first:
@@ -561,25 +505,6 @@
         )
         return progress_lib.SendOutcome(progress_lib.SendResult.DONE, "")
 
-    def _check_stream_end(
-        self, end: connection_lib.End, has_events: bool
-    ) -> progress_lib.SendOutcome | None:
-        """Returns the outcome if a stream was broken off, else None."""
-        if self.progress.events.partial_event:
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN,
-                "stream ended within an event",
-                is_broken_off=end.is_by_close,
-            )
-        if end.is_by_close and not has_events:
-            # The target may as well have ended before it began to answer.
-            return progress_lib.SendOutcome(
-                progress_lib.SendResult.BROKEN,
-                "stream ended without events",
-                is_broken_off=True,
-            )
-        return None
-
     async def _pass_on_non_stream(
         self,
         connection: connection_lib.TargetConnection,
@@ -662,7 +587,7 @@
             return False
         return True
 
-    async def _end_refused(self, refused: admission.Refused) -> None:
+    async def _end_refused(self, refused: decisions_lib.Refused) -> None:
         """Responds to a request that admission has refused."""
         self._record(
             "refused",
@@ -695,7 +620,7 @@
             now = self.clock.monotonic()
             # Only the retry delay of the refusal is used.
             refused = self.dispatcher.admission.refuse(
-                self.request, admission.RefusalReason.NO_ROOM, now
+                self.request, decisions_lib.RefusalReason.NO_ROOM, now
             )
             await self.channel.respond(503, retry_after_s=refused.retry_after_s)
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Coroutine
 import dataclasses
-import math
 import random
 import signal
 from typing import Any
@@ -15,9 +14,6 @@
 from lentilbeam_core.forwarding import configuration as configuration_lib
 from lentilbeam_core.forwarding import lateness as lateness_lib
 from lentilbeam_core.forwarding import requests
-from lentilbeam_core.forwarding import retry_budget
-from lentilbeam_core.forwarding import shares
-from lentilbeam_core.forwarding import target_limits
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_core.forwarding import work_sums
 from lentilbeam_router import addresses
@@ -30,12 +26,14 @@
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import forwarder as forwarder_lib
+from lentilbeam_router.forwarding import gateway_settings
 from lentilbeam_router.forwarding import listening
 from lentilbeam_router.forwarding import origin_exchange as origin_exchange_lib
 from lentilbeam_router.forwarding import peers as peers_lib
 from lentilbeam_router.forwarding import prompt_blocks as prompt_blocks_lib
 from lentilbeam_router.forwarding import report_exchange as report_exchange_lib
 from lentilbeam_router.forwarding import request_handler as request_handler_lib
+from lentilbeam_router.forwarding import target_notices
 from lentilbeam_router.forwarding import wire as wire_lib
 
 HOUSEKEEPING_INTERVAL_S = 0.25
@@ -63,38 +61,6 @@
 within 2 s."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Settings:
-    """Settings of a forwarding router.
-
-    Attributes:
-        instance: ID of this router.
-        data_centre: the data centre that this router runs in.
-        front: address on which callers connect.
-        peer: UDP address on which other routers send reports.
-        budget: retry budget of the whole fleet, applied to each pool.
-        quota_window_s: the operators' quota window, over which workspaces
-            get their shares, in seconds.
-        address_ttl_s: time for which callers may cache a resolved address,
-            in seconds.
-        grace_s: seconds between the signal to stop and the kill.
-    """
-
-    instance: ids.InstanceId
-    data_centre: ids.DataCentreId
-    front: addresses.Address
-    peer: addresses.Address
-    budget: retry_budget.Settings
-    quota_window_s: float
-    address_ttl_s: float
-    grace_s: float
-
-    @property
-    def usage_decay_s(self) -> float:
-        """Seconds after which recorded usage has decayed to 1/e."""
-        return self.quota_window_s * shares.DECAY_FRACTION
-
-
 class Gateway:
     """One forwarding router, updated with the contents of the store.
 
@@ -121,7 +87,7 @@
 
     def __init__(
         self,
-        settings: Settings,
+        settings: gateway_settings.Settings,
         codec: wire_lib.Codec,
         clock: clock_lib.Clock,
         poll_times: poll_times_lib.PollTimes,
@@ -373,7 +339,7 @@
                 gauges[f"pool_{name}_{key}"] = value
         return gauges
 
-    def change_settings(self, settings: Settings) -> None:
+    def change_settings(self, settings: gateway_settings.Settings) -> None:
         """Applies changed settings, except for the listen addresses.
 
         A change of these needs a restart.
@@ -577,7 +543,9 @@
         if accepted is None:
             return
         for item in accepted.report.loads:
-            self._apply_reported_notices(sender, item, now)
+            target_notices.apply_reported(
+                self.targets, self.log, sender, item, now
+            )
         for dispatcher in self.dispatchers.values():
             for peer in accepted.replaced:
                 dispatcher.forget_peer(peer)
@@ -590,32 +558,6 @@
         if self.report_exchange.is_direct or not is_group:
             self._decide_all()
 
-    def _apply_reported_notices(
-        self, peer: ids.InstanceId, item: messages.TargetLoad, now: float
-    ) -> None:
-        """Records what a peer reports that a target has said of itself."""
-        if item.leaving_start_ms and self.targets.note_leaving(
-            item.target, item.leaving_start_ms
-        ):
-            self.log.write_event(
-                "target_leaving", target=item.target, source=peer
-            )
-        if item.limit_start_ms:
-            limit = target_limits.Limit(
-                item.limit_start_ms,
-                item.limit_per_s,
-                now - item.limit_age_ms / 1000,
-                peer,
-            )
-            if self.targets.note_reported_limit(item.target, limit, now):
-                per_s = item.limit_per_s
-                self.log.write_event(
-                    "target_limit",
-                    target=item.target,
-                    limit_per_s=None if math.isinf(per_s) else per_s,
-                    source=peer,
-                )
-
     def _compare_feeds(
         self, peer: ids.InstanceId, report: messages.LoadReport, now: float
     ) -> None:
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
@@ -0,0 +1,58 @@
+"""Checks whether a response of a target can be passed on to the caller."""
+
+from lentilbeam_core.forwarding import event_stream
+from lentilbeam_router.forwarding import connection as connection_lib
+from lentilbeam_router.forwarding import progress as progress_lib
+from lentilbeam_router.forwarding import wire as wire_lib
+
+
+def check_head(
+    response: wire_lib.Response, request_id: str
+) -> progress_lib.SendOutcome | None:
+    """Returns the outcome if a head is unusable, else None."""
+    if response.is_other_instance:
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.NOT_RUN, "wrong target instance"
+        )
+    if response.is_not_run:
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.NOT_RUN,
+            f"status {response.status}",
+            is_refused_by_target=True,
+        )
+    if response.request_id != request_id:
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.BROKEN,
+            f"response to request {response.request_id!r}",
+        )
+    if response.is_encoded:
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.BROKEN, "unexpected content encoding"
+        )
+    if response.status < 300 and not response.is_sealed:
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.BROKEN, "no response seal"
+        )
+    return None
+
+
+def check_stream_end(
+    events: event_stream.EventStreamParser,
+    end: connection_lib.End,
+    has_events: bool,
+) -> progress_lib.SendOutcome | None:
+    """Returns the outcome if a stream was broken off, else None."""
+    if events.partial_event:
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.BROKEN,
+            "stream ended within an event",
+            is_broken_off=end.is_by_close,
+        )
+    if end.is_by_close and not has_events:
+        # The target may as well have ended before it began to answer.
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.BROKEN,
+            "stream ended without events",
+            is_broken_off=True,
+        )
+    return None
--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -25,6 +25,7 @@
 from lentilbeam_router.forwarding import connection as connection_lib
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import gateway as gateway_lib
+from lentilbeam_router.forwarding import gateway_settings
 from tests import virtual_time
 from tests.forwarding import fake_target
 from tests.forwarding import in_process_router
@@ -381,7 +382,7 @@
         # The numbers of reports start again, so a new process must differ.
         self.clock.advance(0.001)
         gateway = gateway_lib.Gateway(
-            gateway_lib.Settings(
+            gateway_settings.Settings(
                 instance=entry.name,
                 data_centre=entry.data_centre,
                 front=entry.front,
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -4,6 +4,7 @@
 
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import admission
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from tests.forwarding import makers
 
 TARGETS = [makers.make_target("a", slots=2)]
@@ -14,7 +15,7 @@
     """Returns the placed and the refused requests of one scheduling pass."""
     placed, refused = [], []
     for decision in queue.decide(targets, now):
-        is_placed = isinstance(decision, admission.Placed)
+        is_placed = isinstance(decision, decisions_lib.Placed)
         (placed if is_placed else refused).append(decision)
     return placed, refused
 
@@ -58,7 +59,9 @@
     queue = makers.make_admission()
     queue.enqueue(makers.make_request("r", SMALL_PART), 0.0)
     _, refused = decide(queue, 0.59, targets=[])
-    assert [d.reason for d in refused] == [admission.RefusalReason.NO_TARGET]
+    assert [d.reason for d in refused] == [
+        decisions_lib.RefusalReason.NO_TARGET
+    ]
 
 
 def test_retry_delay_ends_well_before_the_deadline_of_the_caller():
@@ -66,7 +69,7 @@
     delays = []
     for n in range(50):
         request = makers.make_request(f"r{n}", SMALL_PART, deadline_at=3.0)
-        reason = admission.RefusalReason.NO_ROOM
+        reason = decisions_lib.RefusalReason.NO_ROOM
         delays.append(queue.refuse(request, reason, 0.0).retry_after_s)
     assert max(delays) <= 1.0
     assert min(delays) > 0.0
@@ -76,7 +79,7 @@
 def test_early_refusal_often_allows_a_retry_within_the_goal():
     queue = makers.make_admission()
     request = makers.make_request("r", SMALL_PART)
-    reason = admission.RefusalReason.NO_ROOM
+    reason = decisions_lib.RefusalReason.NO_ROOM
     waited_s = queue.settings.at_fair_share_wait_s
     delays = [
         queue.refuse(request, reason, waited_s).retry_after_s for _ in range(50)
@@ -193,5 +196,5 @@
     queue.enqueue(makers.make_request("new", SMALL_PART), 0.0)
     refused = queue.refuse_without_version(lambda version: False, 0.0)
     assert [d.request.request_id for d in refused] == ["resumed"]
-    assert refused[0].reason is admission.RefusalReason.VERSION_GONE
+    assert refused[0].reason is decisions_lib.RefusalReason.VERSION_GONE
     assert queue.count_waiting() == 1
--- a/tests/forwarding/test_flood_cost.py
+++ b/tests/forwarding/test_flood_cost.py
@@ -15,6 +15,7 @@
 
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import admission
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import placement
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
 from tests.forwarding import in_process_router
@@ -113,7 +114,7 @@
     now = 2.0
     decisions = queue.decide(targets, now)
     for decision in decisions:
-        if isinstance(decision, admission.Placed):
+        if isinstance(decision, decisions_lib.Placed):
             assert decision.request.deadline_at > now
     waiting = [q.request for w in queue.queues.values() for q in w]
     assert all(request.deadline_at > now for request in waiting)
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -5,11 +5,12 @@
 
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import placement
 from tests.forwarding import makers
 
-BELOW_GUARANTEE = placement.BELOW_GUARANTEE_BOUNDS
-AT_FAIR_SHARE = placement.AT_FAIR_SHARE_BOUNDS
+BELOW_GUARANTEE = load_bounds.BELOW_GUARANTEE_BOUNDS
+AT_FAIR_SHARE = load_bounds.AT_FAIR_SHARE_BOUNDS
 
 
 def report_load(placer, target, unread=0.0, running=0, held=0.0, recent=0.0):
@@ -209,7 +210,7 @@
     )
     placer.loads.apply_report("peer", loads, 0.0)
     request = makers.make_request("r", ("own", 1000), body_bytes=body_bytes)
-    bounds = placement.BELOW_GUARANTEE_BOUNDS
+    bounds = load_bounds.BELOW_GUARANTEE_BOUNDS
     return placer.choose(request, [near, far], bounds, 0.0).target.name
 
 
--- a/tests/forwarding/test_target_notices.py
+++ b/tests/forwarding/test_target_notices.py
@@ -12,7 +12,7 @@
 import pytest
 
 from lentilbeam_core import messages
-from lentilbeam_core.forwarding import admission
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import limit_parts
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import target_list
@@ -139,7 +139,7 @@
     assert queue.decide([], 0.01, lambda: soon) == []
     late = limit_parts.Supply(unlimited_from=0.5)
     (refused,) = queue.decide([], 0.02, lambda: late)
-    assert isinstance(refused, admission.Refused)
+    assert isinstance(refused, decisions_lib.Refused)
     assert refused.retry_after_s >= 0.48
 
 
