--- a/packages/lentilbeam-cli/src/lentilbeam_cli/commands/check.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/commands/check.py
@@ -2,7 +2,8 @@
 
 With `--log` or `--instances`, the files are checked against the catalogue in
 force, otherwise against an empty one. With `--operator`, the command also
-checks that the operator owns the changed entries.
+checks that the operator owns the changed entries. With `--routes`, the file is
+a configuration of forwarding routers, see `check_routes`.
 """
 
 from lentilbeam_cli import context as context_lib
@@ -12,6 +13,7 @@
 from lentilbeam_cli import reading
 from lentilbeam_cli import reports
 from lentilbeam_cli import sources as sources_lib
+from lentilbeam_cli.commands import check_routes
 from lentilbeam_core import catalogue_log
 from lentilbeam_core import catalogue_state
 
@@ -19,6 +21,8 @@
 async def run(context: context_lib.Context) -> exit_status.ExitStatus:
     """Runs the command and returns its exit status."""
     options = context.options
+    if options.routes:
+        return await check_routes.run(context)
     if not options.arguments:
         return context.report_failure(
             context_lib.build_usage_failure("check needs a file")
--- a/packages/lentilbeam-cli/src/lentilbeam_cli/options.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/options.py
@@ -15,6 +15,7 @@
 
 commands:
   check FILE...         find all faults in catalogue files
+  check --routes FILE   find all faults in a configuration of routes
   diff FILE...          show what applying them would change
   apply FILE...         publish them as one change
   get [KIND] [NAME]     show entries in force
@@ -57,6 +58,11 @@
         request: show only events about this request ID; None for all.
         workspace: show only events about this workspace; None for all.
         target: show only events about this target; None for all.
+        routes: whether `check` gets a configuration of forwarding routers.
+        against: file or store with the version in force, for `check --routes`;
+            None for no comparison.
+        requests_log: log of a router, for the share of requests that a change
+            affects; None if there is none.
     """
 
     command: str
@@ -71,6 +77,9 @@
     request: str | None
     workspace: str | None
     target: str | None
+    routes: bool = False
+    against: str | None = None
+    requests_log: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +123,9 @@
             request=values.request,
             workspace=values.workspace,
             target=values.target,
+            routes=values.routes,
+            against=values.against,
+            requests_log=values.requests_log,
         )
     )
 
@@ -151,6 +163,23 @@
     define("request", None, "Only events about this request.")
     define("workspace", None, "Only events about this workspace.")
     define("target", None, "Only events about this target.")
+    define(
+        "against",
+        None,
+        "With --routes: compare with this file, or with a store at IP:PORT.",
+    )
+    define(
+        "requests_log",
+        None,
+        "With --against: log of a router, to tell which requests are affected.",
+    )
+    flags.DEFINE_bool(
+        "routes",
+        False,
+        "Check a configuration of forwarding routers; - for standard input.",
+        flag_values=values,
+        module_name="lentilbeam",
+    )
     flags.DEFINE_enum(
         "format",
         Format.TEXT.value,
