Evacuate data centres that the operators name

Keys evacuate/NAME in the operators' topic were ignored, so targets of an evacuated data centre kept getting requests.

Targets of an evacuated data centre are left out at once, also by requests that were placed but not yet written to a connection. If all targets of a pool are evacuated, its requests are refused at once.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -402,6 +402,16 @@
             for decision in decisions
         ]
 
+    def refuse_all(
+        self, reason: decisions_lib.RefusalReason, now: float
+    ) -> list[decisions_lib.Decision]:
+        """Refuses all requests in the queue, for one reason."""
+        decisions = self._refuse_where(lambda queued: True, [], now)
+        return [
+            dataclasses.replace(decision, reason=reason)
+            for decision in decisions
+        ]
+
     def _refuse_beyond(
         self,
         supply: limit_parts_lib.Supply,
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -16,6 +16,7 @@
     VERSION_GONE = "version_gone"  # No target runs the version that began it.
     ROUTER_BUSY = "router_busy"  # The router can't keep up.
     LIMITED = "limited"  # The targets take a limited number of requests.
+    EVACUATED = "evacuated"  # All data centres of the pool are evacuated.
     CRASHES_TARGETS = "crashes_targets"  # Requests like it crashed targets.
 
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -18,6 +18,7 @@
 import enum
 
 from lentilbeam_core import ids
+from lentilbeam_core.forwarding import evacuations
 from lentilbeam_core.forwarding import target_limits
 
 REMOVAL_GRACE_S = 2.0
@@ -106,6 +107,7 @@
         removed: targets that were removed lately, by name.
         versions_ended_at: when a target of each pool and version was last
             removed or replaced, monotonic seconds.
+        evacuations: data centres whose targets get no new requests.
     """
 
     def __init__(self):
@@ -117,6 +119,7 @@
         self.limits = target_limits.TargetLimits()
         self.removed: dict[ids.TargetId, RemovedTarget] = {}
         self.versions_ended_at: dict[tuple[ids.PoolId, str], float] = {}
+        self.evacuations = evacuations.Evacuations()
 
     def note_store_returned(self, now: float) -> None:
         """Starts a grace period: the store is available again."""
@@ -332,11 +335,32 @@
         return now < self.store_returned_at + REMOVAL_GRACE_S
 
     def find_ready(self, pool: ids.PoolId) -> list[Entry]:
-        """Returns the targets of a pool that are ready and not leaving."""
+        """Returns the targets of a pool that may get new requests.
+
+        They are ready, not leaving, and in no evacuated data centre.
+        """
         return [
             entry
             for entry in self.entries.values()
-            if entry.pool == pool
+            if self._is_ready(entry, pool)
+            and not self.is_evacuated(entry.data_centre)
+        ]
+
+    def is_evacuated(self, data_centre: ids.DataCentreId) -> bool:
+        """Whether the targets of a data centre get no new requests."""
+        return data_centre in self.evacuations
+
+    def is_pool_evacuated(self, pool: ids.PoolId) -> bool:
+        """Whether a pool has ready targets, all in evacuated data centres."""
+        ready = [e for e in self.entries.values() if self._is_ready(e, pool)]
+        return bool(ready) and all(
+            self.is_evacuated(entry.data_centre) for entry in ready
+        )
+
+    def _is_ready(self, entry: Entry, pool: ids.PoolId) -> bool:
+        """Whether a target of a pool is ready and not leaving."""
+        return (
+            entry.pool == pool
             and entry.state is TargetState.READY
             and entry.name not in self.leaving
-        ]
+        )
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -201,6 +201,10 @@
         decisions = self.admission.refuse_without_version(
             lambda version: self.targets.has_version(pool, version), now
         )
+        if self.targets.is_pool_evacuated(pool):
+            decisions += self.admission.refuse_all(
+                decisions_lib.RefusalReason.EVACUATED, now
+            )
         decisions += self.admission.decide(
             self.find_usable(), now, lambda: self._find_supply(now)
         )
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -282,6 +282,13 @@
         try:
             await self._catch_up()
             self._check_deadline()
+            if self.dispatcher.targets.is_evacuated(target.data_centre):
+                # The evacuation began while the connection was opened.
+                self._record("not_sent", target=target.name, reason="evacuated")
+                self.progress.tried.add(target.name)
+                return progress_lib.SendOutcome(
+                    progress_lib.SendResult.NOT_RUN, "evacuated"
+                )
             return await self._exchange(placement, connection)
         finally:
             self.dispatcher.note_end(self.request.request_id)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -24,6 +24,7 @@
 from lentilbeam_router.forwarding import connection_pool
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
+from lentilbeam_router.forwarding import evacuation_control
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import forwarder as forwarder_lib
 from lentilbeam_router.forwarding import gateway_settings
@@ -72,6 +73,7 @@
         rng: random numbers for routing, placement and retry times.
         configuration: the newest configuration.
         targets: targets of all pools.
+        evacuations: puts evacuations of data centres in force.
         has_targets: whether the target list was read since the start.
         is_leaving: whether this router is shutting down.
         logged_as_avoided: targets that were logged as avoided.
@@ -104,6 +106,9 @@
         self.log = decision_log.DecisionLog(clock, settings.instance, output)
         self.configuration = configuration_lib.LatestConfiguration()
         self.targets = target_list.TargetList()
+        self.evacuations = evacuation_control.EvacuationControl(
+            self.targets, self.log, self._decide_all
+        )
         self.has_targets = False
         self.is_leaving = False
         self.logged_as_avoided: set[ids.TargetId] = set()
@@ -333,6 +338,7 @@
             "parts_blocked": len(self.prompt_blocks.evidence.list_blocks()),
             "streams_remembered": len(self.origin_exchange.origins.records),
             "log_lines_dropped": self.log.total_dropped,
+            **self.evacuations.read_gauges(),
         }
         for name, dispatcher in self.dispatchers.items():
             for key, value in dispatcher.read_gauges(now).items():
--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -284,6 +284,7 @@
         tasks: tasks of each router, by name.
         output: file descriptor to which the routers log.
         engine: engine that the targets run; None if they run none.
+        evacuated: data centres whose evacuation the store asks for.
     """
 
     def __init__(
@@ -296,6 +297,7 @@
         engine: configuration.Engine | None = None,
     ):
         self.engine = engine
+        self.evacuated: set[ids.DataCentreId] = set()
         self.clock = clock_lib.ManualClock(virtual_time.START)
         self.rng = random.Random(seed)
         self.routes = routes
@@ -330,11 +332,11 @@
 
     def add_target(self, name: str, **changes) -> Target:
         """Lists a target at all routers."""
+        changes.setdefault("data_centre", ids.DataCentreId("a"))
         entry = makers.make_target(
             name,
             host=name,
             started_at_ms=1000 + len(self.targets),
-            data_centre=ids.DataCentreId("a"),
             **changes,
         )
         target = Target(entry)
@@ -399,6 +401,7 @@
         )
         gateway.link.transport = _DatagramTransport(self, name)
         gateway.connections.connect = self._make_connect(name)
+        gateway.evacuations.replace(self.evacuated, 1)
         gateway.offer_configuration(self._make_configuration())
         for other in self.entries.values():
             gateway.put_router(other)
@@ -410,6 +413,18 @@
         ]
         return gateway
 
+    def evacuate(self, data_centre: str) -> None:
+        """Asks all routers to evacuate a data centre."""
+        self.evacuated.add(ids.DataCentreId(data_centre))
+        for gateway in self.gateways.values():
+            gateway.evacuations.ask(ids.DataCentreId(data_centre))
+
+    def withdraw_evacuation(self, data_centre: str) -> None:
+        """Withdraws an evacuation at all routers."""
+        self.evacuated.discard(ids.DataCentreId(data_centre))
+        for gateway in self.gateways.values():
+            gateway.evacuations.withdraw(ids.DataCentreId(data_centre))
+
     def stop_router(self, name: str) -> None:
         """Kills a router: nothing of it is left."""
         del self.gateways[name]
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -5,8 +5,10 @@
 import json
 
 from lentilbeam_core import clock as clock_lib
+from lentilbeam_core.forwarding import target_list
 from lentilbeam_platform import followers
 from lentilbeam_platform import store as store_lib
+from lentilbeam_router.forwarding import evacuation_control
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import gateway as gateway_lib
 from tests import virtual_time
@@ -25,6 +27,7 @@
         configuration_watch: compares the configuration feed with peers.
         targets_watch: compares the feed of targets with peers.
         routers: number of routers in the fleet.
+        evacuations: applies evacuations.
     """
 
     def __init__(self):
@@ -33,6 +36,9 @@
         self.configuration_watch = feeds.FeedWatch(0.3)
         self.targets_watch = feeds.FeedWatch(0.9)
         self.routers = 7
+        self.evacuations = evacuation_control.EvacuationControl(
+            target_list.TargetList(), self, lambda: None
+        )
 
     @property
     def read_pace(self):
