Lower the processor time of load reports in large fleets

A router ranked all peers by hash for each report, and messages were read and written by field name. In an emulated fleet of 72 routers, 30 targets and 20 workspaces this took 146 ms of processor time a second at a relay and 41 ms at a member, more than a router on 0.12 of a core has for everything.

Rankings are kept until the list of peers changes, and fields are accessed by their schema.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -56,6 +56,7 @@
         own_name: ID of this router.
         listed: peers that have been registered in the store since the start,
             by ID; they are never removed.
+        revision: number of changes of `listed`.
         last_reports: the last report of each peer that has sent one.
         logged_as_down: peers that were logged as down.
         probed_at: when peers that count as down were last sent a report,
@@ -72,14 +73,18 @@
         self.clock = clock
         self.log = log
         self.listed: dict[ids.InstanceId, feeds.RouterEntry] = {}
+        self.revision = 0
         self.last_reports: dict[ids.InstanceId, LastReport] = {}
         self.logged_as_down: set[ids.InstanceId] = set()
         self.probed_at = 0.0
 
     def put(self, entry: feeds.RouterEntry) -> None:
         """Adds or replaces a router; ignores this router's own entry."""
-        if entry.name != self.own_name:
-            self.listed[entry.name] = entry
+        if entry.name == self.own_name:
+            return
+        if self.listed.get(entry.name) != entry:
+            self.revision += 1
+        self.listed[entry.name] = entry
 
     def note_report(
         self, peer: ids.InstanceId, report: messages.LoadReport
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/relays.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/relays.py
@@ -40,6 +40,10 @@
             monotonic seconds.
         retry_at: relays that timed out, and when each may be chosen again,
             monotonic seconds.
+        rankings: peers of each data centre, in the order in which they become
+            its relay. Hashing all names for each report would take longer than
+            the report.
+        ranked_revision: `Peers.revision` of `rankings`.
     """
 
     def __init__(
@@ -58,6 +62,8 @@
         self.since = clock.monotonic()
         self.last_report_at = 0.0
         self.retry_at: dict[ids.InstanceId, float] = {}
+        self.rankings: dict[ids.DataCentreId, list[ids.InstanceId]] = {}
+        self.ranked_revision = -1
 
     def choose(self, has_members: bool, now: float) -> None:
         """Changes the relay if it timed out or another one ranks first.
@@ -69,13 +75,15 @@
         """
         if self.current and now - self.last_report_at > RELAY_TIMEOUT_S:
             self.retry_at[self.current] = now + RELAY_RETRY_S
-        candidates = self._list_candidates(self.data_centre, now)
+        chosen = self._find_first(self.data_centre, now)
         # If no member reports to this router, the other routers may have a
         # relay that ranks first but doesn't reach this router. This router
         # then uses the candidate that ranks next.
-        if not candidates or has_members or not self._excludes_self(now):
-            candidates.append(self.own_name)
-        chosen = self._choose_first(self.data_centre, candidates)
+        if chosen is None or (
+            (has_members or not self._excludes_self(now))
+            and not self.outranks_self(chosen)
+        ):
+            chosen = self.own_name
         relay = None if chosen == self.own_name else chosen
         if relay == self.current:
             return
@@ -98,12 +106,10 @@
             known: relays of other data centres that report to this router.
             now: monotonic seconds.
         """
-        data_centres = {
-            entry.data_centre for entry in self.peers.listed.values()
-        } - {self.data_centre}
         chosen = {
-            self._choose_first(name, self._list_candidates(name, now))
-            for name in data_centres
+            self._find_first(name, now)
+            for name in self._rank()
+            if name != self.data_centre
         }
         return sorted({*chosen, *known} - {None})
 
@@ -114,14 +120,12 @@
 
     def count_data_centre_peers(self) -> int:
         """Returns the number of peers in this router's data centre."""
-        return sum(map(self.is_in_own_data_centre, self.peers.listed))
+        return len(self._rank().get(self.data_centre, ()))
 
     def outranks_self(self, other: ids.InstanceId) -> bool:
         """Whether a peer in this data centre ranks before this router."""
-        return (
-            self._choose_first(self.data_centre, (self.own_name, other))
-            == other
-        )
+        key = _make_key(self.data_centre)
+        return rendezvous.choose(key, (self.own_name, other)) == other
 
     def _excludes_self(self, now: float) -> bool:
         """Whether a router without members must not choose itself as relay.
@@ -134,22 +138,37 @@
             return now - self.since > NO_MEMBERS_TIMEOUT_S
         return not self.outranks_self(self.current)
 
-    def _list_candidates(
+    def _find_first(
         self, data_centre: ids.DataCentreId, now: float
-    ) -> list[ids.InstanceId]:
-        """Returns the peers in a data centre that may be its relay."""
-        return [
-            entry.name
-            for entry in self.peers.listed.values()
-            if entry.data_centre == data_centre
-            and self.peers.is_serving(entry.name, now)
-            and self.retry_at.get(entry.name, 0.0) <= now
-        ]
-
-    def _choose_first(
-        self,
-        data_centre: ids.DataCentreId,
-        candidates: Iterable[ids.InstanceId],
     ) -> ids.InstanceId | None:
-        """Returns the candidate that ranks first; None if there is none."""
-        return rendezvous.choose(f"relay of {data_centre}", candidates)
+        """Returns the peer that ranks first among those that may be relay.
+
+        Returns None if a data centre has none.
+        """
+        for name in self._rank().get(data_centre, ()):
+            if (
+                self.peers.is_serving(name, now)
+                and self.retry_at.get(name, 0.0) <= now
+            ):
+                return name
+        return None
+
+    def _rank(self) -> dict[ids.DataCentreId, list[ids.InstanceId]]:
+        """Returns `rankings`, computed again if peers were added or moved."""
+        if self.ranked_revision != self.peers.revision:
+            self.ranked_revision = self.peers.revision
+            self.rankings = {}
+            for entry in self.peers.listed.values():
+                ranking = self.rankings.setdefault(entry.data_centre, [])
+                ranking.append(entry.name)
+            for data_centre, ranking in self.rankings.items():
+                key = _make_key(data_centre)
+                ranking.sort(
+                    key=lambda name, key=key: rendezvous.score(key, name),
+                    reverse=True,
+                )
+        return self.rankings
+
+
+def _make_key(data_centre: ids.DataCentreId) -> str:
+    return f"relay of {data_centre}"
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -10,6 +10,7 @@
 import enum
 import pathlib
 import re
+from typing import Any
 
 import capnp
 
@@ -109,6 +110,8 @@
         item: dataclass of the list's items; None if the field is no list.
         max_value: largest value of an unsigned field; 0 for other types.
         enum_type: enum of the field's values, or None.
+        schema: the field's schema. Access by it takes a third of the time of
+            access by name.
     """
 
     name: str
@@ -118,6 +121,23 @@
     item: type | None
     max_value: int
     enum_type: type[enum.Enum] | None
+    schema: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ItemPlan:
+    """How the items of lists of one type are decoded.
+
+    Attributes:
+        schemas: schemas of the fields, in the order of the dataclass.
+        name_positions: positions of the fields that are indexes into `names`.
+        float_positions: positions of the integers that are floats in the
+            dataclass.
+    """
+
+    schemas: tuple[Any, ...]
+    name_positions: tuple[int, ...]
+    float_positions: tuple[int, ...]
 
 
 def _to_wire_name(name: str) -> str:
@@ -179,12 +199,33 @@
                 item,
                 max_value,
                 enum_type,
+                fields[wire_name],
             )
         )
     return tuple(field_list)
 
 
+def _build_plan(fields: tuple[_Field, ...]) -> _ItemPlan:
+    return _ItemPlan(
+        tuple(field.schema for field in fields),
+        tuple(n for n, field in enumerate(fields) if field.is_name_index),
+        tuple(
+            n
+            for n, field in enumerate(fields)
+            if field.is_float and field.max_value
+        ),
+    )
+
+
 _FIELDS = {struct_type: _build_fields(struct_type) for struct_type in _STRUCTS}
+_ITEM_PLANS = {
+    item_type: _build_plan(_FIELDS[item_type])
+    for item_type in _ITEM_TYPES.values()
+}
+_HAS_NAMES = {
+    struct_type: any(field.item for field in fields)
+    for struct_type, fields in _FIELDS.items()
+}
 
 
 class _NameTable:
@@ -221,41 +262,51 @@
 
 def _write_item(builder, item, names: _NameTable) -> None:
     # All text fields of items are names, see `_Field.is_name_index`.
+    write = builder._set_by_field
     for field in _FIELDS[type(item)]:
         value = getattr(item, field.name)
         if isinstance(value, str):
-            setattr(builder, field.wire_name, names.get_index(value))
-        else:
-            _write_value(builder, field, value)
+            write(field.schema, names.get_index(value))
+        elif value:
+            # Fields of a new item are 0.
+            write(field.schema, _encode_value(field, value))
 
 
 def _write_value(builder, field: _Field, value) -> None:
+    setattr(builder, field.wire_name, _encode_value(field, value))
+
+
+def _encode_value(field: _Field, value):
     if field.enum_type is not None:
-        value = value.value
-    elif field.max_value:
-        value = min(max(round(value), 0), field.max_value)
-    setattr(builder, field.wire_name, value)
+        return value.value
+    if field.max_value:
+        return min(max(round(value), 0), field.max_value)
+    return value
 
 
 def _read_message(reader, message_type: type):
-    has_names = any(field.item for field in _FIELDS[message_type])
-    names = _NameTable(reader.names if has_names else ()).names
+    names = _NameTable(reader.names if _HAS_NAMES[message_type] else ()).names
+    read = reader._get_by_field
     values = []
     for field in _FIELDS[message_type]:
-        value = getattr(reader, field.wire_name)
+        value = read(field.schema)
         if field.item is not None:
-            value = tuple(_read_item(i, field.item, names) for i in value)
+            value = _read_items(value, field.item, names)
         elif field.enum_type is not None:
             value = field.enum_type(value)
         values.append(float(value) if field.is_float else value)
     return message_type(*values)
 
 
-def _read_item(reader, item_type: type, names: list[str]):
-    values = []
-    for field in _FIELDS[item_type]:
-        value = getattr(reader, field.wire_name)
-        if field.is_name_index:
-            value = names[value]
-        values.append(float(value) if field.is_float else value)
-    return item_type(*values)
+def _read_items(readers, item_type: type, names: list[str]) -> tuple:
+    plan = _ITEM_PLANS[item_type]
+    items = []
+    for reader in readers:
+        read = reader._get_by_field
+        values = [read(schema) for schema in plan.schemas]
+        for position in plan.name_positions:
+            values[position] = names[values[position]]
+        for position in plan.float_positions:
+            values[position] = float(values[position])
+        items.append(item_type(*values))
+    return tuple(items)
