Infer the version of a stream only after watching the list long enough

A router that had just started took the one version that it saw listed for the only one that the pool had had. Callers that send no Resumes then got events of two versions: one target of v1, two of v1.1 are added, v1 leaves the list, all routers are killed and start a second later.

A router now infers the version only if it has read the target list for as long as the stream may be resumed, and for 60 s at least, and saw one version all that time. Until then such callers are refused (503, not run).

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -275,6 +275,7 @@
     def replace_targets(self, entries: list[target_list.Entry]) -> None:
         """Replaces the whole target list."""
         self.has_targets = True
+        self.targets.note_read(self.clock.monotonic())
         names = {entry.name for entry in entries}
         for name in list(self.targets.entries):
             if name not in names:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/resumption.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/resumption.py
@@ -80,12 +80,11 @@
             )
         if not route.is_resumable or not self.origin.version:
             return
-        deadline_s = self.request_head.deadline_s or 0.0
         self.exchange.note_began(
             self.request.request_id,
             self._compute_key(),
             self.origin,
-            max(deadline_s, route.timeout_s) + KEPT_MARGIN_S,
+            self._compute_kept_s(),
         )
 
     def note_end(self) -> None:
@@ -101,10 +100,19 @@
         software versions.
         """
         pool = self.request.pool
-        versions = targets.find_versions(pool, self.clock.monotonic())
-        if len(versions) != 1 or len(self.request.route.pool_weights) != 1:
+        if len(self.request.route.pool_weights) != 1:
+            return None
+        version = targets.find_only_version(
+            pool, self._compute_kept_s(), self.clock.monotonic()
+        )
+        if version is None:
             return None
-        return stream_origins.Origin(pool, versions.pop())
+        return stream_origins.Origin(pool, version)
+
+    def _compute_kept_s(self) -> float:
+        """Returns for how long the stream may be taken up, in seconds."""
+        deadline_s = self.request_head.deadline_s or 0.0
+        return max(deadline_s, self.request.route.timeout_s) + KEPT_MARGIN_S
 
     def _compute_key(self) -> int:
         """Returns the key of the stream: that of its caller's first request."""
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -17,6 +17,9 @@
 DEADLINE_MS = 15_000
 AT_ONCE_S = 0.5
 """A refusal within this time, in seconds, is made without waiting for room."""
+WATCHED_S = 60.0
+"""Time, in seconds, for which a router must have read the target list before it
+knows which versions there were."""
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S*)/\d+\n\n")
 
 
@@ -285,6 +288,7 @@
 
     async def scenario(fleet):
         add_targets(fleet, t0=OLD, t1=other)
+        await asyncio.sleep(WATCHED_S)
         streams.extend(await begin_streams(fleet, 4))
         restart_router(fleet)
         await asyncio.gather(
@@ -298,6 +302,40 @@
         assert stream.tries[-1].status == (200 if may_go_on else 503)
 
 
+async def restart_all(fleet: gateway_fleet.Fleet) -> None:
+    """Kills all routers at once; all start a second later without state."""
+    names = list(fleet.gateways)
+    for name in names:
+        fleet.stop_router(name)
+    await asyncio.sleep(1.0)
+    for name in names:
+        fleet.start_router(name)
+
+
+# Guards against ORDER: a router that had just started took the only version
+# that it saw listed for the only one that there was.
+@pytest.mark.parametrize("pause_s", [0.0, 1.0, 5.0])
+def test_routers_that_start_do_not_take_the_listed_version_for_the_only_one(
+    pause_s,
+):
+    streams = []
+
+    async def scenario(fleet):
+        add_targets(fleet, t0=OLD)
+        streams.extend(await begin_streams(fleet, 4))
+        add_targets(fleet, t1=NEW, t2=NEW)
+        fleet.remove_target("t0")
+        await restart_all(fleet)
+        await asyncio.sleep(pause_s)
+        await asyncio.gather(
+            *(each.take_up("r1", resumes=None) for each in streams)
+        )
+
+    build_fleet().run(scenario)
+    assert all(stream.versions == {OLD} for stream in streams)
+    assert all(stream.tries[-1].status == 503 for stream in streams)
+
+
 # Guards against ORDER: a router that is cut off can't ask what began a stream.
 def test_a_router_that_is_cut_off_does_not_guess_the_version():
     streams = []
