Limit what a router begins to what its processor can finish

A router noticed overload only by late timers. Most of the work for a stream comes after its begin, so by then it had begun several times what it could finish; all of it was late, and callers that came back kept it overloaded.

The cost of a request is learned from begin to end, and what was begun counts as a backlog that drains at the processor's rate. While the processor is busy, requests beyond 2 s of backlog are refused, and so are those with less time left than others of their route took, or that used up their goal while they waited. If most routers are overloaded, each refused caller gets a time of its own. Bodies are hashed only for requests that are forwarded, and parts of a response that have arrived are passed on together.

--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
@@ -0,0 +1,226 @@
+"""Limits the requests that a router begins to what its processor can finish.
+
+Most of the work for a stream comes after it has begun, with its events. A
+router that only notices its lateness has then begun several times what it can
+finish in time: all of it is late, and callers that are refused or give up come
+back. This module therefore learns what a request costs from begin to end, and
+counts the work of the requests that were begun as a backlog, which drains at
+the rate of the processor.
+
+Nothing is limited while the processor has time to spare.
+"""
+
+import dataclasses
+import math
+
+from lentilbeam_core.forwarding import decayed
+from lentilbeam_core.forwarding import lateness
+
+BEGIN_WEIGHT = 0.4
+"""Part of a request's cost that counts when it begins, the rest when it ends.
+Handling a request takes about as long as 20 events; streams have 30 to 60."""
+
+REFUSAL_WEIGHT = 0.12
+"""Cost of a refusal relative to that of a request, by the measurements that are
+in docs/design/router-resources.md."""
+
+CALM_S = 0.5
+"""Time after the last refusal, in seconds, from which costs are learned."""
+MAX_UNLEARNED_S = 30.0
+"""Longest time without learning, in seconds. Refusals then count as part of the
+cost, which begins fewer requests."""
+DURATION_DECAY_S = 10.0
+"""Time constant of the mean time for which a route's requests are served, in
+seconds: long enough for some requests at a router that serves few."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of the limit.
+
+    Attributes:
+        busy_fraction: the limit applies while at least this fraction of the
+            recent time was busy.
+        planned_fraction: fraction of the time that requests are begun for; the
+            rest makes up for errors of the estimate.
+        recent_s: time constant of what counts as recent, in seconds.
+        cost_decay_s: time constant of the estimated cost of a request, in
+            seconds; longer than most streams.
+        min_requests: number of requests within `cost_decay_s` from which their
+            cost is estimated.
+        late_backlog_s: backlog from which the router is `LATE`, in seconds of
+            the processor.
+        stalled_backlog_s: the same for `STALLED`.
+    """
+
+    busy_fraction: float = 0.9
+    planned_fraction: float = 1.0
+    recent_s: float = 0.2
+    cost_decay_s: float = 4.0
+    min_requests: float = 4.0
+    late_backlog_s: float = 2.0
+    stalled_backlog_s: float = 3.0
+
+
+class ProcessorLoad:
+    """Work that a router has begun, relative to what it can do.
+
+    Attributes:
+        settings: settings of the limit.
+        busy_fraction: fraction of the recent time that was busy.
+        promised_until: when the last of the refused callers that were told to
+            return does so, monotonic seconds.
+    """
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.busy_fraction = 0.0
+        self.promised_until = -math.inf
+        self._busy = decayed.DecayingSum()
+        self._requests = decayed.DecayingSum()
+        self._backlog_s = 0.0
+        self._drained_at = 0.0
+        self._total_busy_s = 0.0
+        self._noted_at: float | None = None
+        self._new_requests = 0.0
+        self._refused_at = -math.inf
+        # The sums decay with the time from which was learned.
+        self._learned_s = 0.0
+        self._learned_at = -math.inf
+        self._durations: dict[
+            str, tuple[decayed.DecayingSum, decayed.DecayingSum]
+        ] = {}
+
+    def note_busy(self, total_busy_s: float, now: float) -> None:
+        """Records how long the router has been busy; called at intervals.
+
+        Args:
+            total_busy_s: seconds in which it was busy since its start, pauses
+                of its processor included.
+            now: monotonic seconds.
+        """
+        busy_s = total_busy_s - self._total_busy_s
+        self._total_busy_s = total_busy_s
+        if self._noted_at is not None and now > self._noted_at:
+            elapsed_s = now - self._noted_at
+            kept = math.exp(-elapsed_s / self.settings.recent_s)
+            self.busy_fraction *= kept
+            self.busy_fraction += (1 - kept) * min(busy_s / elapsed_s, 1.0)
+            self._learn(busy_s, elapsed_s, now)
+        self._noted_at = now
+
+    def note_begun(self, now: float) -> None:
+        """Records that a request is forwarded."""
+        self._new_requests += BEGIN_WEIGHT
+        self._add_backlog(1.0, now)
+
+    def note_refused(self, now: float) -> None:
+        """Records that a request was refused because of the load."""
+        self._refused_at = now
+        self._add_backlog(REFUSAL_WEIGHT, now)
+
+    def note_ended(self, now: float) -> None:
+        """Records that a forwarded request has ended in any way."""
+        del now
+        self._new_requests += 1 - BEGIN_WEIGHT
+
+    def note_served(self, route: str, took_s: float, now: float) -> None:
+        """Records how long a request was served, from its begin to its end.
+
+        Args:
+            route: name of its route.
+            took_s: seconds.
+            now: monotonic seconds.
+        """
+        count, total = self._durations.setdefault(
+            route, (decayed.DecayingSum(), decayed.DecayingSum())
+        )
+        count.add(1.0, now, DURATION_DECAY_S)
+        total.add(took_s, now, DURATION_DECAY_S)
+
+    def can_finish(self, route: str, left_s: float, now: float) -> bool:
+        """Whether a request can be served before its deadline.
+
+        Always true while the router has time to spare: the request may be
+        shorter than others of its route, and nobody has to wait for it.
+
+        Args:
+            route: name of its route.
+            left_s: seconds until its deadline.
+            now: monotonic seconds.
+        """
+        if self.busy_fraction < self.settings.busy_fraction:
+            return True
+        if route not in self._durations:
+            return True
+        count, total = self._durations[route]
+        requests = count.read(now, DURATION_DECAY_S)
+        if requests < 1.0:
+            return True
+        return left_s >= total.read(now, DURATION_DECAY_S) / requests
+
+    def estimate_cost(self) -> float:
+        """Returns the processor time of a request in seconds; 0 if unknown.
+
+        What the router does besides is part of it, except for refusals.
+        """
+        if self._requests.value < self.settings.min_requests:
+            return 0.0
+        return self._busy.value / self._requests.value
+
+    def read_backlog(self, now: float) -> float:
+        """Returns the work that was begun and is left, in seconds."""
+        done_s = (now - self._drained_at) * self.settings.planned_fraction
+        return max(self._backlog_s - done_s, 0.0)
+
+    def _learn(self, busy_s: float, elapsed_s: float, now: float) -> None:
+        """Adds an interval to the estimated cost of a request.
+
+        Intervals with refusals are left out, since their time would count as
+        that of requests; in a long overload they are used nevertheless.
+        """
+        requests, self._new_requests = self._new_requests, 0.0
+        if (
+            now - self._refused_at < CALM_S
+            and now - self._learned_at < MAX_UNLEARNED_S
+        ):
+            return
+        self._learned_at = now
+        self._learned_s += elapsed_s
+        decay_s = self.settings.cost_decay_s
+        self._busy.add(busy_s, self._learned_s, decay_s)
+        self._requests.add(requests, self._learned_s, decay_s)
+
+    def _add_backlog(self, requests: float, now: float) -> None:
+        added_s = requests * self.estimate_cost()
+        self._backlog_s = self.read_backlog(now) + added_s
+        self._drained_at = now
+
+    def find_level(self, now: float) -> lateness.Level:
+        """Returns what the router should do about its load."""
+        if self.busy_fraction < self.settings.busy_fraction:
+            return lateness.Level.ON_TIME
+        backlog_s = self.read_backlog(now)
+        if backlog_s >= self.settings.stalled_backlog_s:
+            return lateness.Level.STALLED
+        if backlog_s >= self.settings.late_backlog_s:
+            return lateness.Level.LATE
+        return lateness.Level.ON_TIME
+
+    def promise(self, now: float, longest_s: float) -> float:
+        """Returns after how many seconds a refused caller should return.
+
+        It is the time when the router can begin its request, after those that
+        were refused before and return.
+
+        Args:
+            now: monotonic seconds.
+            longest_s: longest time that the caller waits, in seconds. A caller
+                that would have to wait for longer does not return.
+        """
+        per_request_s = self.estimate_cost() / self.settings.planned_fraction
+        begins_at = now + self.read_backlog(now)
+        at = max(begins_at, self.promised_until + per_request_s)
+        if at - now <= longest_s:
+            self.promised_until = at
+        return at - now
--- a/packages/lentilbeam-core/src/lentilbeam_core/poll_times.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/poll_times.py
@@ -16,6 +16,8 @@
         returned_at: when the last poll returned, monotonic seconds.
         read_until: everything that arrived before this time was returned by
             earlier polls than the last one, monotonic seconds.
+        busy_s: time in which the loop did not wait as intended since its start,
+            pauses of the processor included, in seconds.
         before_read_until: the value of `read_until` for the polls before the
             last one, the newest first.
     """
@@ -23,6 +25,7 @@
     def __init__(self, now: float):
         self.returned_at = now
         self.read_until = now
+        self.busy_s = 0.0
         self.before_read_until = (now,) * KEPT_POLLS
 
     def note_poll(
@@ -43,6 +46,7 @@
         if timeout_s is not None:
             waited_s = min(waited_s, max(timeout_s, 0.0))
         delay_s = returned_at - self.returned_at - waited_s
+        self.busy_s += delay_s
         self.before_read_until = (
             self.read_until,
             *self.before_read_until[: KEPT_POLLS - 1],
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
@@ -8,6 +8,8 @@
 
 REFUSED = 503
 """Status of a response that refuses a request as not run."""
+FIRST_FAILURE = 400
+"""Lowest status of a response that tells of a failure."""
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 BuildOwnHeaders = Callable[[str, float | None], wire_lib.RawHeaders]
@@ -32,6 +34,7 @@
         should_close: called for each response; returns whether to ask the
             caller to close the connection.
         is_started: whether the response head was sent.
+        status: HTTP status of the response; 0 before its head was sent.
         is_aborted: whether the response can't be completed.
     """
 
@@ -47,11 +50,18 @@
         self.build_own_headers = build_own_headers
         self.should_close = should_close
         self.is_started = False
+        self.status = 0
         self.is_aborted = False
 
+    @property
+    def is_served(self) -> bool:
+        """Whether the response is a successful one and not aborted."""
+        return 0 < self.status < FIRST_FAILURE and not self.is_aborted
+
     async def start(self, status: int, headers: wire_lib.RawHeaders) -> None:
         """Sends the response head."""
         self.is_started = True
+        self.status = status
         listed = list(headers)
         if self.should_close():
             listed.append((b"connection", b"close"))
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -147,6 +147,9 @@
     async def receive(self) -> Item:
         """Returns the next part of the response.
 
+        Parts of the body that were received meanwhile are returned as one: a
+        router that falls behind then passes them on with fewer writes.
+
         Raises:
             BrokenError: the connection failed, and all parts received before
                 have been returned.
@@ -164,6 +167,11 @@
                 self.wakeup = None
         item = self.inbox.popleft()
         if isinstance(item, bytes):
+            if self.inbox and isinstance(self.inbox[0], bytes):
+                parts = [item]
+                while self.inbox and isinstance(self.inbox[0], bytes):
+                    parts.append(self.inbox.popleft())
+                item = b"".join(parts)
             self.inbox_bytes -= len(item)
             if self.inbox_bytes < MAX_INBOX_BYTES and not self.is_broken:
                 self.transport.resume_reading()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -12,7 +12,7 @@
 from lentilbeam_core import messages
 from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import configuration as configuration_lib
-from lentilbeam_core.forwarding import lateness as lateness_lib
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_core.forwarding import work_sums
@@ -29,6 +29,7 @@
 from lentilbeam_router.forwarding import gateway_settings
 from lentilbeam_router.forwarding import listening
 from lentilbeam_router.forwarding import origin_exchange as origin_exchange_lib
+from lentilbeam_router.forwarding import overload as overload_lib
 from lentilbeam_router.forwarding import peers as peers_lib
 from lentilbeam_router.forwarding import prompt_blocks as prompt_blocks_lib
 from lentilbeam_router.forwarding import report_exchange as report_exchange_lib
@@ -77,7 +78,7 @@
         logged_as_avoided: targets that were logged as avoided.
         configuration_watch: compares the configuration with that of peers.
         targets_watch: compares the target list with that of peers.
-        lateness: how late the timers of this process fire.
+        overload: what this router does if it is too busy.
         stop: set on SIGTERM and SIGINT.
         dispatchers: dispatcher of each pool that has had a request.
         prompt_blocks: prompt parts that are blocked, since they crash targets.
@@ -109,7 +110,7 @@
         self.logged_as_avoided: set[ids.TargetId] = set()
         self.configuration_watch = feeds.FeedWatch(MAX_CONFIGURATION_LAG_S)
         self.targets_watch = feeds.FeedWatch(MAX_TARGETS_LAG_S[0])
-        self.lateness = lateness_lib.Lateness(lateness_lib.Settings())
+        self.overload = overload_lib.Overload(poll_times, clock, self.log)
         self.stop = asyncio.Event()
         self.dispatchers: dict[ids.PoolId, dispatcher_lib.Dispatcher] = {}
         self.link = peer_link.PeerLink(
@@ -180,36 +181,29 @@
     @property
     def takes_callers(self) -> bool:
         """Whether this router keeps up, so that callers may be sent to it."""
-        return self.lateness.takes_callers(self.clock.monotonic())
+        return self.overload.takes_callers
 
     def is_too_late_for(self, request: requests.Request) -> bool:
-        """Whether this router is too busy to take a new request.
-
-        While it is late, it still takes the requests of workspaces that have
-        not had their fair share.
-        """
-        level = self.lateness.level
-        if level is not lateness_lib.Level.LATE:
-            return level is lateness_lib.Level.STALLED
+        """Whether this router is too busy to take a new request."""
         dispatcher = self.find_dispatcher(request.pool)
-        return dispatcher.has_had_fair_share(request.workspace)
+        return self.overload.is_too_late_for(
+            request, lambda: dispatcher.has_had_fair_share(request.workspace)
+        )
 
-    def note_lateness(self, due_at: float) -> None:
-        """Updates `lateness`; logs a change of its level.
+    def refuse_as_busy(
+        self, request: requests.Request
+    ) -> decisions_lib.Refused:
+        """Refuses a request that this router is too busy for."""
+        refused = self.find_dispatcher(request.pool).refuse(request)
+        serving = len(self.peers.find_serving())
+        delay_s = self.overload.find_retry_delay(
+            refused, serving > len(self.peers.listed) / 2
+        )
+        return dataclasses.replace(refused, retry_after_s=delay_s)
 
-        Args:
-            due_at: when a timer that fired now was due, or when a request that
-                is handled now was read, monotonic seconds.
-        """
-        before = self.lateness.level
-        self.lateness.note_timer(due_at, self.clock.monotonic())
-        if self.lateness.level is not before:
-            self.log.write_event(
-                "lateness",
-                level=self.lateness.level.value,
-                late_s=round(self.lateness.late_s, 3),
-                active=self.request_handler.active,
-            )
+    def note_lateness(self, due_at: float) -> None:
+        """Updates `overload`; see `Overload.note_lateness`."""
+        self.overload.note_lateness(due_at, self.request_handler.active)
 
     def find_dispatcher(self, pool: ids.PoolId) -> dispatcher_lib.Dispatcher:
         """Returns the dispatcher of a pool, created on first use.
@@ -324,7 +318,10 @@
             "configuration_version": current.version if current else 0,
             "ready": self.is_ready,
             "leaving": self.is_leaving,
-            "late_s": self.lateness.late_s,
+            "late_s": self.overload.lateness.late_s,
+            "busy_fraction": self.overload.load.busy_fraction,
+            "request_processor_s": self.overload.load.estimate_cost(),
+            "processor_backlog_s": self.overload.load.read_backlog(now),
             "requests_active": self.request_handler.active,
             "peers_listed": len(self.peers.listed),
             "peers_serving": len(self.peers.find_serving()),
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import traceback
 from typing import Any
 
@@ -108,9 +109,8 @@
             arrived_at,
             handled_at - arrived_at,
         )
-        if request is not None and self.gateway.is_too_late_for(request):
-            dispatcher = self.gateway.find_dispatcher(request.pool)
-            refused = dispatcher.refuse(request)
+        if request is not None and self._is_refused(request_head, request):
+            refused = self.gateway.refuse_as_busy(request)
             self.log.write_request_event(
                 request.request_id,
                 "refused",
@@ -121,10 +121,27 @@
             self.metrics.count("request.refused")
             await channel.respond(503, refused.retry_after_s)
         elif request is not None:
+            # Hashing the body is left to here, since it makes refusals dearer.
+            request = dataclasses.replace(
+                request, identity=_compute_identity(request_head, request, body)
+            )
             await self._forward(
                 request_head, body, request, channel, receive, caller
             )
 
+    def _is_refused(
+        self, request_head: wire_lib.RequestHead, request: requests.Request
+    ) -> bool:
+        """Whether this router is too busy for a request.
+
+        What is left of a stream that is resumed takes less time than a whole
+        response, so how long others took does not count for it.
+        """
+        if self.gateway.is_too_late_for(request):
+            return True
+        is_resumed = request_head.resume_after is not None
+        return not is_resumed and not self.gateway.overload.can_finish(request)
+
     async def _wait_for_turn(self, handled_at: float) -> None:
         """Waits until the event loop has time for another new request.
 
@@ -184,16 +201,6 @@
             configuration_version=current.version,
             body_bytes=len(body),
             unread_s=unread_s,
-            identity=request_identity.compute(
-                workspace,
-                (
-                    request_head.method,
-                    request_head.host,
-                    request_head.path,
-                    request_head.query,
-                ),
-                body,
-            ),
         )
 
     async def _forward(
@@ -209,7 +216,10 @@
             self._log_left(request)
             return
         dispatcher = self.gateway.find_dispatcher(request.pool)
-        dispatcher.budget.note_request(self.clock.monotonic())
+        begun_at = self.clock.monotonic()
+        dispatcher.budget.note_request(begun_at)
+        load = self.gateway.overload.load
+        load.note_begun(begun_at)
         run = asyncio.ensure_future(
             self.gateway.forwarder.run(
                 request_head,
@@ -229,6 +239,7 @@
         finally:
             disconnect.cancel()
             run.cancel()
+            load.note_ended(self.clock.monotonic())
         try:
             await run
         except asyncio.CancelledError:
@@ -241,6 +252,9 @@
                 request_head.request_id, "fault", detail=detail
             )
             raise
+        if channel.is_served:
+            now = self.clock.monotonic()
+            load.note_served(request.route.name, now - begun_at, now)
         if channel.is_aborted:
             raise caller_channel.ResponseAbortedError(request_head.request_id)
 
@@ -296,6 +310,21 @@
         await channel.respond(status)
 
 
+def _compute_identity(
+    request_head: wire_lib.RequestHead, request: requests.Request, body: bytes
+) -> str:
+    return request_identity.compute(
+        request.workspace,
+        (
+            request_head.method,
+            request_head.host,
+            request_head.path,
+            request_head.query,
+        ),
+        body,
+    )
+
+
 async def _wait_for_disconnect(receive: Receive) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -27,6 +27,7 @@
 from lentilbeam_router.forwarding import dispatcher
 from lentilbeam_router.forwarding import forwarder
 from lentilbeam_router.forwarding import origin_exchange
+from lentilbeam_router.forwarding import overload
 from lentilbeam_router.forwarding import peers
 from lentilbeam_router.forwarding import request_handler
 from tests.forwarding import makers
@@ -145,6 +146,8 @@
             find_dispatcher=lambda name: self.dispatcher,
             peers=types.SimpleNamespace(count_routers=lambda: 1),
             is_too_late_for=lambda request: False,
+            refuse_as_busy=lambda request: self.dispatcher.refuse(request),
+            overload=overload.Overload(poll_times, clock, log),
             takes_callers=True,
             forwarder=forwarder.Forwarder(
                 call_wire.CODEC,
