Send cold targets at most their rate from the whole fleet

In pools with cold_per_s a target counts as warm only once a current record of its process says so; a broken connection, a withdrawn evacuation or the report of a peer makes it cold until a later record.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -303,7 +303,7 @@
     ) -> list[target_list.Entry]:
         """Returns the targets whose limits allow another request."""
         limit_parts = self.limit_parts
-        if not limit_parts.credits:
+        if limit_parts.is_empty:
             return targets
         return [t for t in targets if limit_parts.may_send(t.name)]
 
@@ -344,11 +344,12 @@
         self.placer.loads.start_request(
             request.request_id, target, placement.unread, held, now
         )
+        is_paced = target in self.limit_parts.paces
         self.limit_parts.note_sent(target)
         if request.prompt is not None:
             self.placer.note_prompt_placed(target, request.prompt.parts, now)
         self.usage.note_served(workspace, requests.estimate_cost(request), now)
-        return decisions_lib.Placed(request, placement)
+        return decisions_lib.Placed(request, placement, is_paced)
 
     def _refuse_expired(
         self, targets: list[target_list.Entry], now: float
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/configuration.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/configuration.py
@@ -95,11 +95,17 @@
         max_connections: maximum number of connections that one target
             accepts from all routers together.
         engine: capacity of each model engine; None for plain services.
+        cold_start_s: how long a target is cold (slow) after a start during
+            traffic, in seconds; 0 if it never is.
+        cold_per_s: requests per second that a cold target takes from all
+            routers together; 0 if cold targets are treated like others.
     """
 
     name: ids.PoolId
     max_connections: int
     engine: Engine | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -27,10 +27,12 @@
     Attributes:
         request: the request to send.
         placement: where to send it.
+        is_paced: whether it counts in this router's pace at a cold target.
     """
 
     request: requests.Request
     placement: placement_lib.Placement
+    is_paced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/limit_parts.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/limit_parts.py
@@ -9,6 +9,7 @@
 import random
 
 from lentilbeam_core import ids
+from lentilbeam_core.forwarding import cold_pace
 
 MIN_RATE_PER_S = 0.5
 """Requests per second that the whole fleet sends to a target with a lower
@@ -92,11 +93,18 @@
     Attributes:
         rng: random number generator.
         credits: credit by target; targets without a limit have none.
+        paces: pace at each cold target.
     """
 
     def __init__(self, rng: random.Random):
         self.rng = rng
         self.credits: dict[ids.TargetId, Credit] = {}
+        self.paces: dict[ids.TargetId, cold_pace.Pace] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target is limited."""
+        return not self.credits and not self.paces
 
     def update(
         self, name: ids.TargetId, limit_per_s: float, part: float, now: float
@@ -123,16 +131,63 @@
         else:
             credit.update(per_s, now)
 
+    def update_pace(self, name: ids.TargetId, per_s: float, now: float) -> None:
+        """Brings the pace at a cold target up to date.
+
+        Args:
+            name: the target.
+            per_s: requests per second that this router may send to it.
+            now: monotonic seconds.
+        """
+        pace = self.paces.get(name)
+        if pace is None:
+            # One whole interval has to pass, since this router may have sent
+            # just before; the random rest spreads the routers.
+            self.paces[name] = cold_pace.Pace(per_s, -self.rng.random(), now)
+        else:
+            pace.update(per_s, now)
+
+    def keep_only(self, names: set[ids.TargetId]) -> None:
+        """Removes the limits of all other targets."""
+        for table in (self.credits, self.paces):
+            for name in table.keys() - names:
+                del table[name]
+
     def may_send(self, name: ids.TargetId) -> bool:
         """Whether a request may be sent to a target now."""
         credit = self.credits.get(name)
-        return credit is None or credit.requests > 0
+        pace = self.paces.get(name)
+        return (credit is None or credit.requests > 0) and (
+            pace is None or pace.may_send
+        )
 
     def note_sent(self, name: ids.TargetId) -> None:
         """Uses credit for a request that is sent to a target."""
         credit = self.credits.get(name)
         if credit is not None:
             credit.requests -= 1
+        pace = self.paces.get(name)
+        if pace is not None:
+            pace.note_sent()
+
+    def find_limit(self, name: ids.TargetId) -> tuple[float, float] | None:
+        """Returns when and how often requests may be sent to a target.
+
+        Returns:
+            When the next one may be sent, monotonic seconds, and the number of
+            requests per second, of the strictest limit; None if there is none.
+        """
+        limits = [
+            limit
+            for limit in (self.credits.get(name), self.paces.get(name))
+            if limit is not None
+        ]
+        if not limits:
+            return None
+        return (
+            max(limit.find_next() for limit in limits),
+            min(limit.per_s for limit in limits),
+        )
 
     def find_next(self, now: float) -> float | None:
         """Returns when credit is added next at a target that has none.
@@ -145,8 +200,14 @@
             for credit in self.credits.values()
             if credit.requests == 0
         ]
+        times += [
+            pace.find_next()
+            for pace in self.paces.values()
+            if not pace.may_send
+        ]
         return max(min(times), now) if times else None
 
     def forget(self, name: ids.TargetId) -> None:
-        """Removes the credit at a target that has restarted or is gone."""
+        """Removes the limits of a target that has restarted or is gone."""
         self.credits.pop(name, None)
+        self.paces.pop(name, None)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -53,6 +53,8 @@
             limit, see `messages.TargetLoad`.
         limit_per_s: that limit, in requests per second.
         limit_age_s: time since the response with it, in seconds.
+        cold_start_ms: start of the process that has turned cold, see
+            `messages.TargetLoad`.
     """
 
     unread: float = 0.0
@@ -65,6 +67,7 @@
     limit_start_ms: int = 0
     limit_per_s: float = 0.0
     limit_age_s: float = math.inf
+    cold_start_ms: int = 0
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or subtracts it if `sign` is -1."""
@@ -97,6 +100,7 @@
         self.leaving_start_ms = max(
             self.leaving_start_ms, item.leaving_start_ms
         )
+        self.cold_start_ms = max(self.cold_start_ms, item.cold_start_ms)
         limit_age_s = item.limit_age_ms / 1000 + age_s
         if item.limit_start_ms and limit_age_s < self.limit_age_s:
             self.limit_start_ms = item.limit_start_ms
@@ -112,12 +116,17 @@
     def report(self, target: ids.TargetId) -> messages.TargetLoad | None:
         """Returns the load as a message to peers.
 
-        None if the target isn't known to be leaving or to have named a limit,
-        nothing is running, less than 1 prompt token was sent recently and
-        fewer than `MIN_REPORTED_OUTCOMES` requests ended recently.
+        None if the target isn't known to be leaving, to have named a limit or
+        to have turned cold, nothing is running, less than 1 prompt token was
+        sent recently and fewer than `MIN_REPORTED_OUTCOMES` requests ended
+        recently.
         """
         is_busy = self.running > 0 or self.recent >= 1.0
-        has_notice = self.leaving_start_ms > 0 or self.limit_start_ms > 0
+        has_notice = (
+            self.leaving_start_ms > 0
+            or self.limit_start_ms > 0
+            or self.cold_start_ms > 0
+        )
         if (
             not (is_busy or has_notice)
             and self.outcomes < MIN_REPORTED_OUTCOMES
@@ -135,6 +144,7 @@
             self.limit_start_ms,
             self.limit_per_s,
             self.limit_age_s * 1000 if self.limit_start_ms else 0.0,
+            self.cold_start_ms,
         )
 
 
@@ -318,6 +328,7 @@
         now: float,
         leaving: Mapping[ids.TargetId, int],
         limits: Mapping[ids.TargetId, target_limits.Limit],
+        cold: Mapping[ids.TargetId, int] | None = None,
     ) -> list[messages.TargetLoad]:
         """Returns this router's own loads as messages to its peers.
 
@@ -327,13 +338,17 @@
                 that is leaving, Unix milliseconds.
             limits: newest limit of each target of the pool, from responses to
                 this router.
+            cold: start of the process of each target of the pool that has
+                turned cold a moment ago; None if there is none.
         """
+        cold = cold or {}
         targets = self.own_loads.keys() | self.outcomes.keys()
-        targets = targets | leaving.keys() | limits.keys()
+        targets = targets | leaving.keys() | limits.keys() | cold.keys()
         reports = []
         for target in targets:
             load = self._read_own(target, now)
             load.leaving_start_ms = leaving.get(target, 0)
+            load.cold_start_ms = cold.get(target, 0)
             if target in limits:
                 load.set_limit(limits[target], now)
             reports.append(load.report(target))
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -18,6 +18,7 @@
 import enum
 
 from lentilbeam_core import ids
+from lentilbeam_core.forwarding import cold_targets
 from lentilbeam_core.forwarding import evacuations
 from lentilbeam_core.forwarding import target_limits
 
@@ -58,6 +59,9 @@
         started_at_ms: when its process started, Unix milliseconds; 0 if
             unknown.
         version: version of its software; empty if unknown.
+        cold_left_s: for how much longer it was cold when the entry was
+            written, in seconds; 0 if it was not. It changes with each write,
+            so entries that differ only in it are equal.
     """
 
     name: ids.TargetId
@@ -69,6 +73,7 @@
     state: TargetState
     started_at_ms: int = 0
     version: str = ""
+    cold_left_s: float = dataclasses.field(default=0.0, compare=False)
 
     @property
     def start_ms(self) -> int:
@@ -108,6 +113,7 @@
         versions_ended_at: when a target of each pool and version was last
             removed or replaced, monotonic seconds.
         evacuations: data centres whose targets get no new requests.
+        cold: which targets are cold.
     """
 
     def __init__(self):
@@ -120,10 +126,12 @@
         self.removed: dict[ids.TargetId, RemovedTarget] = {}
         self.versions_ended_at: dict[tuple[ids.PoolId, str], float] = {}
         self.evacuations = evacuations.Evacuations()
+        self.cold = cold_targets.ColdTargets()
 
     def note_store_returned(self, now: float) -> None:
         """Starts a grace period: the store is available again."""
         self.store_returned_at = now
+        self.cold.note_store_returned(now)
 
     def put(self, entry: Entry) -> Entry | None:
         """Adds or replaces an entry; returns the previous one, or None."""
@@ -228,6 +236,21 @@
         self.limits.note_reported(name, limit)
         return self.limits.read_rate(name, now) != before
 
+    def note_reported_cold(
+        self, name: ids.TargetId, start_ms: int, now: float
+    ) -> bool:
+        """Records that a peer has reported that a target turned cold.
+
+        Returns:
+            Whether a target counts as cold that counted as warm before.
+        """
+        entry = self.entries.get(name)
+        if entry is None or entry.start_ms > start_ms:
+            return False
+        was_warm = self.cold.is_warm(name, entry.start_ms, now)
+        self.cold.note_reported(name, now)
+        return was_warm
+
     def find_own_limits(
         self, pool: ids.PoolId, now: float
     ) -> dict[ids.TargetId, target_limits.Limit]:
@@ -292,6 +315,7 @@
         self.leaving.pop(name, None)
         self.quiet_until.pop(name, None)
         self.limits.forget(name)
+        self.cold.forget(name)
         for other, removed in list(self.removed.items()):
             if now - removed.removed_at > REMEMBER_REMOVED_S:
                 del self.removed[other]
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -236,6 +236,8 @@
         limit_per_s: the limit in requests per second; infinite if it was
             withdrawn.
         limit_age_ms: time since the response with it, in milliseconds.
+        cold_start_ms: start of the target's process, if that process or one
+            that has replaced it has turned cold a moment ago, likewise; else 0.
     """
 
     target: ids.TargetId
@@ -249,6 +251,7 @@
     limit_start_ms: int = 0
     limit_per_s: float = 0.0
     limit_age_ms: float = 0.0
+    cold_start_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/cold_control.py
@@ -0,0 +1,198 @@
+"""Limits the requests of this router to cold targets."""
+
+from lentilbeam_core import hash_ring
+from lentilbeam_core import ids
+from lentilbeam_core import rendezvous
+from lentilbeam_core.forwarding import cold_pace
+from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import fleet_demand
+from lentilbeam_core.forwarding import limit_parts
+from lentilbeam_core.forwarding import target_list
+from lentilbeam_router.forwarding import decision_log
+from lentilbeam_router.forwarding import peers as peers_lib
+
+ENTRY_INTERVAL_S = 1.2
+"""Time between two entries of a target, as documented by the platform."""
+
+
+class ColdControl:
+    """What all pools share: the margin, and who sends to which cold target.
+
+    Attributes:
+        settings: margin of the operators.
+        own_name: ID of this router.
+        peers: the other routers.
+        targets: targets of all pools.
+        log: log of decisions.
+        pools: pools that have a rate for cold targets.
+        has_peers: whether the list of routers was read since the start. Until
+            then this router can't know its part and sends nothing.
+        ring: all listed routers, this one included.
+    """
+
+    def __init__(
+        self,
+        settings: cold_pace.Settings,
+        own_name: ids.InstanceId,
+        peers: peers_lib.Peers,
+        targets: target_list.TargetList,
+        log: decision_log.DecisionLog,
+    ):
+        self.settings = settings
+        self.own_name = own_name
+        self.peers = peers
+        self.targets = targets
+        self.log = log
+        self.pools: set[ids.PoolId] = set()
+        self.has_peers = False
+        self.ring: hash_ring.HashRing[ids.InstanceId] = hash_ring.HashRing(())
+
+    def is_sharer(self, target: ids.TargetId, count: int) -> bool:
+        """Whether this router is among the first `count` of a target."""
+        if len(self.ring.names) != self.peers.count_routers():
+            self.ring = hash_ring.HashRing([*self.peers.listed, self.own_name])
+        key = int.from_bytes(rendezvous.score("cold", target))
+        return self.own_name in self.ring.find(key, count, lambda name: True)
+
+    def note_record(self, entry: target_list.Entry, now: float) -> bool:
+        """Applies a new record of a target.
+
+        Returns:
+            Whether it has turned cold or warm in a pool where this matters.
+        """
+        is_changed = self.targets.cold.note_record(
+            entry.name, entry.start_ms, entry.cold_left_s, now
+        )
+        if entry.pool not in self.pools:
+            return False
+        if is_changed:
+            self.log.write_event(
+                "target_cold" if entry.cold_left_s > 0 else "target_warm",
+                target=entry.name,
+                left_s=round(entry.cold_left_s, 3),
+                source="entry",
+            )
+        return is_changed
+
+    def find_turned_cold(
+        self, pool: ids.PoolId, now: float
+    ) -> dict[ids.TargetId, int]:
+        """Returns the targets of a pool that turned cold a moment ago.
+
+        Returns:
+            Start of the process (`Entry.start_ms`) by name of the target.
+        """
+        if pool not in self.pools:
+            return {}
+        entries = self.targets.entries
+        return {
+            name: start_ms
+            for name, start_ms in self.targets.cold.list_turned_cold(
+                now
+            ).items()
+            if name in entries and entries[name].pool == pool
+        }
+
+    def note_broken(
+        self, entry: target_list.Entry, is_news: bool, now: float
+    ) -> bool:
+        """Records that a connection broke; see `ColdTargets.note_broken`."""
+        was_warm = self.targets.cold.note_broken(
+            entry.name, entry.start_ms, is_news, now
+        )
+        if was_warm:
+            self.log.write_event(
+                "target_cold", target=entry.name, left_s=None, source="broken"
+            )
+        return was_warm
+
+
+class PoolColdControl:
+    """Paces the requests to the cold targets of one pool.
+
+    Attributes:
+        control: what all pools share; None if no router is to be limited.
+        limit_parts: limits in force at the pool's targets.
+        demand: requests for the pool, at all routers.
+        part: this router's part if all routers send to a cold target; None
+            before it is first needed.
+    """
+
+    def __init__(
+        self,
+        control: ColdControl | None,
+        limits: limit_parts.LimitParts,
+        demand: fleet_demand.FleetDemand,
+    ):
+        self.control = control
+        self.limit_parts = limits
+        self.demand = demand
+        self.part: cold_pace.GrowingPart | None = None
+
+    def is_cold(
+        self,
+        pool: configuration.Pool,
+        entry: target_list.Entry,
+        now: float,
+    ) -> bool:
+        """Whether a target may get only the rate of a cold one."""
+        return (
+            self.control is not None
+            and pool.cold_per_s > 0
+            and not self.control.targets.cold.is_warm(
+                entry.name, entry.start_ms, now
+            )
+        )
+
+    def note_broken(
+        self,
+        pool: configuration.Pool,
+        entry: target_list.Entry,
+        is_news: bool,
+        now: float,
+    ) -> bool:
+        """Records that a connection to a target of the pool broke.
+
+        Returns:
+            Whether the target was warm before.
+        """
+        if self.control is None or pool.cold_per_s <= 0:
+            return False
+        if not self.control.targets.is_listed(entry):
+            return False
+        return self.control.note_broken(entry, is_news, now)
+
+    def update(
+        self,
+        pool: configuration.Pool,
+        ready: list[target_list.Entry],
+        now: float,
+    ) -> None:
+        """Brings the paces at all targets of the pool up to date."""
+        limits = self.limit_parts
+        if pool.cold_per_s <= 0 and not limits.paces:
+            return
+        cold = [entry for entry in ready if self.is_cold(pool, entry, now)]
+        names = {entry.name for entry in cold}
+        for name in limits.paces.keys() - names:
+            del limits.paces[name]
+        if not cold or self.control is None:
+            return
+        routers = self.control.peers.count_routers()
+        sharers = self.control.settings.count_sharers(pool.cold_per_s, routers)
+        even = pool.cold_per_s / sharers
+        by_demand = self._find_part(routers, now) * pool.cold_per_s
+        for entry in cold:
+            per_s = by_demand
+            if not self.control.has_peers:
+                per_s = 0.0
+            elif sharers < routers:
+                is_sharer = self.control.is_sharer(entry.name, sharers)
+                per_s = even if is_sharer else 0.0
+            limits.update_pace(entry.name, per_s, now)
+
+    def _find_part(self, routers: int, now: float) -> float:
+        wanted = self.demand.compute_part(routers, now)
+        if self.part is None:
+            self.part = cold_pace.GrowingPart(1.0 / routers, now)
+        return self.part.update(wanted, now)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -22,6 +22,7 @@
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
+from lentilbeam_router.forwarding import cold_control
 
 OUTLIER_CHECK_INTERVAL_S = 0.05
 """Shortest time, in seconds, between two searches for failing targets. Reports
@@ -49,6 +50,7 @@
             included.
         placer: chooses the target of a request.
         admission: queue of the requests that wait for a target.
+        cold: paces the requests to cold targets.
         ejector: ejects targets after failures in a row.
         waiters: future of each waiting request, by request ID.
         placed: prompt parts of each request placed since the last report.
@@ -71,6 +73,7 @@
         count_routers: Callable[[], int],
         clock: clock_lib.Clock,
         rng: random.Random,
+        cold: cold_control.ColdControl | None = None,
     ):
         pool = current.pools[name]
         self.pool = pool
@@ -87,6 +90,9 @@
         self.admission = admission.Admission(
             admission.Settings(), self.placer, self.usage, rng
         )
+        self.cold = cold_control.PoolColdControl(
+            cold, self.admission.limit_parts, self.demand
+        )
         self.ejector = ejection.Ejector(ejection.Settings())
         self.waiters: dict[str, asyncio.Future[decisions_lib.Decision]] = {}
         self.placed: list[tuple[messages.PlacedPart, ...]] = []
@@ -181,6 +187,17 @@
         ready = {t.name: t for t in self.targets.find_ready(self.pool.name)}
         return self.ejector.record_failures(target, 1, ready, now)
 
+    def note_broken(self, target: target_list.Entry, is_news: bool) -> None:
+        """Records that a connection to a target broke or failed.
+
+        Args:
+            target: the target.
+            is_news: whether peers are to be told.
+        """
+        now = self.clock.monotonic()
+        if self.cold.note_broken(self.pool, target, is_news, now):
+            self.is_changed = True
+
     def note_success(self, target: ids.TargetId) -> None:
         """Records that a target sent a whole response."""
         self.loads.note_outcome(target, False, self.clock.monotonic())
@@ -299,6 +316,7 @@
             "fleet_unread_tokens": sum(load.unread for load in totals),
             "targets_usable": len(self.find_usable()),
             "targets_limited": len(self.admission.limit_parts.credits),
+            "targets_cold": len(self.admission.limit_parts.paces),
             "workspaces_asking": len(self.usage.asked),
             "repeats_in_window": len(self.budget.retries),
         }
@@ -368,6 +386,7 @@
         if now - self.avoided_checked_at >= OUTLIER_CHECK_INTERVAL_S:
             self._refresh_avoided(ready, now)
         self._update_credits(ready, now)
+        self.cold.update(self.pool, ready, now)
         for entry in ready:
             if self._is_failing(entry.name, now):
                 continue
@@ -391,6 +410,7 @@
     ) -> None:
         limit_parts = self.admission.limit_parts
         limits = self.targets.limits
+        limit_parts.keep_only({entry.name for entry in ready})
         if limits.is_empty and not limit_parts.credits:
             return
         part = self.demand.compute_part(self.count_routers(), now)
@@ -413,16 +433,20 @@
             quiet_until = now
             if self.targets.is_quiet(entry.name, now):
                 quiet_until = self.targets.quiet_until[entry.name]
-            credit = self.admission.limit_parts.credits.get(entry.name)
-            if credit is not None:
-                next_at = min(next_at, max(credit.find_next(), quiet_until))
-                per_s += credit.per_s
+            limit = self.admission.limit_parts.find_limit(entry.name)
+            if limit is not None:
+                next_at = min(next_at, max(limit[0], quiet_until))
+                per_s += limit[1]
             elif quiet_until > now:
                 unlimited_from = min(unlimited_from, quiet_until)
             else:
                 return None
         if math.isinf(next_at) and math.isinf(unlimited_from):
-            return None
+            if not self.admission.limit_parts.paces:
+                return None
+            # Other routers send to the cold targets; the next entries may say
+            # that these are warm.
+            unlimited_from = now + cold_control.ENTRY_INTERVAL_S
         return limit_parts_lib.Supply(next_at, per_s, unlimited_from)
 
     def _refresh_avoided(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/evacuation_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/evacuation_control.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_router.forwarding import decision_log
@@ -13,6 +14,7 @@
     Attributes:
         targets: targets of all pools.
         log: log of decisions.
+        clock: source of monotonic time.
         decide_all: processes the queues of all pools.
     """
 
@@ -20,10 +22,12 @@
         self,
         targets: target_list.TargetList,
         log: decision_log.DecisionLog,
+        clock: clock_lib.Clock,
         decide_all: Callable[[], None],
     ):
         self.targets = targets
         self.log = log
+        self.clock = clock
         self.decide_all = decide_all
 
     def ask(self, data_centre: ids.DataCentreId) -> None:
@@ -35,7 +39,7 @@
     def withdraw(self, data_centre: ids.DataCentreId) -> None:
         """Uses the targets of a data centre again."""
         if self.targets.evacuations.withdraw(data_centre):
-            self._log_withdrawn(data_centre)
+            self._use_again(data_centre)
             self.decide_all()
 
     def replace(self, asked: set[ids.DataCentreId], era: int) -> None:
@@ -44,7 +48,7 @@
         for data_centre in changes.begun:
             self._log_begun(data_centre)
         for data_centre in changes.withdrawn:
-            self._log_withdrawn(data_centre)
+            self._use_again(data_centre)
         for data_centre in changes.kept:
             self.log.write_event("evacuation_kept", data_centre=data_centre)
         if changes.begun or changes.withdrawn:
@@ -71,7 +75,18 @@
             targets=self._count_targets(data_centre),
         )
 
-    def _log_withdrawn(self, data_centre: ids.DataCentreId) -> None:
+    def _use_again(self, data_centre: ids.DataCentreId) -> None:
+        """Logs a withdrawal; the targets count as cold until they write.
+
+        They may have become cold meanwhile, and since they are idle, all
+        routers would prefer them.
+        """
+        now = self.clock.monotonic()
+        for entry in self.targets.entries.values():
+            if entry.data_centre == data_centre:
+                self.targets.cold.note_broken(
+                    entry.name, entry.start_ms, False, now
+                )
         self.log.write_event(
             "evacuation_withdrawn",
             data_centre=data_centre,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -29,6 +29,7 @@
 from lentilbeam_router.forwarding import progress as progress_lib
 from lentilbeam_router.forwarding import response_checks
 from lentilbeam_router.forwarding import resumption as resumption_lib
+from lentilbeam_router.forwarding import send_checks
 from lentilbeam_router.forwarding import target_notices
 from lentilbeam_router.forwarding import wire as wire_lib
 
@@ -158,6 +159,7 @@
         self.routers = routers
         self.crash_evidence = forwarder.crash_evidence
         self.is_answered = False
+        self.is_paced = False
         self.sent_at = 0.0
         self.resumption = resumption_lib.Resumption(
             request_head, request, forwarder.origin_exchange, self.clock
@@ -188,6 +190,7 @@
             if isinstance(decision, decisions_lib.Refused):
                 await self._end_refused(decision)
                 return
+            self.is_paced = decision.is_paced
             outcome = await self._send(decision.placement)
             if outcome.result is progress_lib.SendResult.DONE:
                 return
@@ -272,6 +275,7 @@
                 and error.start_ms != 0
             )
             self._note_failure(target, is_fault=not is_other_process)
+            self.dispatcher.note_broken(target, is_news=False)
             self.progress.tried.add(target.name)
             return progress_lib.SendOutcome(
                 progress_lib.SendResult.NOT_RUN, f"connect: {error}"
@@ -282,12 +286,14 @@
         try:
             await self._catch_up()
             self._check_deadline()
-            if self.dispatcher.targets.is_evacuated(target.data_centre):
-                # The evacuation began while the connection was opened.
-                self._record("not_sent", target=target.name, reason="evacuated")
+            objection = send_checks.find_objection(
+                self.dispatcher, target, self.is_paced, self.clock.monotonic()
+            )
+            if objection is not None:
+                self._record("not_sent", target=target.name, reason=objection)
                 self.progress.tried.add(target.name)
                 return progress_lib.SendOutcome(
-                    progress_lib.SendResult.NOT_RUN, "evacuated"
+                    progress_lib.SendResult.NOT_RUN, objection
                 )
             return await self._exchange(placement, connection)
         finally:
@@ -393,6 +399,7 @@
             )
         if outcome.is_broken_off:
             self._note_crash(target)
+            self.dispatcher.note_broken(target, is_news=True)
         if outcome.result is progress_lib.SendResult.NOT_RUN:
             self.progress.may_have_run = may_have_run_before
         if outcome.result is progress_lib.SendResult.DONE:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -21,6 +21,7 @@
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router import peer_link
 from lentilbeam_router import signal_free_server
+from lentilbeam_router.forwarding import cold_control
 from lentilbeam_router.forwarding import connection_pool
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
@@ -74,6 +75,7 @@
         configuration: the newest configuration.
         targets: targets of all pools.
         evacuations: puts evacuations of data centres in force.
+        cold: limits the requests to cold targets.
         has_targets: whether the target list was read since the start.
         is_leaving: whether this router is shutting down.
         logged_as_avoided: targets that were logged as avoided.
@@ -107,7 +109,7 @@
         self.configuration = configuration_lib.LatestConfiguration()
         self.targets = target_list.TargetList()
         self.evacuations = evacuation_control.EvacuationControl(
-            self.targets, self.log, self._decide_all
+            self.targets, self.log, clock, self._decide_all
         )
         self.has_targets = False
         self.is_leaving = False
@@ -121,6 +123,13 @@
             settings.instance, self._receive, self.metrics
         )
         self.peers = peers_lib.Peers(settings.instance, clock, self.log)
+        self.cold = cold_control.ColdControl(
+            settings.cold,
+            settings.instance,
+            self.peers,
+            self.targets,
+            self.log,
+        )
         self.report_exchange = report_exchange_lib.ReportExchange(
             settings.instance,
             self.incarnation,
@@ -233,6 +242,7 @@
                 self.count_routers,
                 self.clock,
                 self.rng,
+                self.cold,
             )
         return self.dispatchers[pool]
 
@@ -244,6 +254,14 @@
         if self.configuration.offer(found):
             for dispatcher in self.dispatchers.values():
                 dispatcher.change_configuration(found)
+            self.cold.pools = {
+                name
+                for name, pool in found.pools.items()
+                if pool.cold_per_s > 0
+            }
+            for name in self.cold.pools:
+                # The pace at cold targets begins before the first request.
+                self.find_dispatcher(name)
             self.log.write_event(
                 "configuration_in_force",
                 version=found.version,
@@ -253,6 +271,14 @@
             )
 
     def put_target(self, entry: target_list.Entry) -> None:
+        """Applies a new record of a target."""
+        self._list_target(entry)
+        if self.cold.note_record(entry, self.clock.monotonic()):
+            for dispatcher in self.dispatchers.values():
+                dispatcher.is_changed = True
+            self._decide_all()
+
+    def _list_target(self, entry: target_list.Entry) -> None:
         """Adds or replaces a target."""
         previous = self.targets.put(entry)
         if previous == entry:
@@ -284,12 +310,17 @@
         for name in list(self.targets.entries):
             if name not in names:
                 self.remove_target(name)
+        now = self.clock.monotonic()
         for entry in entries:
-            self.put_target(entry)
+            self._list_target(entry)
+            self.targets.cold.note_listed(
+                entry.name, entry.start_ms, entry.cold_left_s, now
+            )
 
     def put_router(self, entry: feeds.RouterEntry) -> None:
         """Adds or replaces a peer."""
         self.peers.put(entry)
+        self.cold.has_peers = True
         min_lag_s, max_lag_s = MAX_TARGETS_LAG_S
         self.targets_watch.lag.max_lag_s = min(
             min_lag_s * self.read_pace, max_lag_s
@@ -357,6 +388,7 @@
             dispatcher.budget.settings = settings.budget
             dispatcher.usage.decay_s = settings.usage_decay_s
         self.report_exchange.decay_s = settings.usage_decay_s
+        self.cold.settings = settings.cold
         self.log.write_event("settings_changed")
 
     async def run(
@@ -524,7 +556,8 @@
             name = dispatcher.pool.name
             leaving = self.targets.find_leaving(name)
             limits = self.targets.find_own_limits(name, now)
-            loads.extend(dispatcher.loads.export(now, leaving, limits))
+            cold = self.cold.find_turned_cold(name, now)
+            loads.extend(dispatcher.loads.export(now, leaving, limits, cold))
             own_demand = dispatcher.demand.read_own(now)
             demands.append(messages.PoolDemand(name, own_demand))
         work = work_sums.Work(tuple(loads), tuple(uses), tuple(demands))
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway_settings.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lentilbeam_core import ids
+from lentilbeam_core.forwarding import cold_pace
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import shares
 from lentilbeam_router import addresses
@@ -23,6 +24,7 @@
         address_ttl_s: time for which callers may cache a resolved address,
             in seconds.
         grace_s: seconds between the signal to stop and the kill.
+        cold: the operators' margin above the rate of a cold target.
     """
 
     instance: ids.InstanceId
@@ -33,6 +35,7 @@
     quota_window_s: float
     address_ttl_s: float
     grace_s: float
+    cold: cold_pace.Settings = cold_pace.Settings()
 
     @property
     def usage_decay_s(self) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/target_notices.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/target_notices.py
@@ -75,6 +75,12 @@
         item.target, item.leaving_start_ms
     ):
         log.write_event("target_leaving", target=item.target, source=peer)
+    if item.cold_start_ms and targets.note_reported_cold(
+        item.target, item.cold_start_ms, now
+    ):
+        log.write_event(
+            "target_cold", target=item.target, left_s=None, source=peer
+        )
     if item.limit_start_ms:
         limit = target_limits.Limit(
             item.limit_start_ms,
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -107,6 +107,7 @@
   limitStartMs @8 :UInt64;
   limitPerS @9 :Float64;
   limitAgeMs @10 :UInt32;
+  coldStartMs @11 :UInt64;
 }
 
 struct PoolDemand {
