Test records of versions under eras, removal, a store in trouble and kills

The model found a fault: a router that had read the records but not yet the target list ended with a TypeError when it decided about their removal. It now removes nothing before it has read the list.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/stream_versions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/stream_versions.py
@@ -145,9 +145,11 @@
         for key, at in list(self.listed_at.items()):
             if now - at > MAX_KEPT_S:
                 del self.listed_at[key]
+        self._find_unrecorded()
+        if self.targets_read_at is None:
+            return
         for key in self.stored.keys() - listed:
             self.unlisted_since.setdefault(key, now)
-        self._find_unrecorded()
 
     def note_era(self, era: int, now: float) -> None:
         """Records the era of the store, which never falls."""
@@ -292,7 +294,9 @@
     def _is_removable(self, key: PoolVersion, now: float) -> bool:
         """Whether no stream that this version began may still be resumed."""
         since = self.unlisted_since.get(key)
-        if since is None or key in self._list_listed():
+        if since is None or self.targets_read_at is None:
+            return False
+        if key in self._list_listed():
             return False
         kept_s = self.kept_s.get(key[0], MAX_KEPT_S)
         return self.targets_read_at - since >= kept_s
--- a/tests/forwarding/stored_fleet.py
+++ b/tests/forwarding/stored_fleet.py
@@ -37,7 +37,7 @@
         self.calls: list[tuple[float, str, str, str]] = []
         self.store_delay_s = 0.002
         self.without_store: set[str] = set()
-        self.append("keyed.op", "config", json.dumps(self._make_record()))
+        self.publish()
 
     def append(self, topic: str, key: str, value: str) -> None:
         """Writes a record, whether or not the routers reach the store."""
@@ -45,6 +45,24 @@
         found = self.store.topics.setdefault(topic, keyed_store.Topic())
         found.append(len(record).to_bytes(4, "big") + record)
 
+    def publish(self) -> None:
+        """Writes the configuration."""
+        self.append("keyed.op", "config", json.dumps(self._make_record()))
+
+    def write_entry(self, target: gateway_fleet.Target) -> None:
+        """Writes the entry of a target."""
+        entry = target.entry
+        record = {
+            "service": entry.pool,
+            "address": f"{entry.host}:{entry.port}",
+            "zone": entry.data_centre,
+            "slots": entry.slots,
+            "state": "ready",
+            "version": entry.version,
+            "born": entry.started_at_ms,
+        }
+        self.append("keyed.servers", entry.name, json.dumps(record))
+
     def list_versions(self) -> list[str]:
         """Returns the versions that are recorded in the store."""
         topic = self.store.topics["keyed.routers"]
@@ -61,6 +79,17 @@
             for at, _, method, name in self.calls
         )
 
+    def stop_router(self, name: str) -> None:
+        """Kills a router: nothing of it is left.
+
+        Raises:
+            Exception: what ended one of its background tasks before.
+        """
+        for task in self.tasks[name]:
+            if task.done() and not task.cancelled():
+                task.result()
+        super().stop_router(name)
+
     def _connect_store(self, gateway: gateway_lib.Gateway) -> list[Coroutine]:
         client = store_lib.StoreClient(
             test_store_era.ADDRESS, gateway.log.write_event
@@ -70,17 +99,7 @@
         return followers.build_jobs(gateway, client)
 
     def _list_target(self, target: gateway_fleet.Target) -> None:
-        entry = target.entry
-        record = {
-            "service": entry.pool,
-            "address": f"{entry.host}:{entry.port}",
-            "zone": entry.data_centre,
-            "slots": entry.slots,
-            "state": "ready",
-            "version": entry.version,
-            "born": entry.started_at_ms,
-        }
-        self.append("keyed.servers", entry.name, json.dumps(record))
+        self.write_entry(target)
 
     def _unlist_target(self, name: str) -> None:
         self.append("keyed.servers", name, "")
