--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,9 @@
 """Routers apply a published configuration within this time."""
 DRAINING_LIMIT_S = 3.0
 """A draining target gets no new requests after this time."""
+EVACUATION_LIMIT_S = 3.0
+"""Targets of an evacuated data centre get no new requests after this time.
+The rule allows 5 s."""
 REVERT_TOLERANCE_S = 0.25
 """A 404 counts as a revert only if its request was sent more than this long
 after the first 200 response ended."""
@@ -67,6 +70,7 @@
         check_planned_changes,
         check_draining_targets,
         check_leaving_targets,
+        check_evacuations,
         check_configuration,
         check_reverts,
     )
@@ -216,6 +220,35 @@
                 yield f"{request_id} sent to {target}, which is leaving"
 
 
+def check_evacuations(observations: Observations) -> Iterator[str]:
+    """Checks that evacuated targets get no new requests after the limit.
+
+    Considers only requests for which the router and the store were
+    undisturbed since the evacuation was acknowledged, except by planned
+    changes.
+    """
+    planned = frozenset(disturbances.PLANNED)
+    for request_id, runs in observations.runs.items():
+        record = observations.records_by_id.get(request_id)
+        if record is None:
+            continue
+        for target, at in runs:
+            zone = world_lib.find_zone(target)
+            components = (record.router, world_lib.STORE, f"*>{target}")
+            for name, asked_at, until in observations.injector.evacuations:
+                if (
+                    name == zone
+                    and asked_at + EVACUATION_LIMIT_S < at < until
+                    and observations.disturbance_log.is_undisturbed(
+                        components, asked_at, at, planned
+                    )
+                ):
+                    yield (
+                        f"{request_id} sent to {target}, {at - asked_at:.1f} s"
+                        f" after the evacuation of {zone}"
+                    )
+
+
 def check_configuration(observations: Observations) -> Iterator[str]:
     """Checks that routers apply a published configuration within the limit.
 
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -23,6 +23,7 @@
     PUBLISH = "publish"
     DRAIN = "drain"
     QUIET = "quiet"  # A target turns requests away for a while.
+    EVACUATE = "evacuate"  # A data centre gets no new requests.
     HOST = "host"  # The machine that runs the soak test was overloaded.
 
 
@@ -32,6 +33,7 @@
     Kind.PUBLISH,
     Kind.DRAIN,
     Kind.QUIET,
+    Kind.EVACUATE,
 }
 """Planned changes by an operator, which must not abort any request."""
 RECOVERY_S = 4.0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,8 @@
 It is shorter than the duration of most faults, so that faults overlap.
 """
 
+EVACUATION_S = (3.0, 7.0)
+"""Shortest and longest duration of an evacuation."""
 MAX_LOST = 4
 """Largest number of records of a topic that the store loses."""
 
@@ -54,6 +56,8 @@
         published: (time, path prefix) of each route that was published. Times
             here and below are in monotonic seconds.
         draining_since: by target, when it was listed as draining.
+        evacuations: data centre, and when its evacuation was acknowledged and
+            when its withdrawal began to be written.
         exit_violations: one line for each process that exited without being
             told to, or that did not stop as it should.
         reserved: names of the components that a fault uses now, and of
@@ -74,6 +78,7 @@
         self.disturbance_log = disturbances.DisturbanceLog()
         self.published: list[tuple[float, str]] = []
         self.draining_since: dict[str, float] = {}
+        self.evacuations: list[tuple[str, float, float]] = []
         self.exit_violations: list[str] = []
         self.reserved: set[str] = set()
         self.tasks: list[asyncio.Task] = []
@@ -92,6 +97,7 @@
             self._disturb_store,
             self._lose_records,
             self._publish,
+            self._evacuate,
         )
 
     async def run(self, length_s: float) -> None:
@@ -285,6 +291,18 @@
             await self.world.set_faults(lose=self.rng.randint(1, MAX_LOST))
             await self.world.write_again()
 
+    async def _evacuate(self) -> None:
+        """Evacuates a data centre for a while."""
+        with self._disturb(Kind.EVACUATE, world_lib.ZONES) as zone:
+            if zone is None:
+                return
+            key = f"evacuate/{zone}"
+            await self.world.write("keyed.op", key, b"1")
+            asked_at = world_lib.read_time()
+            await asyncio.sleep(self.rng.uniform(*EVACUATION_S))
+            self.evacuations.append((zone, asked_at, world_lib.read_time()))
+            await self.world.write("keyed.op", key, b"")
+
     async def _add_target(self) -> None:
         """Adds a target; reserves it until it has started."""
         name = f"t{len(self.world.targets) + 1}"
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,6 +14,8 @@
 STORE = "store"
 VERSIONS = ("v1", "v2")
 """Versions of the software of targets, which serve side by side."""
+ZONES = ("east", "west")
+"""Data centres of the targets, which take turns."""
 WRITE_RETRY_S = 0.2
 """Pause before a write that failed is retried."""
 
@@ -46,6 +48,10 @@
         """Returns the address of the proxy in front of a target."""
         return await self._get_proxy_address(f"*>{name}", self.targets[name])
 
+    def get_zone(self, name: str) -> str:
+        """Returns the data centre of a target."""
+        return find_zone(name)
+
     async def add_target(self, name: str, version: str = "") -> None:
         """Starts a target; by default, each version has half of them."""
         if not version:
@@ -68,8 +74,9 @@
 
     async def write_again(self) -> None:
         """Writes what operator and targets wrote last, as they do."""
-        for (topic, key), value in list(self.written.items()):
-            await self.write(topic, key, value)
+        for topic, key in list(self.written):
+            # Another value may have been written meanwhile.
+            await self.write(topic, key, self.written[topic, key])
 
     async def stop(self) -> None:
         """Kills the processes and stops the proxies."""
@@ -116,6 +123,11 @@
         return self.proxy_addresses[name]
 
 
+def find_zone(target: str) -> str:
+    """Returns the data centre of a target, by the number in its name."""
+    return ZONES[int(target[1:]) // len(VERSIONS) % len(ZONES)]
+
+
 def read_time() -> float:
     """Returns the monotonic time, in seconds, which all processes share."""
     return time.monotonic()
--- a/tests/forwarding/platform_world.py
+++ b/tests/forwarding/platform_world.py
@@ -225,7 +225,7 @@
         entry = {
             "service": "pool",
             "address": await self.get_target_address(name),
-            "zone": "east",
+            "zone": self.get_zone(name),
             "slots": TARGET_SLOTS,
             "state": state,
             "version": process.version,
@@ -233,6 +233,11 @@
         }
         await self.write("keyed.servers", name, json.dumps(entry).encode())
 
+    def get_zone(self, name: str) -> str:
+        """Returns the data centre of a target."""
+        del name
+        return "east"
+
     async def set_notices(self, name: str, **notices: bool | float) -> None:
         """Makes a target say something of itself; replaces earlier notices.
 
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -38,7 +38,12 @@
 
 
 def find_violations(
-    *records, runs=(), disturbance_log=None, draining_since=None, published=()
+    *records,
+    runs=(),
+    disturbance_log=None,
+    draining_since=None,
+    published=(),
+    evacuations=(),
 ):
     """Returns the violations that the checks find in made-up records.
 
@@ -50,11 +55,13 @@
             monotonic seconds.
         published: when each configuration was published, monotonic seconds,
             and the path prefix that it added.
+        evacuations: data centre, begin and end of each evacuation.
     """
     injector = types.SimpleNamespace(
         disturbance_log=disturbance_log or disturbances.DisturbanceLog(),
         draining_since=draining_since or {},
         published=list(published),
+        evacuations=list(evacuations),
         exit_violations=[],
     )
     return checks.find_violations(
@@ -62,6 +69,28 @@
     )
 
 
+# Guards against a soak that overlooks EVAC, or reports what is allowed.
+@pytest.mark.parametrize(
+    ("zone", "since", "until", "count"),
+    [
+        ("east", 90.0, 110.0, 1),
+        ("west", 90.0, 110.0, 0),
+        ("east", 98.0, 110.0, 0),
+        ("east", 90.0, 100.0, 0),
+    ],
+)
+def test_request_to_an_evacuated_data_centre_is_a_violation(
+    zone, since, until, count
+):
+    assert world_lib.find_zone("t1") == "east"
+    found = find_violations(
+        make_record(),
+        runs=[("t1", "r", 100.1)],
+        evacuations=[(zone, since, until)],
+    )
+    assert len(found) == count
+
+
 def make_taken_up(version="v1", first=11):
     """Returns the records of a stream that was cut and taken up once.
 
