Share what routers learn of prefill, and tell slow engines by it

Cause: each router knew the prefill times and the part of long prompts only from what it had placed itself, which takes seconds with 27 routers. The learned rate of an engine is lower where prompts are long, so routers avoided the engines for long prompts the more they had used them.

Reports carry the sums of the regression and of long prompts for each pool (28 bytes), and for each target how long prefills took and were expected to take (8 bytes). Where long prompts are assigned, the time to a first event follows from the shared model, times the slowdown of a target that is over twice as slow as expected. All are 0 elsewhere.

The test of peer messages lists the new 32-bit fields, and the tests of placement pass the time of a sample.

--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -287,7 +287,7 @@
         router.placer.loads.note_prefill_done(name)
         placed = self.placements[name]
         router.placer.update_prefill_rate(
-            placed.placement, now - outcome.sent_at
+            placed.placement, now - outcome.sent_at, now
         )
         self._decide(self.router_by_request[name], now)
 
@@ -321,18 +321,24 @@
         loads = tuple(router.placer.loads.export(now, {}, {}))
         uses = router.usage.export(patterns.POOL, now)
         placed, self.unreported_parts[index] = self.unreported_parts[index], []
-        report = (index, loads, uses, placed)
+        demand = router.placer.long_prompts.export(
+            messages.PoolDemand(patterns.POOL, 0.0), now
+        )
+        report = (index, loads, uses, placed, demand)
         self._schedule(now + NETWORK_DELAY_S, self._apply_report, report)
         if now < self.end:
             self._schedule(now + REPORT_INTERVAL_S, self._send_report, index)
 
     def _apply_report(self, report, now: float) -> None:
-        sender, loads, uses, placed = report
+        sender, loads, uses, placed, demand = report
         for index, router in enumerate(self.routers):
             if index == sender:
                 continue
             router.placer.loads.apply_report(f"router-{sender}", loads, now)
             router.usage.apply_report(f"router-{sender}", uses, now)
+            router.placer.long_prompts.apply_report(
+                f"router-{sender}", demand, now
+            )
             for part in placed:
                 sent_part = requests.Part(part.prefix, part.tokens)
                 router.placer.note_prompt_placed(part.target, (sent_part,), now)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -24,7 +24,7 @@
 OUTCOME_DECAY_S = 3.0
 """Time constant of the exponential decay of `Load.outcomes`, in seconds.
 
-Also applies to `Load.failures`.
+Also applies to `Load.failures`, `Load.timed_s` and `Load.expected_s`.
 
 A failing target ends some tens of requests in this time, enough to detect it,
 and gets requests again after about this time."""
@@ -53,6 +53,8 @@
             limit, see `messages.TargetLoad`.
         limit_per_s: that limit, in requests per second.
         limit_age_s: time since the response with it, in seconds.
+        timed_s: see `messages.TargetLoad`.
+        expected_s: see `messages.TargetLoad`.
     """
 
     unread: float = 0.0
@@ -65,6 +67,8 @@
     limit_start_ms: int = 0
     limit_per_s: float = 0.0
     limit_age_s: float = math.inf
+    timed_s: float = 0.0
+    expected_s: float = 0.0
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or subtracts it if `sign` is -1."""
@@ -74,6 +78,8 @@
         self.recent += sign * other.recent
         self.outcomes += sign * other.outcomes
         self.failures += sign * other.failures
+        self.timed_s += sign * other.timed_s
+        self.expected_s += sign * other.expected_s
 
     def add_reported(
         self, item: messages.TargetLoad, age_s: float, sign: int = 1
@@ -93,6 +99,8 @@
         self.recent += item.recent * recent_decay
         self.outcomes += item.outcomes * outcome_decay
         self.failures += item.failures * outcome_decay
+        self.timed_s += item.timed_s * outcome_decay
+        self.expected_s += item.expected_s * outcome_decay
         # Facts, not amounts: they stay true when a report is subtracted.
         self.leaving_start_ms = max(
             self.leaving_start_ms, item.leaving_start_ms
@@ -135,6 +143,8 @@
             self.limit_start_ms,
             self.limit_per_s,
             self.limit_age_s * 1000 if self.limit_start_ms else 0.0,
+            max(self.timed_s, 0.0),
+            max(self.expected_s, 0.0),
         )
 
 
@@ -169,13 +179,15 @@
 
     Attributes:
         own_loads: load of this router's running requests, by target. Its
-            `recent`, `outcomes` and `failures` stay 0; see the attributes of
-            these names.
+            `recent`, `outcomes`, `failures`, `timed_s` and `expected_s` stay
+            0; see the attributes of these names.
         placed_requests: this router's running requests, by request ID.
         recent: decayed sum of prompt tokens of the requests that this router
             placed, by target.
         outcomes: decayed number of this router's ended requests, by target.
         failures: decayed number of those that failed, by target.
+        timed_s: decayed time of this router's prefills, by target.
+        expected_s: decayed time that was expected for them, by target.
         peers: the last report of each peer.
         peer_sums: load from all peers as of `summed_at`, by target.
         summed_at: when `peer_sums` was computed, monotonic seconds.
@@ -190,6 +202,8 @@
         self.recent: dict[ids.TargetId, decayed.DecayingSum] = {}
         self.outcomes: dict[ids.TargetId, decayed.DecayingSum] = {}
         self.failures: dict[ids.TargetId, decayed.DecayingSum] = {}
+        self.timed_s: dict[ids.TargetId, decayed.DecayingSum] = {}
+        self.expected_s: dict[ids.TargetId, decayed.DecayingSum] = {}
         self.peers: dict[ids.InstanceId, PeerReport] = {}
         self.peer_sums: dict[ids.TargetId, Load] = {}
         self.summed_at = -math.inf
@@ -253,6 +267,29 @@
             outcomes.add(amount, now, OUTCOME_DECAY_S)
         self.totals.pop(target, None)
 
+    def note_prefill_time(
+        self,
+        target: ids.TargetId,
+        timed_s: float,
+        expected_s: float,
+        now: float,
+    ) -> None:
+        """Records how long a prefill took.
+
+        Args:
+            target: where it ran.
+            timed_s: its time, in seconds.
+            expected_s: the time that was expected, in seconds.
+            now: monotonic seconds.
+        """
+        for sums, amount in (
+            (self.timed_s, timed_s),
+            (self.expected_s, expected_s),
+        ):
+            times = sums.setdefault(target, decayed.DecayingSum())
+            times.add(amount, now, OUTCOME_DECAY_S)
+        self.totals.pop(target, None)
+
     def apply_report(
         self,
         peer: ids.InstanceId,
@@ -299,8 +336,11 @@
             total.add(peers)
             age_s = now - self.summed_at
             total.recent *= math.exp(-age_s / RECENT_DECAY_S)
-            total.outcomes *= math.exp(-age_s / OUTCOME_DECAY_S)
-            total.failures *= math.exp(-age_s / OUTCOME_DECAY_S)
+            outcome_decay = math.exp(-age_s / OUTCOME_DECAY_S)
+            total.outcomes *= outcome_decay
+            total.failures *= outcome_decay
+            total.timed_s *= outcome_decay
+            total.expected_s *= outcome_decay
         total.add(self._read_own(target, now))
         return total
 
@@ -348,6 +388,8 @@
                 self.recent,
                 self.outcomes,
                 self.failures,
+                self.timed_s,
+                self.expected_s,
             ):
                 table.pop(target, None)
             self.totals.pop(target, None)
@@ -360,6 +402,8 @@
             (self.recent, RECENT_DECAY_S, "recent"),
             (self.outcomes, OUTCOME_DECAY_S, "outcomes"),
             (self.failures, OUTCOME_DECAY_S, "failures"),
+            (self.timed_s, OUTCOME_DECAY_S, "timed_s"),
+            (self.expected_s, OUTCOME_DECAY_S, "expected_s"),
         ):
             if target in sums:
                 setattr(load, name, sums[target].read(now, decay_s))
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
@@ -6,7 +6,7 @@
 other requests avoid these.
 
 The engines are the first in rendezvous order, so all routers choose the same
-ones without messages. Their number follows the prefill time of long prompts;
+ones. Their number follows the prefill time of long prompts at all routers;
 routers that estimate it differently still agree on the first ones.
 """
 
@@ -15,6 +15,7 @@
 import math
 
 from lentilbeam_core import ids
+from lentilbeam_core import messages
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import decayed
@@ -42,8 +43,7 @@
         max_pool_fraction: maximum fraction of the pool that is used for long
             prompts.
         decay_s: time constant of the decaying sums of prefill work, in
-            seconds. One router of a large fleet sees about one long prompt a
-            second.
+            seconds.
         refresh_interval_s: time between two computations of the number of
             engines, in seconds.
         sampled_targets: number of engines for long prompts that are compared,
@@ -93,6 +93,8 @@
         long_s: prefill time of the long prompts that this router placed,
             decayed, in seconds.
         tokens: prompt tokens that this router placed, decayed.
+        peers: last prefill time of long prompts and prompt tokens of each
+            peer, and when they were received in monotonic seconds.
         fleet_tokens: decayed sum over time of the prompt tokens a second
             that all routers placed.
         fleet_time: decayed sum of that time, in seconds.
@@ -108,6 +110,7 @@
         self.model = prefill_model.PrefillModel(prefill_model.Settings())
         self.long_s = decayed.DecayingSum()
         self.tokens = decayed.DecayingSum()
+        self.peers: dict[ids.InstanceId, tuple[float, float, float]] = {}
         self.fleet_tokens = decayed.DecayingSum()
         self.fleet_time = decayed.DecayingSum()
         self.count = 0
@@ -185,8 +188,50 @@
             unread: tokens of the prompt that it has to prefill.
             prompt_tokens: length of the prompt.
         """
+        backlog_s, own_s = self.estimate_times(load, unread, prompt_tokens)
+        return backlog_s + own_s
+
+    def estimate_times(
+        self, load: loads_lib.Load, unread: float, prompt_tokens: int
+    ) -> tuple[float, float]:
+        """Returns the times for what is unread before, and for a prompt.
+
+        Both in seconds; arguments as for `estimate_wait`.
+        """
+        slowdown = self.find_slowdown(load)
         own_s = self.model.estimate(unread, prompt_tokens - unread)
-        return load.unread * self.model.base_s + own_s
+        return load.unread * self.model.mean_s * slowdown, own_s * slowdown
+
+    def find_slowdown(self, load: loads_lib.Load) -> float:
+        """Returns how much slower a target is than its pool, as a factor."""
+        return prefill_model.compute_slowdown(load.timed_s, load.expected_s)
+
+    def note_first_event(
+        self,
+        target: ids.TargetId,
+        unread: float,
+        preceding: float,
+        ahead: float,
+        seconds: float,
+        loads: loads_lib.LoadTracker,
+        now: float,
+    ) -> None:
+        """Compares the time of a prefill with the estimate, and learns.
+
+        Args:
+            target: where it ran.
+            unread: tokens of the prompt that the target had to prefill.
+            preceding: tokens of the prompt that were cached.
+            ahead: tokens of other prompts that it had to prefill before.
+            seconds: time for both.
+            loads: gets the time of the target.
+            now: monotonic seconds.
+        """
+        ahead = max(ahead, 0.0)
+        expected_s = ahead * self.model.mean_s
+        expected_s += self.model.estimate(unread, preceding)
+        if self.model.add_sample(unread, preceding, ahead, seconds, now):
+            loads.note_prefill_time(target, seconds, expected_s, now)
 
     def note_placed(
         self, unread: float, prompt_tokens: int, target_count: int, now: float
@@ -206,6 +251,34 @@
         if prefill_s > self.settings.long_fraction * self.gap_goal_s:
             self.long_s.add(prefill_s, now, self.settings.decay_s)
 
+    def export(
+        self, demand: messages.PoolDemand, now: float
+    ) -> messages.PoolDemand:
+        """Returns a report of demand with this router's sums added."""
+        own = self.model.read_own(now)
+        return dataclasses.replace(
+            demand,
+            long_s=self.long_s.read(now, self.settings.decay_s),
+            placed_tokens=self.tokens.read(now, self.settings.decay_s),
+            sample_tokens=own.tokens,
+            sample_positions=own.positions,
+            sample_s=own.seconds,
+            sample_squares=own.squares,
+            sample_products=own.products,
+        )
+
+    def apply_report(
+        self, peer: ids.InstanceId, demand: messages.PoolDemand, now: float
+    ) -> None:
+        """Replaces the last sums of a peer."""
+        self.peers[peer] = (now, demand.long_s, demand.placed_tokens)
+        self.model.apply_report(peer, demand, now)
+
+    def forget_peer(self, peer: ids.InstanceId) -> None:
+        """Removes the sums of a peer that another report includes."""
+        self.peers.pop(peer, None)
+        self.model.forget_peer(peer)
+
     def _refresh(
         self,
         targets: list[target_list.Entry],
@@ -221,11 +294,16 @@
         self.refreshed_at = now
         self.fleet_tokens.add(tokens_per_s * interval_s, now, settings.decay_s)
         self.fleet_time.add(interval_s, now, settings.decay_s)
-        own_tokens = self.tokens.read(now, settings.decay_s)
+        placed_tokens = self.tokens.read(now, settings.decay_s)
         long_s = self.long_s.read(now, settings.decay_s)
+        for received_at, peer_long_s, peer_tokens in self.peers.values():
+            if now - received_at < prefill_model.REPORT_MAX_AGE_S:
+                long_s += peer_long_s
+                placed_tokens += peer_tokens
+        self.model.fit(now)
         # Prefill time of long prompts in the fleet, in seconds a second.
         busy = (
-            (long_s / max(own_tokens, 1.0))
+            (long_s / max(placed_tokens, 1.0))
             * self.fleet_tokens.value
             / self.fleet_time.value
         )
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -317,23 +317,29 @@
             placement.unread, placement.prompt_tokens, self.pool_size, now
         )
 
-    def update_prefill_rate(self, placement: Placement, seconds: float) -> None:
+    def update_prefill_rate(
+        self, placement: Placement, seconds: float, now: float
+    ) -> None:
         """Adds a sample to the prefill rate of a target.
 
         Args:
             placement: where the request was sent.
             seconds: time from sending the request to its first event.
+            now: monotonic seconds.
         """
         prefill_s = seconds - self.settings.first_event_overhead_s
         self.rates.add_sample(
             placement.target.name, placement.tokens_to_first_event, prefill_s
         )
         if self.long_prompts.is_enabled(self.pool_size):
-            self.long_prompts.model.add_sample(
+            self.long_prompts.note_first_event(
+                placement.target.name,
                 placement.unread,
                 placement.prompt_tokens - placement.unread,
                 placement.tokens_to_first_event - placement.unread,
                 prefill_s,
+                self.loads,
+                now,
             )
 
     def forget(self, target: ids.TargetId) -> None:
@@ -414,8 +420,6 @@
         load = self.loads.total(entry.name, now)
         if load.running >= entry.slots * bounds.slots_fraction:
             return None
-        rate = self.rates.read(entry.name)
-        backlog_s = load.unread / rate
         cached_tokens = prefix.cached_tokens[index]
         missing_tokens = prefix.max_cached_tokens - cached_tokens
         off_home_tokens = max(
@@ -432,12 +436,24 @@
         else:
             penalty_s += missing_tokens * settings.recompute_token_penalty_s
         unread = max(request.prompt.tokens - cached_tokens, 1)
+        if plan is None:
+            rate = self.rates.read(entry.name)
+            prefill_s = unread / rate
+        else:
+            # The learned rate of an engine for long prompts is lower because
+            # of these, not because the engine is slow.
+            slowdown = self.long_prompts.find_slowdown(load)
+            rate = 1 / (self.long_prompts.model.mean_s * slowdown)
+            _, prefill_s = self.long_prompts.estimate_times(
+                load, unread, request.prompt.tokens
+            )
+        backlog_s = load.unread / rate
         recent = load.recent + unread
         max_recent = bounds.prefill_fraction * rate * loads_lib.RECENT_DECAY_S
         if recent > max_recent and backlog_s > settings.bounds_exempt_backlog_s:
             return None
         first_event_delay_s = (
-            backlog_s + unread / rate + settings.first_event_overhead_s
+            backlog_s + prefill_s + settings.first_event_overhead_s
         )
         if plan is not None:
             penalty_s += self.long_prompts.find_penalty(
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
@@ -4,7 +4,6 @@
 single router.
 """
 
-import collections
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -63,14 +62,17 @@
     """
     loads: dict[ids.TargetId, loads_lib.Load] = {}
     uses: dict[tuple[ids.PoolId, ids.WorkspaceId], list[float]] = {}
-    demands: dict[ids.PoolId, float] = collections.defaultdict(float)
+    demands: dict[ids.PoolId, list[float]] = {}
     routers = 0
     for term in terms:
         routers += term.sign * term.work.routers
         # Demand is compared between routers, so it does not fade between two
         # reports.
         for demand in term.work.demands:
-            demands[demand.pool] += term.sign * demand.requests
+            amounts = dataclasses.astuple(demand)[1:]
+            sums = demands.setdefault(demand.pool, [0.0] * len(amounts))
+            for index, amount in enumerate(amounts):
+                sums[index] += term.sign * amount
         usage_factor = term.sign * math.exp(-term.age_s / decay_s)
         for item in term.work.loads:
             load = loads.setdefault(item.target, loads_lib.Load())
@@ -82,8 +84,8 @@
     reports = (load.report(target) for target, load in loads.items())
     listed = tuple(report for report in reports if report is not None)
     listed_demands = tuple(
-        messages.PoolDemand(pool, max(requests, 0.0))
-        for pool, requests in demands.items()
+        messages.PoolDemand(pool, *(max(amount, 0.0) for amount in sums))
+        for pool, sums in demands.items()
     )
     return Work(listed, _list_uses(uses), listed_demands, max(routers, 0))
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -236,6 +236,9 @@
         limit_per_s: the limit in requests per second; infinite if it was
             withdrawn.
         limit_age_ms: time since the response with it, in milliseconds.
+        timed_s: time of the prefills that ended recently, in seconds, decayed
+            with age; 0 unless the sender compares it with an estimate.
+        expected_s: time that was expected for them, likewise.
     """
 
     target: ids.TargetId
@@ -249,21 +252,39 @@
     limit_start_ms: int = 0
     limit_per_s: float = 0.0
     limit_age_ms: float = 0.0
+    timed_s: float = 0.0
+    expected_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolDemand:
-    """Requests for a pool that callers have sent lately.
+    """Requests for a pool that callers have sent lately, and prefill work.
 
-    Sums the requests at one router, or at several together.
+    Sums the requests at one router, or at several together. All but the first
+    two attributes are 0 unless long prompts are assigned to a part of the
+    pool, see `long_prompts`. They are decayed sums.
 
     Attributes:
         pool: the pool.
         requests: number of requests, decayed with their age.
+        long_s: prefill time of long prompts, in seconds.
+        placed_tokens: prompt tokens to prefill, of all prompts.
+        sample_tokens: see `prefill_model.Sums`, as the attributes below.
+        sample_positions: see above.
+        sample_s: see above.
+        sample_squares: see above.
+        sample_products: see above.
     """
 
     pool: ids.PoolId
     requests: float
+    long_s: float = 0.0
+    placed_tokens: float = 0.0
+    sample_tokens: float = 0.0
+    sample_positions: float = 0.0
+    sample_s: float = 0.0
+    sample_squares: float = 0.0
+    sample_products: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -160,7 +160,9 @@
             elapsed_s: seconds since the request was sent to the target.
         """
         self.loads.note_prefill_done(request_id)
-        self.placer.update_prefill_rate(chosen, elapsed_s)
+        self.placer.update_prefill_rate(
+            chosen, elapsed_s, self.clock.monotonic()
+        )
         self.is_changed = True
         self.decide()
 
@@ -304,6 +306,11 @@
             "repeats_in_window": len(self.budget.retries),
         }
 
+    def export_demand(self, now: float) -> messages.PoolDemand:
+        """Returns this router's demand and prefill work, for its peers."""
+        demand = messages.PoolDemand(self.pool.name, self.demand.read_own(now))
+        return self.placer.long_prompts.export(demand, now)
+
     def apply_report(
         self, peer: ids.InstanceId, report: messages.LoadReport
     ) -> None:
@@ -318,22 +325,19 @@
             uses = [use for use in report.uses if use.pool == self.pool.name]
             self.usage.apply_report(peer, tuple(uses), now)
             self.loads.apply_report(peer, report.loads, now)
+            demands = [d for d in report.demands if d.pool == self.pool.name]
             self.demand.apply_report(
-                peer,
-                sum(
-                    d.requests
-                    for d in report.demands
-                    if d.pool == self.pool.name
-                ),
-                report.routers,
-                now,
+                peer, sum(d.requests for d in demands), report.routers, now
             )
+            for demand in demands:
+                self.placer.long_prompts.apply_report(peer, demand, now)
         self._note_peer_placed(report.placed, now)
 
     def forget_peer(self, peer: ids.InstanceId) -> None:
         """Drops a peer's work, since another report now includes it."""
         self.usage.forget_peer(peer)
         self.demand.forget_peer(peer)
+        self.placer.long_prompts.forget_peer(peer)
         self.loads.forget_peer(peer)
 
     def forget_target(self, name: ids.TargetId) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -107,11 +107,20 @@
   limitStartMs @8 :UInt64;
   limitPerS @9 :Float64;
   limitAgeMs @10 :UInt32;
+  timedS @11 :Float32;
+  expectedS @12 :Float32;
 }
 
 struct PoolDemand {
   pool @0 :UInt16;
   requests @1 :Float32;
+  longS @2 :Float32;
+  placedTokens @3 :Float32;
+  sampleTokens @4 :Float32;
+  samplePositions @5 :Float32;
+  sampleS @6 :Float32;
+  sampleSquares @7 :Float32;
+  sampleProducts @8 :Float32;
 }
 
 struct WorkspaceUse {
--- a/tests/forwarding/test_long_prompts.py
+++ b/tests/forwarding/test_long_prompts.py
@@ -9,10 +9,13 @@
 from bench.overload import patterns
 from bench.overload import policies
 from bench.overload import report
+from lentilbeam_core import messages
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import long_prompts
+from lentilbeam_core.forwarding import placement
 from lentilbeam_core.forwarding import prefill_model
+from lentilbeam_core.forwarding import work_sums
 from tests.forwarding import makers
 
 BOUNDS = load_bounds.BELOW_GUARANTEE_BOUNDS
@@ -51,7 +54,7 @@
         placer.note_placed(choice, at)
         slowdown = 1 + 9_000 / DOUBLE_TOKENS
         seconds = 18_000 / TOKENS_PER_S * slowdown
-        placer.update_prefill_rate(choice, seconds + 0.06)
+        placer.update_prefill_rate(choice, seconds + 0.06, at)
         placer.loads.end_request(request.request_id)
     return placer, targets
 
@@ -114,13 +117,41 @@
     model = prefill_model.PrefillModel(prefill_model.Settings())
     for tokens in (4_000, 9_000, 16_000) * 60:
         seconds = tokens / TOKENS_PER_S * (1 + tokens / 2 / DOUBLE_TOKENS)
-        model.add_sample(tokens, 0, 0, seconds)
+        model.add_sample(tokens, 0, 0, seconds, 1.0)
     expected_s = 10_000 / TOKENS_PER_S * (1 + 5_000 / DOUBLE_TOKENS)
     assert model.estimate(10_000, 0) == pytest.approx(expected_s, rel=0.05)
     later_s = 10_000 / TOKENS_PER_S * (1 + 15_000 / DOUBLE_TOKENS)
     assert model.estimate(10_000, 10_000) == pytest.approx(later_s, rel=0.05)
 
 
+# Guards against a router that has just started and spreads long prompts until
+# it has seen enough of them itself.
+def test_started_router_takes_the_assignment_from_reports():
+    placer, targets = make_placer()
+    demand = placer.long_prompts.export(
+        messages.PoolDemand(makers.POOL, 1.0), 9.0
+    )
+    none = messages.PoolDemand(makers.POOL, 0.0)
+    (total,) = work_sums.sum_terms(
+        [
+            work_sums.Term(work_sums.Work((), (), (demand,))),
+            work_sums.Term(work_sums.Work((), (), (none,))),
+        ],
+        4.0,
+    ).demands
+    started = makers.make_placer()
+    started.long_prompts.gap_goal_s = 0.4
+    started.long_prompts.apply_report("relay", total, 9.0)
+    load = messages.TargetLoad("t0", 0.0, 0, 0.0, 18_000.0)
+    started.loads.apply_report("relay", (load,), 9.0)
+    started.long_prompts.plan(500, 0, targets, started.loads, 9.0)
+    assert started.long_prompts.count > 0
+    expected_s = placer.long_prompts.model.estimate(20_000, 0)
+    assert started.long_prompts.model.estimate(20_000, 0) == pytest.approx(
+        expected_s, rel=0.01
+    )
+
+
 # Guards against a stream at an engine that is given a long prompt while
 # others are idle.
 def test_long_prompt_avoids_engines_with_running_streams():
@@ -146,3 +177,27 @@
     find = long_prompts.find_gap_goal
     assert find([slow, makers.CHAT, other], makers.POOL) == 0.4
     assert find([makers.BOOK, other], makers.POOL) == 0.0
+
+
+# Guards against an engine at a fifth of its speed that gets as many prompts as
+# the others, also from a router that has sent it nothing.
+def test_slow_engine_is_avoided_by_routers_that_only_heard_of_it():
+    placer, targets = make_placer()
+    (assigned,) = placer.long_prompts.order[:1]
+    entry = makers.make_target(assigned)
+    for _ in range(3):
+        slow = placement.Placement(entry, 12_000, 12_000, None, 12_000)
+        placer.update_prefill_rate(slow, 1.2, 9.0)
+        # The other targets of the pool are as fast as before.
+        for _ in range(20):
+            placer.long_prompts.model.add_sample(12_000, 0, 0, 0.24, 9.0)
+    reported = tuple(placer.loads.export(9.0, {}, {}))
+    other, _ = make_placer(seed=2)
+    other.loads.apply_report("peer", reported, 9.0)
+    request = makers.make_request("r", ("p", 20_000), now=9.0)
+    for chooser in (placer, other):
+        choice = chooser.choose(request, targets, BOUNDS, 9.0)
+        assert choice.target.name != assigned
+    # It is tried again once the samples are old.
+    load = placer.loads.total(entry.name, 40.0)
+    assert placer.long_prompts.find_slowdown(load) == 1.0
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -140,7 +140,7 @@
     targets = [makers.make_target("a"), makers.make_target("b")]
     slow = placement.Placement(targets[0], 0.0, 20_000.0, None)
     for _ in range(10):
-        placer.update_prefill_rate(slow, 0.06 + 0.5)
+        placer.update_prefill_rate(slow, 0.06 + 0.5, 0.0)
     request = makers.make_request("r", ("p", 6000))
     assert (
         placer.choose(request, targets, BELOW_GUARANTEE, 0.0).target.name == "b"
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -25,7 +25,20 @@
     "routers": 16,
 }
 """Size of the integer fields that don't have 32 bits."""
-FLOAT32_FIELDS = {"outcomes", "failures", "requests"}
+FLOAT32_FIELDS = {
+    "outcomes",
+    "failures",
+    "requests",
+    "timed_s",
+    "expected_s",
+    "long_s",
+    "placed_tokens",
+    "sample_tokens",
+    "sample_positions",
+    "sample_s",
+    "sample_squares",
+    "sample_products",
+}
 """Fields that hold 32-bit floating point numbers."""
 ITEM_TYPES = {
     "workspaces": messages.WorkspaceDemand,
