Soak: kill all routers at once; callers that don't name their streams

The soak had faults of one router at a time, so it never lost everything that routers know of streams. It now kills all at once, callers try again until routers are back, and three in ten tries name no stream.

Adds a test with a router that is behind the others: without a read of the versions before it infers (trial), it mixes streams.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,12 @@
 """One path for each kind of route: streaming, non-idempotent, idempotent."""
 MAX_TAKE_UPS = 2
 """How often a caller takes up a stream that was cut."""
+NAMED_FRACTION = 0.7
+"""Fraction of the tries that name the stream which they take up; the others
+are like those of callers that predate software versions."""
+TAKE_UP_LIMIT_S = 5.0
+"""Time, in seconds, for which a caller tries to take up a stream. Routers that
+were killed are back within it (`faults.FAULT_DURATION_S`)."""
 TAKE_UP_DELAY_S = 0.2
 _EVENT = re.compile(rb"id: (\d+)\ndata: \S+ (\S+)\n\n")
 
@@ -135,9 +141,14 @@
     async def _take_up(
         self, http: httpx.AsyncClient, first: CallRecord
     ) -> None:
-        """Takes up a stream that was cut, at any router."""
+        """Takes up a stream that was cut, at any router.
+
+        Tries that no router accepted don't count: all may have been killed.
+        """
         last = first
-        for _ in range(MAX_TAKE_UPS):
+        answered = 0
+        ends_at = first.ended_at + TAKE_UP_LIMIT_S
+        while answered < MAX_TAKE_UPS and world_lib.read_time() < ends_at:
             if not first.events or (last.status == 200 and last.is_complete):
                 return
             await asyncio.sleep(TAKE_UP_DELAY_S)
@@ -146,9 +157,15 @@
                 return
             router = self.rng.choice(sorted(self.world.routers))
             last = await self.call(
-                http, router, first.path, first.request_id, after
+                http,
+                router,
+                first.path,
+                first.request_id,
+                after,
+                is_named=self.rng.random() < NAMED_FRACTION,
             )
             self.records.append(last)
+            answered += last.end is not CallEnd.NOT_CONNECTED
 
     async def call(
         self,
@@ -157,6 +174,7 @@
         path: str,
         resumes: str = "",
         resume_after: int = 0,
+        is_named: bool = True,
     ) -> CallRecord:
         """Sends one request to a router and returns its result.
 
@@ -168,13 +186,16 @@
             path: path of the request.
             resumes: request that began the stream to take up; empty to begin.
             resume_after: number of the last event that the caller has.
+            is_named: whether the request names the stream that it takes up.
         """
         request_id = next(self.request_ids)
         sent_at = world_lib.read_time()
         body = b""
         status = 0
         headers: dict[str, str] = {}
-        resumed = {"resumes": resumes, "last-event-id": str(resume_after)}
+        resumed = {"last-event-id": str(resume_after)}
+        if is_named:
+            resumed["resumes"] = resumes
         end = CallEnd.ANSWERED
         try:
             async with http.stream(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -79,6 +79,7 @@
         self.tasks: list[asyncio.Task] = []
         self.actions = (
             self._kill_router,
+            self._kill_all_routers,
             self._pause_router,
             self._terminate_router,
             self._reload_router,
@@ -170,6 +171,25 @@
                 await self._wait_fault_duration()
                 await self._restart_router(name)
 
+    async def _kill_all_routers(self) -> None:
+        """Kills all routers at once, unless another fault uses one of them.
+
+        What began streams is then left in the store only. Targets of several
+        versions serve in most runs.
+        """
+        names = set(self.world.routers)
+        if names & self.reserved:
+            return
+        self.reserved |= names
+        entries = [self._add_disturbance(Kind.KILL, name) for name in names]
+        for name in names:
+            self.world.kill(name)
+        await self._wait_fault_duration()
+        await asyncio.gather(*map(self._restart_router, sorted(names)))
+        for entry in entries:
+            entry.end = world_lib.read_time()
+        self.reserved -= names
+
     async def _pause_router(self) -> None:
         with self._disturb(Kind.PAUSE, self.world.routers) as name:
             await self._pause(name)
--- a/tests/forwarding/stored_fleet.py
+++ b/tests/forwarding/stored_fleet.py
@@ -29,6 +29,7 @@
         calls: time, router, method and endpoint of each call, with its topic.
         store_delay_s: time that each call to the store takes, in seconds.
         without_store: routers that don't reach the store.
+        silent_polls: routers whose long polls get no response.
     """
 
     def __init__(self, **options):
@@ -37,6 +38,7 @@
         self.calls: list[tuple[float, str, str, str]] = []
         self.store_delay_s = 0.002
         self.without_store: set[str] = set()
+        self.silent_polls: set[str] = set()
         self.publish()
 
     def append(self, topic: str, key: str, value: str) -> None:
@@ -166,6 +168,9 @@
                 await asyncio.sleep(self.fleet.store_delay_s)
                 if self.router in self.fleet.without_store:
                     raise httpcore.ConnectError("cut off")
+                is_long = int(target.params.get("wait_ms", "0")) > 0
+                if is_long and self.router in self.fleet.silent_polls:
+                    await asyncio.Event().wait()
                 return await self.pool.request(method, url, content, extensions)
         except TimeoutError as error:
             raise httpcore.ReadTimeout("slow") from error
--- a/tests/forwarding/test_stream_records.py
+++ b/tests/forwarding/test_stream_records.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.forwarding import makers
 from tests.forwarding import test_stream_continuation as continuation
 from tests.forwarding import test_stream_versions as streams_lib
 
@@ -187,6 +188,34 @@
         assert all(stream.tries[-1].status == 503 for stream in streams)
 
 
+# Guards against ORDER: a router that is behind others takes the version that it
+# knows for the only one, while they have recorded another and begun streams.
+def test_a_router_that_is_behind_reads_the_versions_before_it_infers():
+    streams = []
+
+    async def scenario(fleet):
+        await start_versions(fleet, OLD)
+        fleet.silent_polls.add("r1")
+        # Ends the long polls that have begun.
+        fleet.publish()
+        fleet.write_entry(fleet.targets["t0"])
+        fleet.append("keyed.routers", "blocked-part/none", "")
+        await asyncio.sleep(1.5)
+        fleet.add_target("n0", version=NEW)
+        fleet.add_target("n1", version=NEW)
+        await asyncio.sleep(0.3)
+        streams.extend(await streams_lib.begin_streams(fleet, 20))
+        versions = fleet.gateways["r1"].stream_versions
+        now = fleet.clock.monotonic()
+        assert versions.find_known(makers.POOL, now) == {OLD}
+        fleet.stop_router("r0")
+        await continuation.resume_all(streams, resumes=None)
+
+    continuation.build_fleet().run(scenario)
+    assert {v for s in streams for v in s.versions} == {OLD, NEW}
+    assert all(len(stream.versions) == 1 for stream in streams)
+
+
 # Guards against LOST and ORDER at the first moment of a new process, when it
 # has read nothing but the configuration and the targets.
 @pytest.mark.parametrize("pause_s", [0.005, 0.01, 0.02, 0.05])
--- a/tests/standins/keyed_store.py
+++ b/tests/standins/keyed_store.py
@@ -24,6 +24,9 @@
 import uvicorn
 
 RECORD_LENGTH = struct.Struct(">I")
+MAX_KB = 1024
+"""Size of a read, in KB, unless the call names another. One record is returned
+in any case."""
 BOUNDS = struct.Struct(">QQ")
 
 
@@ -182,8 +185,12 @@
                 return 503, b""
             if start > len(topic.records):
                 return 410, json.dumps({"first_offset": 0}).encode()
+        left = int(query.get("max_kb", MAX_KB)) * 1024
         parts = [BOUNDS.pack(len(topic.records), topic.forgotten)]
         for record in topic.records[start:]:
+            left -= len(record)
+            if left < 0 and len(parts) > 1:
+                break
             parts += [RECORD_LENGTH.pack(len(record)), record]
         return 200, b"".join(parts)
 
