--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/cold_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/cold_control.py
@@ -13,6 +13,8 @@
 
 ENTRY_INTERVAL_S = 1.2
 """Time between two entries of a target, as documented by the platform."""
+MAX_KNOWN_SHARERS = 10_000
+"""Number of targets for which it is kept whether this router shares them."""
 
 
 class ColdControl:
@@ -28,6 +30,8 @@
         has_peers: whether the list of routers was read since the start. Until
             then this router can't know its part and sends nothing.
         ring: all listed routers, this one included.
+        known_sharers: results of `is_sharer` by its arguments, since they are
+            needed in each pass over a queue.
     """
 
     def __init__(
@@ -46,13 +50,20 @@
         self.pools: set[ids.PoolId] = set()
         self.has_peers = False
         self.ring: hash_ring.HashRing[ids.InstanceId] = hash_ring.HashRing(())
+        self.known_sharers: dict[tuple[ids.TargetId, int], bool] = {}
 
     def is_sharer(self, target: ids.TargetId, count: int) -> bool:
         """Whether this router is among the first `count` of a target."""
         if len(self.ring.names) != self.peers.count_routers():
             self.ring = hash_ring.HashRing([*self.peers.listed, self.own_name])
-        key = int.from_bytes(rendezvous.score("cold", target))
-        return self.own_name in self.ring.find(key, count, lambda name: True)
+            self.known_sharers.clear()
+        if (target, count) not in self.known_sharers:
+            if len(self.known_sharers) >= MAX_KNOWN_SHARERS:
+                self.known_sharers.clear()
+            key = int.from_bytes(rendezvous.score("cold", target))
+            found = self.ring.find(key, count, lambda name: True)
+            self.known_sharers[target, count] = self.own_name in found
+        return self.known_sharers[target, count]
 
     def note_record(self, entry: target_list.Entry, now: float) -> bool:
         """Applies a new record of a target.
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -410,7 +410,8 @@
     ) -> None:
         limit_parts = self.admission.limit_parts
         limits = self.targets.limits
-        limit_parts.keep_only({entry.name for entry in ready})
+        if not limit_parts.is_empty:
+            limit_parts.keep_only({entry.name for entry in ready})
         if limits.is_empty and not limit_parts.credits:
             return
         part = self.demand.compute_part(self.count_routers(), now)
