Tell routers that start which evacuations the store has lost

A store that came back from an older copy may lack an evacuation. A router that started before the operator had written again used the data centre. Routers name in their reports what they have kept from an earlier era.

--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -269,6 +269,13 @@
     requests: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptEvacuation:
+    """A data centre that is evacuated, unless a newer record says otherwise."""
+
+    data_centre: ids.DataCentreId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkspaceUse:
     """Recent cost of a workspace's requests, decayed with age.
@@ -385,6 +392,8 @@
         blocks: prompt parts that are blocked, or were.
         routers: number of routers whose load the report adds up.
         demands: recent demand, by pool.
+        evacuations: evacuations that the sender has kept although the store
+            lacks them since it came back from an older copy.
     """
 
     incarnation: ids.Incarnation
@@ -402,6 +411,7 @@
     blocks: tuple[BlockReport, ...] = ()
     routers: int = 0
     demands: tuple[PoolDemand, ...] = ()
+    evacuations: tuple[KeptEvacuation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -491,6 +491,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.connections.sweep()
             self._expire_targets()
+            self.evacuations.expire()
             self._log_avoided()
             self._decide_all()
 
@@ -538,6 +539,7 @@
             targets_offset=self.targets_watch.lag.own_position,
             is_ready=self.is_ready and self.takes_callers,
             leaving=self.is_leaving,
+            evacuations=self.evacuations.list_kept(),
         )
 
     def _collect_work(self) -> report_exchange_lib.OwnWork:
@@ -577,6 +579,9 @@
             return
         now = self.clock.monotonic()
         self._compare_feeds(sender, message, now)
+        self.evacuations.note_reported(
+            sender, message.evacuations, self.peers.peer_timeout_s
+        )
         self.prompt_blocks.apply_report(sender, message)
         accepted = self.report_exchange.accept_report(sender, message)
         if accepted is None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
@@ -69,12 +69,14 @@
         targets_offset: offset up to which the target list was read.
         is_ready: whether this router may receive requests.
         leaving: whether this router is shutting down.
+        evacuations: evacuations that the store lacks.
     """
 
     version: int
     targets_offset: int
     is_ready: bool
     leaving: bool
+    evacuations: tuple[messages.KeptEvacuation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -565,6 +567,7 @@
             blocks=evidence.blocks if evidence else (),
             routers=work.routers,
             demands=work.demands,
+            evacuations=status.evacuations,
         )
         self.link.broadcast(receivers, report)
         return report
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -115,6 +115,10 @@
   requests @1 :Float32;
 }
 
+struct KeptEvacuation {
+  dataCentre @0 :UInt16;
+}
+
 struct WorkspaceUse {
   workspace @0 :UInt16;
   cost @1 :UInt32;
@@ -166,6 +170,7 @@
   blocks @13 :List(BlockReport);
   routers @14 :UInt16;
   demands @15 :List(PoolDemand);
+  evacuations @16 :List(KeptEvacuation);
 }
 
 struct StreamOrigin {
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -91,6 +91,7 @@
     "crashes": messages.CrashReport,
     "blocks": messages.BlockReport,
     "demands": messages.PoolDemand,
+    "evacuations": messages.KeptEvacuation,
     "origins": messages.StreamOrigin,
 }
 
@@ -132,6 +133,7 @@
     "pool",
     "router",
     "version",
+    "data_centre",
 }
 _ENUM_TYPES = {"kind": messages.ReportKind}
 _BIT_WIDTHS = {"uint8": 8, "uint16": 16, "uint32": 32, "uint64": 64}
@@ -152,6 +154,7 @@
     messages.CrashReport: _schema.CrashReport,
     messages.BlockReport: _schema.BlockReport,
     messages.PoolDemand: _schema.PoolDemand,
+    messages.KeptEvacuation: _schema.KeptEvacuation,
     messages.OriginReport: _schema.OriginReport,
     messages.OriginQuestion: _schema.OriginQuestion,
     messages.StreamOrigin: _schema.StreamOrigin,
--- a/tests/forwarding/test_evacuation.py
+++ b/tests/forwarding/test_evacuation.py
@@ -118,6 +118,39 @@
     assert found.replace(set(), 2).withdrawn == (b, c)
 
 
+# Guards against EVAC: a router that starts after the store came back without
+# an evacuation, and against one that lasts because peers repeat it.
+def test_evacuation_that_the_store_lacks_is_known_from_peers():
+    async def scenario(fleet):
+        (a, _, _) = fleet.add_all()
+        fleet.evacuate("a")
+        await asyncio.sleep(1.0)
+        fleet.evacuated.clear()
+        for gateway in fleet.gateways.values():
+            gateway.evacuations.replace(set(), 2)
+        for name in ("r0", "r1"):
+            fleet.stop_router(name)
+            fleet.start_router(name)
+            fleet.gateways[name].evacuations.replace(set(), 2)
+        await asyncio.sleep(1.0)
+        fleet.started = fleet.clock.monotonic()
+        await fleet.load(100.0, 4.0)
+        fleet.during = a.count_arrivals(fleet.started, float("inf"))
+        fleet.stop_router("r0")
+        fleet.start_router("r0")
+        for name in fleet.entries.keys() - {"r0"}:
+            fleet.gateways[name].evacuations.withdraw(ids.DataCentreId("a"))
+        await asyncio.sleep(3.0)
+        fleet.ended = fleet.clock.monotonic()
+        await fleet.load(100.0, 2.0, routers=["r0"])
+        fleet.after = a.count_arrivals(fleet.ended, float("inf"))
+
+    for routers in (4, 20):
+        fleet = make_fleet(routers).run(scenario)
+        assert fleet.during == 0
+        assert fleet.after > 20
+
+
 def make_fleet(routers=7):
     """Returns a fleet with one target in each of three data centres."""
     fleet = gateway_fleet.Fleet(routers, targets=0)
