--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -518,6 +518,7 @@
             self.connections.sweep()
             self._expire_targets()
             self.stream_versions.refresh(self.clock.monotonic())
+            self.evacuations.expire()
             self._log_avoided()
             self._decide_all()
 
@@ -565,6 +566,7 @@
             targets_offset=self.targets_watch.lag.own_position,
             is_ready=self.is_ready and self.takes_callers,
             leaving=self.is_leaving,
+            evacuations=self.evacuations.list_kept(),
         )
 
     def _collect_work(self) -> report_exchange_lib.OwnWork:
@@ -603,6 +605,9 @@
             return
         now = self.clock.monotonic()
         self._compare_feeds(sender, message, now)
+        self.evacuations.note_reported(
+            sender, message.evacuations, self.peers.peer_timeout_s
+        )
         self.prompt_blocks.apply_report(sender, message)
         accepted = self.report_exchange.accept_report(sender, message)
         if accepted is None:
