Measure the error of prefill estimates, and fall back above a bound

Cause: nothing told how good the estimates are, and long prompts on few engines may exceed the memory of these.

The mean error of the prefill estimates is a gauge of each pool. Above 0.6 long prompts are placed like all others. A target whose KV cache may be exceeded has a penalty.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
@@ -19,8 +19,10 @@
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import decayed
+from lentilbeam_core.forwarding import estimate_error
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import prefill_model
+from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 
 ORDER_KEY = "long prompts"
@@ -52,6 +54,11 @@
         outside_penalty_s: penalty of the other engines for long prompts.
         paused_stream_penalty_s: penalty for each running stream that a
             prompt is expected to pause for longer than the goal.
+        full_memory_penalty_s: penalty of an engine whose KV cache the running
+            requests and this one may exceed; it would hold the request until
+            others end. Long prompts on few engines use more of it.
+        max_error: the assignment pauses while the error of the estimate is
+            larger, see `estimate_error`.
         safe_fraction: pauses up to this fraction of the goal have no penalty;
             up to the goal the penalty increases to its full amount.
     """
@@ -66,6 +73,8 @@
     short_penalty_s: float = 0.15
     outside_penalty_s: float = 0.1
     paused_stream_penalty_s: float = 0.03
+    full_memory_penalty_s: float = 0.3
+    max_error: float = 0.6
     safe_fraction: float = 0.6
 
 
@@ -75,11 +84,15 @@
 
     Attributes:
         is_long: whether its prompt is long.
-        engines: engines for long prompts, in rendezvous order.
+        engines: engines for long prompts.
+        held: KV cache tokens that the request may use at most.
+        cache_tokens: size of the KV cache of an engine, in tokens.
     """
 
     is_long: bool
-    engines: tuple[ids.TargetId, ...]
+    engines: frozenset[ids.TargetId]
+    held: float
+    cache_tokens: int
 
 
 class LongPrompts:
@@ -101,6 +114,8 @@
         count: number of engines for long prompts.
         refreshed_at: when `count` was computed, monotonic seconds.
         order: engines in rendezvous order.
+        engines: the first `count` of them.
+        error: error of the estimates of this router's prefills.
         names: engines that `order` was computed from.
     """
 
@@ -116,16 +131,19 @@
         self.count = 0
         self.refreshed_at = -math.inf
         self.order: tuple[ids.TargetId, ...] = ()
+        self.engines: frozenset[ids.TargetId] = frozenset()
+        self.error = estimate_error.EstimateError()
         self.names: frozenset[ids.TargetId] = frozenset()
 
     def is_enabled(self, target_count: int) -> bool:
-        """Whether long prompts are assigned in a pool of this size."""
+        """Whether long prompts are handled apart in a pool of this size."""
         return self.gap_goal_s > 0 and target_count >= self.settings.min_targets
 
     def plan(
         self,
-        prompt_tokens: int,
+        prompt: requests.Prompt,
         cached_tokens: int,
+        cache_tokens: int,
         targets: list[target_list.Entry],
         loads: loads_lib.LoadTracker,
         now: float,
@@ -133,8 +151,9 @@
         """Returns what applies to a request; None if nothing is assigned.
 
         Args:
-            prompt_tokens: length of its prompt.
+            prompt: its prompt.
             cached_tokens: most leading tokens that a target has cached.
+            cache_tokens: size of the KV cache of an engine, in tokens.
             targets: targets that may get it.
             loads: loads of the targets.
             now: monotonic seconds.
@@ -143,10 +162,13 @@
             return None
         if now - self.refreshed_at >= self.settings.refresh_interval_s:
             self._refresh(targets, loads, now)
-        unread = max(prompt_tokens - cached_tokens, 1)
+        if self.error.is_above(self.settings.max_error, now):
+            return None
+        unread = max(prompt.tokens - cached_tokens, 1)
         prefill_s = self.model.estimate(unread, cached_tokens)
         is_long = prefill_s > self.settings.long_fraction * self.gap_goal_s
-        return Plan(is_long, self.order[: self.count])
+        held = prompt.tokens + prompt.max_output_tokens
+        return Plan(is_long, self.engines, held, cache_tokens)
 
     def find_penalty(
         self,
@@ -172,6 +194,8 @@
             penalty_s = settings.outside_penalty_s
         elif is_assigned and not plan.is_long:
             penalty_s = settings.short_penalty_s
+        if load.held + plan.held > plan.cache_tokens:
+            penalty_s += settings.full_memory_penalty_s
         pause_s = self.estimate_wait(load, unread, prompt_tokens)
         safe_s = settings.safe_fraction * self.gap_goal_s
         risk = (pause_s - safe_s) / (self.gap_goal_s - safe_s)
@@ -231,6 +255,7 @@
         expected_s = ahead * self.model.mean_s
         expected_s += self.model.estimate(unread, preceding)
         if self.model.add_sample(unread, preceding, ahead, seconds, now):
+            self.error.add(expected_s, seconds, now)
             loads.note_prefill_time(target, seconds, expected_s, now)
 
     def note_placed(
@@ -319,6 +344,7 @@
                     reverse=True,
                 )
             )
+        self.engines = frozenset(self.order[: self.count])
 
 
 def find_gap_goal(
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -240,8 +240,9 @@
         prefix = self._find_cached(request.prompt, targets)
         self.pool_size = len(targets)
         plan = self.long_prompts.plan(
-            request.prompt.tokens,
+            request.prompt,
             prefix.max_cached_tokens,
+            self.pool.engine.cache_tokens,
             targets,
             self.loads,
             now,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -302,6 +302,7 @@
             "targets_usable": len(self.find_usable()),
             "targets_limited": len(self.admission.limit_parts.credits),
             "targets_for_long_prompts": self.placer.long_prompts.count,
+            "prefill_error": self.placer.long_prompts.error.read(now),
             "workspaces_asking": len(self.usage.asked),
             "repeats_in_window": len(self.budget.retries),
         }
--- a/tests/forwarding/test_long_prompts.py
+++ b/tests/forwarding/test_long_prompts.py
@@ -21,6 +21,7 @@
 BOUNDS = load_bounds.BELOW_GUARANTEE_BOUNDS
 PATTERNS = {pattern.name: pattern for pattern in patterns.PATTERNS}
 POLICIES = {policy.name: policy for policy in policies.POLICIES}
+CACHE_TOKENS = makers.ENGINE.cache_tokens
 TOKENS_PER_S = 64_200.0
 DOUBLE_TOKENS = 20_000.0
 
@@ -108,7 +109,10 @@
 # Guards against an assignment in pools that are too small for it.
 def test_nothing_is_assigned_in_a_pool_of_six():
     placer, targets = make_placer()
-    plan = placer.long_prompts.plan(50_000, 0, targets[:6], placer.loads, 9.0)
+    prompt = makers.make_request("r", ("p", 50_000)).prompt
+    plan = placer.long_prompts.plan(
+        prompt, 0, CACHE_TOKENS, targets[:6], placer.loads, 9.0
+    )
     assert plan is None
 
 
@@ -144,7 +148,10 @@
     started.long_prompts.apply_report("relay", total, 9.0)
     load = messages.TargetLoad("t0", 0.0, 0, 0.0, 18_000.0)
     started.loads.apply_report("relay", (load,), 9.0)
-    started.long_prompts.plan(500, 0, targets, started.loads, 9.0)
+    prompt = makers.make_request("r", ("p", 500)).prompt
+    started.long_prompts.plan(
+        prompt, 0, CACHE_TOKENS, targets, started.loads, 9.0
+    )
     assert started.long_prompts.count > 0
     expected_s = placer.long_prompts.model.estimate(20_000, 0)
     assert started.long_prompts.model.estimate(20_000, 0) == pytest.approx(
@@ -201,3 +208,33 @@
     # It is tried again once the samples are old.
     load = placer.loads.total(entry.name, 40.0)
     assert placer.long_prompts.find_slowdown(load) == 1.0
+
+
+# Guards against an assignment by estimates that are far off.
+def test_estimates_that_are_far_off_pause_the_assignment():
+    placer, targets = make_placer()
+    prompt = makers.make_request("r", ("p", 20_000)).prompt
+
+    def plan(now):
+        return placer.long_prompts.plan(
+            prompt, 0, CACHE_TOKENS, targets, placer.loads, now
+        )
+
+    assert plan(9.0) is not None
+    for number in range(40):
+        placer.long_prompts.error.add(0.2, 0.05 + number % 2, 9.0)
+    assert placer.long_prompts.error.read(9.0) > 0.6
+    assert plan(9.0) is None
+    # The estimates are tried again once the samples are old.
+    assert plan(60.0) is not None
+
+
+# Guards against long prompts on few engines that exceed their memory.
+def test_long_prompt_avoids_engines_whose_memory_is_full():
+    placer, targets = make_placer()
+    (assigned,) = placer.long_prompts.order[:1]
+    report = messages.TargetLoad(assigned, 0.0, 0, CACHE_TOKENS, 0.0)
+    placer.loads.apply_report("peer", (report,), 9.0)
+    request = makers.make_request("r", ("p", 20_000), now=9.0)
+    choice = placer.choose(request, targets, BOUNDS, 9.0)
+    assert choice.target.name != assigned
