--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -324,6 +324,7 @@
             "targets_limited": len(self.admission.limit_parts.credits),
             "targets_cold": len(self.admission.limit_parts.paces),
             "targets_for_long_prompts": self.placer.long_prompts.count,
+            "prefill_error": self.placer.long_prompts.error.read(now),
             "workspaces_asking": len(self.usage.asked),
             "repeats_in_window": len(self.budget.retries),
         }
