--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -361,6 +361,10 @@
             "targets_lapsing": len(self.targets.pending_removals),
             "parts_blocked": len(self.prompt_blocks.evidence.list_blocks()),
             "streams_remembered": len(self.origin_exchange.origins.records),
+            "versions_recorded": len(self.stream_versions.stored),
+            "versions_unrecorded": len(self.stream_versions.unrecorded),
+            "streams_unwritten": len(self.origin_search.journal.pending),
+            "streams_unwritten_dropped": self.origin_search.journal.dropped,
             "log_lines_dropped": self.log.total_dropped,
         }
         for name, dispatcher in self.dispatchers.items():
