Reuse connections to targets in large fleets

With 61 routers and 33 targets each connection was idle for about as long as targets keep it, so most requests opened one; requests that are not retryable always did.

In fleets of more than 16 routers, for pools with max_conns, placement adds what a new connection costs the request (12 ms, 20 ms with the question for the process), samples mostly from a subset of the pool, and keeps idle connections for as long as the target names, up to this router's part of max_conns. Requests that are not retryable may use a connection that was used within 1.5 s; they are still never sent again once handed over. In all fleets, a connection that the target has closed is replaced before the first byte.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -16,6 +16,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import connection_preference
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import prefill_rates
@@ -157,6 +158,7 @@
         rng: random number generator.
         caches: estimated cache contents of the pool's targets.
         rates: estimated prefill rates of the pool's targets.
+        connections: tells to which targets this router has idle connections.
         homes: home targets among `home_candidates`, by the hashed key.
         home_candidates: targets of the last placement.
     """
@@ -174,6 +176,9 @@
         self.loads = loads
         self.data_centre = data_centre
         self.rng = rng
+        self.connections = connection_preference.ConnectionPreference(
+            pool, lambda target, idle_s: False, lambda: 1
+        )
         self.caches = prompt_cache.PromptCaches(0)
         self.update_pool(pool)
         self.rates = prefill_rates.PrefillRates(prefill_rates.Settings())
@@ -183,6 +188,7 @@
     def update_pool(self, pool: configuration.Pool) -> None:
         """Applies a new configuration of the pool."""
         self.pool = pool
+        self.connections.pool = pool
         self.caches.cache_tokens = (
             pool.engine.cache_tokens if pool.engine else 0
         )
@@ -227,13 +233,13 @@
         if not targets:
             return None
         if request.prompt is None or self.pool.engine is None:
-            return self._choose_plain(targets, now)
+            return self._choose_plain(request, targets, now)
         prefix = self._find_cached(request.prompt, targets)
         lone = frozenset()
         if request.route.is_resumable:
             lone = find_lone_versions(targets)
         best = None
-        for index in self._sample(targets, prefix):
+        for index in self._sample(request, targets, prefix):
             entry = targets[index]
             candidate = self._evaluate(
                 request, entry, prefix, index, bounds, now
@@ -252,7 +258,10 @@
         return dataclasses.replace(best.placement, fetch_from=source)
 
     def _sample(
-        self, targets: list[target_list.Entry], prefix: _CachedPrefix
+        self,
+        request: requests.Request,
+        targets: list[target_list.Entry],
+        prefix: _CachedPrefix,
     ) -> Iterable[int]:
         """Returns the indexes of the targets that are evaluated.
 
@@ -266,7 +275,7 @@
         if len(targets) <= 2 * count:
             return range(len(targets))
         indexes = range(len(targets))
-        chosen = set(self.rng.sample(indexes, count))
+        chosen = self.connections.sample(request, targets, count, self.rng)
         holder_count = min(count, len(prefix.holder_indexes))
         chosen.update(self.rng.sample(prefix.holder_indexes, holder_count))
         chosen.update(
@@ -303,7 +312,10 @@
         self.loads.forget(target)
 
     def _choose_plain(
-        self, targets: list[target_list.Entry], now: float
+        self,
+        request: requests.Request,
+        targets: list[target_list.Entry],
+        now: float,
     ) -> Placement | None:
         best = None
         lowest_utilisation = self.settings.plain_overcommit
@@ -315,6 +327,9 @@
             # The random penalty of up to 0.1 requests spreads the choices of
             # routers with the same information.
             penalty = self.settings.plain_remote_penalty * is_remote
+            penalty += self.connections.estimate_plain_cost(
+                request, entry, is_remote
+            )
             utilisation = (
                 running + penalty + self.rng.random() * 0.1
             ) / entry.slots
@@ -410,6 +425,7 @@
                 + request.body_bytes * settings.remote_byte_penalty_s
             )
         penalty_s += settings.batch_penalty_s * load.running / entry.slots
+        penalty_s += self.connections.estimate_cost(request, entry)
         penalty_s += settings.noise_s * self.rng.random()
         placement = Placement(
             target=entry,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -44,9 +44,31 @@
 MAX_IDLE_S = 4.0
 """Longest time for which an idle connection is kept. A shorter timeout in the
 target's `Keep-Alive` header takes precedence."""
-IDLE_LIMIT_MARGIN_S = 1.0
-"""An idle connection isn't reused any more this long before the target would
-close it, in seconds."""
+MAX_NAMED_IDLE_S = 30.0
+"""The same in a large fleet, where each connection is used rarely, for targets
+that name their timeout. Keepalive probes end idle connections to targets that
+can't be reached."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdleLimits:
+    """How long a connection is kept idle.
+
+    Attributes:
+        max_named_s: longest time if the target names its timeout in its
+            `Keep-Alive` header, in seconds.
+        margin_s: time before the target would close it from which it isn't
+            reused any more, in seconds.
+    """
+
+    max_named_s: float = MAX_IDLE_S
+    margin_s: float = 1.0
+
+
+LARGE_FLEET_LIMITS = IdleLimits(max_named_s=MAX_NAMED_IDLE_S, margin_s=0.5)
+"""Limits where each connection is used rarely. Timeouts are named in whole
+seconds, and 1 s of 3 s would be much. Requests take milliseconds to their
+target, and a router that is later than 0.4 s refuses them."""
 
 
 class ConnectFailedError(Exception):
@@ -103,6 +125,8 @@
         is_broken: whether the connection was closed or failed.
         is_invalid: whether it was closed because of invalid bytes.
         may_reuse: whether the target keeps the connection open.
+        idle_limits: how long the connection is kept idle.
+        idle_since: when the last response was complete, monotonic seconds.
         reusable_until: when an idle connection expires, monotonic seconds.
         process_start_ms: when the process at the other end started, Unix
             milliseconds; 0 if it hasn't told.
@@ -123,6 +147,8 @@
         self.is_broken = False
         self.is_invalid = False
         self.may_reuse = False
+        self.idle_limits = IdleLimits()
+        self.idle_since = 0.0
         self.reusable_until = 0.0
         self.process_start_ms = 0
 
@@ -266,8 +292,9 @@
             return
         self.is_complete = True
         self.may_reuse = self.parser.should_keep_alive()
-        idle_limit_s = _read_idle_limit(self.headers)
-        self.reusable_until = self.clock.monotonic() + idle_limit_s
+        idle_limit_s = _read_idle_limit(self.headers, self.idle_limits)
+        self.idle_since = self.clock.monotonic()
+        self.reusable_until = self.idle_since + idle_limit_s
         self._deliver(End())
 
     def _deliver(self, item: Item) -> None:
@@ -318,13 +345,15 @@
     return connection
 
 
-def _read_idle_limit(headers: list[tuple[bytes, bytes]]) -> float:
+def _read_idle_limit(
+    headers: list[tuple[bytes, bytes]], limits: IdleLimits
+) -> float:
     for name, value in headers:
         if name.lower() != b"keep-alive":
             continue
         for item in value.lower().split(b","):
             directive, _, seconds = item.strip().partition(b"=")
             if directive == b"timeout" and seconds.strip().isdigit():
-                idle_limit_s = float(seconds) - IDLE_LIMIT_MARGIN_S
-                return min(idle_limit_s, MAX_IDLE_S)
+                idle_limit_s = float(seconds) - limits.margin_s
+                return min(idle_limit_s, limits.max_named_s)
     return MAX_IDLE_S
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -264,7 +264,7 @@
     ) -> progress_lib.SendOutcome:
         target = placement.target
         try:
-            connection = await self._acquire_connection(target)
+            connection = await self._acquire_open(target)
         except connection_lib.ConnectFailedError as error:
             self.dispatcher.note_end(self.request.request_id)
             is_other_process = (
@@ -280,35 +280,70 @@
             self.dispatcher.note_end(self.request.request_id)
             raise
         try:
-            await self._catch_up()
             self._check_deadline()
             return await self._exchange(placement, connection)
         finally:
             self.dispatcher.note_end(self.request.request_id)
-            self.forwarder.connections.release(target, connection)
+            self._release(target, connection)
 
-    async def _acquire_connection(
+    def _release(
+        self,
+        target: target_list.Entry,
+        connection: connection_lib.TargetConnection,
+    ) -> None:
+        max_idle = self.dispatcher.placer.connections.find_max_idle()
+        self.forwarder.connections.release(target, connection, max_idle)
+
+    async def _acquire_open(
         self, target: target_list.Entry
+    ) -> connection_lib.TargetConnection:
+        """Returns a connection that was open when its socket was last read.
+
+        A target may have closed an idle one before that.
+
+        Raises:
+            ConnectFailedError: see `_acquire_connection`.
+        """
+        # A request that isn't retryable gets no connection that has been idle
+        # for long: it may be dead, and then it is unknown whether the request
+        # ran.
+        preference = self.dispatcher.placer.connections
+        longest_idle_s = preference.find_longest_idle(self.route.is_retryable)
+        for idle_s in (longest_idle_s, 0.0):
+            connection = await self._acquire_connection(target, idle_s)
+            try:
+                await self._catch_up()
+            except asyncio.CancelledError:
+                self._release(target, connection)
+                raise
+            if not connection.is_broken:
+                return connection
+            self._release(target, connection)
+        raise connection_lib.ConnectFailedError("closed before its use")
+
+    async def _acquire_connection(
+        self, target: target_list.Entry, longest_idle_s: float
     ) -> connection_lib.TargetConnection:
         """Returns a connection to a target.
 
+        Args:
+            target: the target.
+            longest_idle_s: see `ConnectionPool.acquire`.
+
         Raises:
             ConnectFailedError: it couldn't be opened, or does not lead to the
                 listed process, whose version the stream needs.
         """
         connections = self.forwarder.connections
-        # A request that isn't retryable gets a new connection: an idle one may
-        # be dead, and then it is unknown whether the request ran.
-        must_be_new = not self.route.is_retryable
         if (
             not self.route.is_resumable
             or self.dispatcher.pool.engine is None
             or target.started_at_ms == 0
         ):
-            return await connections.acquire(target, must_be_new)
+            return await connections.acquire(target, longest_idle_s)
         try:
             connection = await process_check.acquire(
-                connections, target, must_be_new, self.forwarder.codec
+                connections, target, longest_idle_s, self.forwarder.codec
             )
             if not self.dispatcher.targets.is_listed(target):
                 connections.release(target, connection)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -223,6 +223,10 @@
                 self.clock,
                 self.rng,
             )
+            preference = self.dispatchers[pool].placer.connections
+            preference.has_idle = self.connections.has_idle
+            preference.count_routers = self.count_routers
+            preference.own_name = self.settings.instance
         return self.dispatchers[pool]
 
     def offer_configuration(
@@ -449,6 +453,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.connections.sweep()
+            self.connections.note_fleet(self.count_routers())
             self._expire_targets()
             self._log_avoided()
             self._decide_all()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/process_check.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/process_check.py
@@ -34,7 +34,7 @@
 async def acquire(
     connections: connection_pool.ConnectionPool,
     target: target_list.Entry,
-    must_be_new: bool,
+    longest_idle_s: float,
     codec: wire_lib.Codec,
 ) -> connection_lib.TargetConnection:
     """Returns a connection to the listed process of a target.
@@ -45,7 +45,7 @@
     Args:
         connections: idle connections.
         target: the target as it is listed.
-        must_be_new: see `ConnectionPool.acquire`.
+        longest_idle_s: see `ConnectionPool.acquire`.
         codec: encodes the question.
 
     Raises:
@@ -54,7 +54,7 @@
     """
     start_ms = 0
     for _ in range(MAX_CONNECTIONS):
-        connection = await connections.acquire(target, must_be_new)
+        connection = await connections.acquire(target, longest_idle_s)
         is_usable = True
         if connection.process_start_ms == 0:
             try:
