--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -17,6 +17,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import connection_preference
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import long_prompts as long_prompts_lib
@@ -163,6 +164,7 @@
         rates: estimated prefill rates of the pool's targets.
         long_prompts: assignment of long prompts to a few targets.
         pool_size: number of targets of the last placement.
+        connections: tells to which targets this router has idle connections.
         homes: home targets among `home_candidates`, by the hashed key.
         home_candidates: targets of the last placement.
         select_recorded: returns those of some targets at which streams that
@@ -182,6 +184,9 @@
         self.loads = loads
         self.data_centre = data_centre
         self.rng = rng
+        self.connections = connection_preference.ConnectionPreference(
+            pool, lambda target, idle_s: False, lambda: 1
+        )
         self.caches = prompt_cache.PromptCaches(0)
         self.update_pool(pool)
         self.rates = prefill_rates.PrefillRates(prefill_rates.Settings())
@@ -198,6 +203,7 @@
     def update_pool(self, pool: configuration.Pool) -> None:
         """Applies a new configuration of the pool."""
         self.pool = pool
+        self.connections.pool = pool
         self.caches.cache_tokens = (
             pool.engine.cache_tokens if pool.engine else 0
         )
@@ -244,7 +250,7 @@
         if not targets:
             return None
         if request.prompt is None or self.pool.engine is None:
-            return self._choose_plain(targets, now)
+            return self._choose_plain(request, targets, now)
         prefix = self._find_cached(request.prompt, targets)
         self.pool_size = len(targets)
         plan = self.long_prompts.plan(
@@ -259,7 +265,7 @@
         if request.route.is_resumable:
             lone = find_lone_versions(targets)
         best = None
-        for index in self._sample(targets, prefix, plan):
+        for index in self._sample(request, targets, prefix, plan):
             entry = targets[index]
             candidate = self._evaluate(
                 request, entry, prefix, index, bounds, plan, now
@@ -279,6 +285,7 @@
 
     def _sample(
         self,
+        request: requests.Request,
         targets: list[target_list.Entry],
         prefix: _CachedPrefix,
         plan: long_prompts_lib.Plan | None,
@@ -296,7 +303,7 @@
         if len(targets) <= 2 * count:
             return range(len(targets))
         indexes = range(len(targets))
-        chosen = set(self.rng.sample(indexes, count))
+        chosen = self.connections.sample(request, targets, count, self.rng)
         holder_count = min(count, len(prefix.holder_indexes))
         chosen.update(self.rng.sample(prefix.holder_indexes, holder_count))
         chosen.update(
@@ -358,7 +365,10 @@
         self.loads.forget(target)
 
     def _choose_plain(
-        self, targets: list[target_list.Entry], now: float
+        self,
+        request: requests.Request,
+        targets: list[target_list.Entry],
+        now: float,
     ) -> Placement | None:
         best = None
         lowest_utilisation = self.settings.plain_overcommit
@@ -370,6 +380,9 @@
             # The random penalty of up to 0.1 requests spreads the choices of
             # routers with the same information.
             penalty = self.settings.plain_remote_penalty * is_remote
+            penalty += self.connections.estimate_plain_cost(
+                request, entry, is_remote
+            )
             utilisation = (
                 running + penalty + self.rng.random() * 0.1
             ) / entry.slots
@@ -480,6 +493,7 @@
                 + request.body_bytes * settings.remote_byte_penalty_s
             )
         penalty_s += settings.batch_penalty_s * load.running / entry.slots
+        penalty_s += self.connections.estimate_cost(request, entry)
         penalty_s += settings.noise_s * self.rng.random()
         placement = Placement(
             target=entry,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -253,6 +253,10 @@
                 self.stream_versions.select_recorded
             )
             self.dispatchers[pool] = dispatcher
+            preference = dispatcher.placer.connections
+            preference.has_idle = self.connections.has_idle
+            preference.count_routers = self.count_routers
+            preference.own_name = self.settings.instance
         return self.dispatchers[pool]
 
     def offer_configuration(
@@ -520,6 +524,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.connections.sweep()
+            self.connections.note_fleet(self.count_routers())
             self._expire_targets()
             self.stream_versions.refresh(self.clock.monotonic())
             self.evacuations.expire()
