Leave short prefill times out of reports between routers

Cause: reports of 30 busy targets grew from 1,220 to 1,546 bytes, since decayed sums never end.

Prefill times that have decayed below 0.03 s are sent as zeros, which take no room.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -30,6 +30,9 @@
 and gets requests again after about this time."""
 MIN_REPORTED_OUTCOMES = 0.1
 """Smallest decayed number of ended requests that is reported to peers."""
+MIN_REPORTED_PREFILL_S = 0.03
+"""Smallest `Load.expected_s` that is reported to peers. A prompt that is a
+sample falls below it some 3 s later, and zeros take no room in reports."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -131,6 +134,7 @@
             and self.outcomes < MIN_REPORTED_OUTCOMES
         ):
             return None
+        is_timed = self.expected_s >= MIN_REPORTED_PREFILL_S
         return messages.TargetLoad(
             target,
             max(self.unread, 0.0),
@@ -143,8 +147,8 @@
             self.limit_start_ms,
             self.limit_per_s,
             self.limit_age_s * 1000 if self.limit_start_ms else 0.0,
-            max(self.timed_s, 0.0),
-            max(self.expected_s, 0.0),
+            max(self.timed_s, 0.0) if is_timed else 0.0,
+            self.expected_s if is_timed else 0.0,
         )
 
 
