Log the expected time to a first event with each request sent

Cause: a line of a sent request did not tell what the router had expected, so an estimate that was off could not be found from logs.

`sent` has `expected_s` and `long`. Tests of forwarding, decision log, explain, placement and stream versions pass.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -102,6 +102,9 @@
             services.
         fetch_from: target to fetch shared prompt parts from, or None.
         prompt_tokens: length of the request's prompt; 0 for plain services.
+        expected_s: estimated time to the first event, in seconds; 0 for plain
+            services.
+        is_long: whether the prompt counts as long, see `long_prompts`.
     """
 
     target: target_list.Entry
@@ -109,6 +112,8 @@
     tokens_to_first_event: float
     fetch_from: target_list.Entry | None
     prompt_tokens: int = 0
+    expected_s: float = 0.0
+    is_long: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -479,6 +484,8 @@
             tokens_to_first_event=load.unread + unread,
             fetch_from=None,
             prompt_tokens=request.prompt.tokens,
+            expected_s=first_event_delay_s,
+            is_long=plan is not None and plan.is_long,
         )
         return _Candidate(
             first_event_delay_s + penalty_s, placement, needs_fetch
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -363,6 +363,8 @@
             target=target.name,
             unread=round(placement.unread),
             ahead=round(placement.tokens_to_first_event),
+            expected_s=round(placement.expected_s, 3),
+            long=placement.is_long,
             fetch=placement.fetch_from.name if placement.fetch_from else None,
             attempt=self.progress.send_count,
             version=self.request.configuration_version,
