Bound what a router buffers by the memory that its settings name

Bodies of up to 4 MB were read whole, whatever else was buffered, so some tens of them at a time exceed the memory above which the process is killed.

What targets sent and callers have not taken counts, too, and reading from targets pauses earlier while memory is scarce. Nothing that has begun is interrupted.

The memory of a process was not measured.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
@@ -88,7 +88,10 @@
         self.is_aborted = True
 
     async def respond(
-        self, status: int, retry_after_s: float | None = None
+        self,
+        status: int,
+        retry_after_s: float | None = None,
+        before_end: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         """Sends a whole response with an empty body.
 
@@ -100,10 +103,14 @@
             status: HTTP status.
             retry_after_s: seconds after which the caller may retry; None to
                 send no `Retry-After` header.
+            before_end: called when the response was sent and before the
+                connection may be closed.
         """
         headers = self.build_own_headers(self.request_id, retry_after_s)
         headers = (*headers, (b"content-length", b"0"))
         if status == REFUSED and not self.should_close():
             headers = (*headers, (b"connection", b"close"))
         await self.start(status, headers)
+        if before_end is not None:
+            await before_end()
         await self.finish()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection.py
@@ -14,6 +14,7 @@
 import httptools
 
 from lentilbeam_core import clock as clock_lib
+from lentilbeam_core.forwarding import memory_budget
 from lentilbeam_router.forwarding import wire
 
 CONNECT_TIMEOUT_S = 0.8
@@ -113,6 +114,7 @@
         transport: None until the connection is open.
         inbox: parts of the response that `receive` hasn't returned yet.
         inbox_bytes: body bytes in `inbox`.
+        memory: counts these bytes; None if they aren't counted.
         unproductive_bytes: bytes received since the last part of the response
             was delivered.
         wakeup: future that a waiting `receive` awaits; None if none waits.
@@ -137,6 +139,7 @@
         self.transport: asyncio.Transport | None = None
         self.inbox: collections.deque[Item] = collections.deque()
         self.inbox_bytes = 0
+        self.memory: memory_budget.MemoryBudget | None = None
         self.unproductive_bytes = 0
         self.wakeup: asyncio.Future | None = None
         self.parser: httptools.HttpResponseParser | None = None
@@ -160,8 +163,7 @@
     def start(self, payload: bytes) -> None:
         """Sends a request, given as the bytes of its head and body."""
         self.parser = httptools.HttpResponseParser(self)
-        self.inbox.clear()
-        self.inbox_bytes = 0
+        self.discard_inbox()
         self.unproductive_bytes = 0
         self.has_head = False
         self.has_body_framing = False
@@ -198,8 +200,8 @@
                 while self.inbox and isinstance(self.inbox[0], bytes):
                     parts.append(self.inbox.popleft())
                 item = b"".join(parts)
-            self.inbox_bytes -= len(item)
-            if self.inbox_bytes < MAX_INBOX_BYTES and not self.is_broken:
+            self._count_inbox(-len(item))
+            if self.inbox_bytes < self._max_inbox_bytes and not self.is_broken:
                 self.transport.resume_reading()
         return item
 
@@ -218,6 +220,22 @@
             and not self.transport.is_closing()
         )
 
+    def discard_inbox(self) -> None:
+        """Drops the parts of the response that nobody will receive."""
+        self.inbox.clear()
+        self._count_inbox(-self.inbox_bytes)
+
+    @property
+    def _max_inbox_bytes(self) -> int:
+        if self.memory is None:
+            return MAX_INBOX_BYTES
+        return self.memory.limit_inbox(MAX_INBOX_BYTES)
+
+    def _count_inbox(self, size: int) -> None:
+        self.inbox_bytes += size
+        if self.memory is not None:
+            self.memory.add(size)
+
     def close(self) -> None:
         """Closes the connection at once; discards data that isn't sent yet."""
         self.is_broken = True
@@ -273,8 +291,8 @@
         if self.is_complete:
             self.may_reuse = False
             return
-        self.inbox_bytes += len(body)
-        if self.inbox_bytes >= MAX_INBOX_BYTES:
+        self._count_inbox(len(body))
+        if self.inbox_bytes >= self._max_inbox_bytes:
             self.transport.pause_reading()
         self._deliver(body)
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection_pool.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/connection_pool.py
@@ -5,6 +5,7 @@
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core.forwarding import connection_preference
+from lentilbeam_core.forwarding import memory_budget
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router.forwarding import connection as connection_lib
@@ -25,6 +26,7 @@
         metrics: counts the connections that are opened.
         connect: opens a connection.
         idle_limits: how long new connections are kept idle.
+        memory: counts what the connections buffer; None if it isn't counted.
         uses_oldest: whether the longest idle connection is reused first.
         idle: idle connections by target ID, the last used at the end.
         open: connections by target ID, idle or in use, that may be open.
@@ -40,6 +42,7 @@
         self.metrics = metrics
         self.connect = connect
         self.idle_limits = connection_lib.IdleLimits()
+        self.memory: memory_budget.MemoryBudget | None = None
         self.uses_oldest = False
         self.idle: dict[str, list[connection_lib.TargetConnection]] = {}
         self.open: dict[str, list[connection_lib.TargetConnection]] = {}
@@ -66,6 +69,7 @@
         self.metrics.count("target.connections")
         connection = await self.connect(target.host, target.port, self.clock)
         connection.idle_limits = self.idle_limits
+        connection.memory = self.memory
         self._adopt(target.name, connection)
         return connection
 
@@ -84,13 +88,18 @@
                 longest idle are closed beyond it. None if there is no limit.
         """
         if not connection.is_reusable(self.clock.monotonic()):
-            connection.close()
+            self.close_used(connection)
             return
         connections = self.idle.setdefault(target.name, [])
         connections.append(connection)
         while max_idle is not None and len(connections) > max_idle:
             connections.pop(0).close()
 
+    def close_used(self, connection: connection_lib.TargetConnection) -> None:
+        """Closes a connection from which nothing more is received."""
+        connection.close()
+        connection.discard_inbox()
+
     def has_idle(self, target: str, longest_idle_s: float) -> bool:
         """Whether `acquire` would return an idle connection to a target."""
         return self._choose_idle(target, longest_idle_s) is not None
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -13,6 +13,7 @@
 from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import configuration as configuration_lib
 from lentilbeam_core.forwarding import decisions as decisions_lib
+from lentilbeam_core.forwarding import memory_budget
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_core.forwarding import work_sums
@@ -83,6 +84,7 @@
         dispatchers: dispatcher of each pool that has had a request.
         prompt_blocks: prompt parts that are blocked, since they crash targets.
         origin_exchange: tells and finds out what began streams.
+        memory: budget of what requests and responses buffer.
         connections: idle connections to targets.
     """
 
@@ -137,7 +139,9 @@
             clock,
             self.log,
         )
+        self.memory = memory_budget.MemoryBudget(settings.memory_bytes)
         self.connections = connection_pool.ConnectionPool(clock, self.metrics)
+        self.connections.memory = self.memory
         self.forwarder = forwarder_lib.Forwarder(
             codec,
             self.connections,
@@ -322,6 +326,8 @@
             "configuration_version": current.version if current else 0,
             "ready": self.is_ready,
             "leaving": self.is_leaving,
+            "memory_buffered_bytes": self.memory.used_bytes,
+            "memory_budget_bytes": self.memory.limit_bytes,
             "late_s": self.overload.lateness.late_s,
             "busy_fraction": self.overload.load.busy_fraction,
             "request_processor_s": self.overload.load.estimate_cost(),
@@ -352,6 +358,9 @@
             dispatcher.budget.settings = settings.budget
             dispatcher.usage.decay_s = settings.usage_decay_s
         self.report_exchange.decay_s = settings.usage_decay_s
+        self.memory.limit_bytes = memory_budget.compute_limit(
+            settings.memory_bytes
+        )
         self.log.write_event("settings_changed")
 
     async def run(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway_settings.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway_settings.py
@@ -23,6 +23,8 @@
         address_ttl_s: time for which callers may cache a resolved address,
             in seconds.
         grace_s: seconds between the signal to stop and the kill.
+        memory_bytes: memory above which the process is killed; 0 if unknown.
+            Buffers are limited only if it is known.
     """
 
     instance: ids.InstanceId
@@ -33,6 +35,7 @@
     quota_window_s: float
     address_ttl_s: float
     grace_s: float
+    memory_bytes: int = 0
 
     @property
     def usage_decay_s(self) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/process_check.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/process_check.py
@@ -60,12 +60,12 @@
             try:
                 is_usable = await _ask(connection, target, codec)
             except asyncio.CancelledError:
-                connection.close()
+                connections.close_used(connection)
                 raise
         start_ms = connection.process_start_ms
         if is_usable and start_ms == target.started_at_ms:
             return connection
-        connection.close()
+        connections.close_used(connection)
         if start_ms != target.started_at_ms:
             break
     raise UnconfirmedError(start_ms)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import functools
 import traceback
 from typing import Any
 
@@ -13,10 +14,14 @@
 from lentilbeam_core.forwarding import requests
 from lentilbeam_router import caller_protocol
 from lentilbeam_router import metrics as metrics_lib
+from lentilbeam_router.forwarding import body_reader
 from lentilbeam_router.forwarding import caller_channel
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import wire as wire_lib
 
+MEMORY_RETRY_RANGE_S = (0.25, 0.7)
+"""Shortest and longest `Retry-After`, in seconds, while the memory budget is
+spent; as for other refusals."""
 NO_CONFIGURATION_RETRY_S = 0.5
 """`Retry-After`, in seconds, while the router has no configuration. It has
 usually read one by then."""
@@ -28,14 +33,6 @@
 Receive = Callable[[], Any]
 
 
-class CallerDisconnectedError(Exception):
-    """The caller disconnected before it had sent the whole request."""
-
-
-class BodyTooLargeError(Exception):
-    """The request body is larger than the configured limit."""
-
-
 class RequestHandler:
     """The ASGI application that serves callers.
 
@@ -79,7 +76,6 @@
         # The deadline counts from when the request may have arrived: a late
         # router would give targets a deadline after that of the caller.
         caller = caller_protocol.read_caller(scope, handled_at)
-        arrived_at = caller.arrived_after
         await self._wait_for_turn(handled_at)
         if caller.has_left:
             return
@@ -95,13 +91,34 @@
             await self._deny(channel, 400, str(error))
             return
         channel.request_id = request_head.request_id
+        reservation = body_reader.Reservation(self.gateway.memory)
         try:
-            body = await self._read_body(receive)
-        except CallerDisconnectedError:
-            return
-        except BodyTooLargeError:
-            await self._deny(channel, 413, "body")
-            return
+            body = await self._read_body(
+                scope, receive, channel, request_head, reservation
+            )
+            if body is not None:
+                await self._serve_body(
+                    request_head,
+                    body,
+                    channel,
+                    receive,
+                    caller,
+                    handled_at,
+                )
+        finally:
+            reservation.release()
+
+    async def _serve_body(
+        self,
+        request_head: wire_lib.RequestHead,
+        body: bytes,
+        channel: caller_channel.CallerChannel,
+        receive: Receive,
+        caller: caller_protocol.Caller,
+        handled_at: float,
+    ) -> None:
+        """Forwards or refuses a request whose body was read."""
+        arrived_at = caller.arrived_after
         request = await self._build_request(
             request_head,
             body,
@@ -267,30 +284,48 @@
             unread_s=round(request.unread_s, 3),
         )
 
-    async def _read_body(self, receive: Receive) -> bytes:
-        """Returns the whole request body.
-
-        Raises:
-            CallerDisconnectedError: the caller disconnected.
-            BodyTooLargeError: the body is larger than the limit.
-        """
+    async def _read_body(
+        self,
+        scope: dict[str, Any],
+        receive: Receive,
+        channel: caller_channel.CallerChannel,
+        request_head: wire_lib.RequestHead,
+        reservation: body_reader.Reservation,
+    ) -> bytes | None:
+        """Returns the whole request body; None if nothing is left to do."""
         limits = configuration.Limits()
         if self.gateway.configuration.current is not None:
             limits = self.gateway.configuration.current.limits
-        parts = []
-        size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise CallerDisconnectedError
-            part = message.get("body", b"")
-            size += len(part)
-            if size > limits.max_body_bytes:
-                raise BodyTooLargeError
-            if part:
-                parts.append(part)
-            if not message.get("more_body", False):
-                return b"".join(parts)
+        length = body_reader.read_content_length(scope)
+        try:
+            return await body_reader.read_body(
+                receive, length, limits.max_body_bytes, reservation
+            )
+        except body_reader.CallerDisconnectedError:
+            return None
+        except body_reader.BodyTooLargeError:
+            await self._deny(channel, 413, "body")
+            return None
+        except body_reader.NoMemoryError as error:
+            retry_after_s = self.gateway.rng.uniform(*MEMORY_RETRY_RANGE_S)
+            self.log.write_request_event(
+                request_head.request_id,
+                "refused",
+                reason="memory",
+                retry_after_s=round(retry_after_s, 2),
+                body=length,
+                used=reservation.budget.used_bytes,
+            )
+            self.metrics.count("request.refused")
+            reservation.release()
+            await channel.respond(
+                503,
+                retry_after_s,
+                before_end=None
+                if error.is_read
+                else functools.partial(body_reader.discard_body, receive),
+            )
+            return None
 
     async def _deny(
         self,
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -16,6 +16,7 @@
 from lentilbeam_core import poll_times as poll_times_lib
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import crash_evidence
+from lentilbeam_core.forwarding import memory_budget
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_platform import call_wire
@@ -147,6 +148,7 @@
             peers=types.SimpleNamespace(count_routers=lambda: 1),
             is_too_late_for=lambda request: False,
             refuse_as_busy=lambda request: self.dispatcher.refuse(request),
+            memory=memory_budget.MemoryBudget(0),
             overload=overload.Overload(poll_times, clock, log),
             takes_callers=True,
             forwarder=forwarder.Forwarder(
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -160,6 +160,25 @@
     assert decoded.ready.port == 2
 
 
+# Guards against a limit that is guessed: buffers are limited only if the
+# platform tells the memory, and unknown fields beside it do not matter.
+@pytest.mark.parametrize(
+    ("limits", "memory_bytes"),
+    [
+        ({"limits": {"memory_mb": 200, "cpus": 0.5}}, 200_000_000),
+        ({"limits": {"memory_mb": 120.5}}, 120_500_000),
+        ({"limits": {"memory_mb": None}}, 0),
+        ({"limits": {"memory_mb": -1}}, 0),
+        ({"limits": None}, 0),
+        ({"limits": {}}, 0),
+        ({}, 0),
+    ],
+)
+def test_memory_of_the_node_file_is_decoded(limits, memory_bytes):
+    decoded = node_file.decode_node_file(encode(NODE | limits))
+    assert decoded.router.memory_bytes == memory_bytes
+
+
 @pytest.mark.parametrize("field", ["node", "ip", "listen", "platform"])
 def test_missing_field_of_the_node_file_is_named_in_the_error(field):
     incomplete = {name: v for name, v in NODE.items() if name != field}
