--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway_settings.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway_settings.py
@@ -25,6 +25,8 @@
             in seconds.
         grace_s: seconds between the signal to stop and the kill.
         cold: the operators' margin above the rate of a cold target.
+        memory_bytes: memory above which the process is killed; 0 if unknown.
+            Buffers are limited only if it is known.
     """
 
     instance: ids.InstanceId
@@ -36,6 +38,7 @@
     address_ttl_s: float
     grace_s: float
     cold: cold_pace.Settings = cold_pace.Settings()
+    memory_bytes: int = 0
 
     @property
     def usage_decay_s(self) -> float:
