Hold prompts back that would pause running streams for too long

Change: an engine with running streams gets a prompt only if all that is unread there takes up to 0.75 of the goal for pauses, for as long as the request can wait: 0.4 of its goal, or 0.1 if its workspace had its share. In pools in which long prompts are assigned; others are unchanged.

The message test covers the evacuations in reports.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
@@ -18,16 +18,20 @@
             streams without long gaps.
         slots_fraction: maximum fraction of the slots that are in use before
             the request is sent.
+        max_hold_fraction: longest time for which a request is held back rather
+            than pause running streams, as a fraction of its response-time
+            goal.
     """
 
     goal_fraction: float
     prefill_fraction: float
     slots_fraction: float
+    max_hold_fraction: float = 0.1
 
 
-BELOW_GUARANTEE_BOUNDS = Bounds(0.9, 0.85, 1.0)
+BELOW_GUARANTEE_BOUNDS = Bounds(0.9, 0.85, 1.0, 0.4)
 """For workspaces that received less service than their guaranteed share."""
-BELOW_FAIR_SHARE_BOUNDS = Bounds(0.8, 0.72, 0.9)
+BELOW_FAIR_SHARE_BOUNDS = Bounds(0.8, 0.72, 0.9, 0.4)
 """For workspaces above their guarantee that received much less service than
 their fair share of the actual throughput."""
 AT_FAIR_SHARE_BOUNDS = Bounds(0.7, 0.6, 0.8)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
@@ -59,6 +59,12 @@
             others end. Long prompts on few engines use more of it.
         max_error: the assignment pauses while the error of the estimate is
             larger, see `estimate_error`.
+        max_pause_fraction: longest time, as a fraction of the goal for pauses,
+            for which an engine with running streams prefills without a break,
+            unless a request has waited for long, see
+            `load_bounds.Bounds.max_hold_fraction`.
+        alone_fraction: an engine that needs less time than this fraction of
+            the goal for its unread prompts counts as having none.
         safe_fraction: pauses up to this fraction of the goal have no penalty;
             up to the goal the penalty increases to its full amount.
     """
@@ -75,6 +81,8 @@
     paused_stream_penalty_s: float = 0.03
     full_memory_penalty_s: float = 0.3
     max_error: float = 0.6
+    max_pause_fraction: float = 0.75
+    alone_fraction: float = 0.1
     safe_fraction: float = 0.6
 
 
@@ -202,6 +210,38 @@
         paused_streams = load.running * min(max(risk, 0.0), 1.0)
         return penalty_s + settings.paused_stream_penalty_s * paused_streams
 
+    def must_wait(
+        self,
+        plan: Plan,
+        entry: target_list.Entry,
+        load: loads_lib.Load,
+        unread: float,
+        prompt_tokens: int,
+        may_wait: bool,
+    ) -> bool:
+        """Whether a request should rather wait than pause running streams.
+
+        Args:
+            plan: what applies to the request.
+            entry: the target.
+            load: load of the target.
+            unread: prompt tokens that the target would have to prefill.
+            prompt_tokens: length of the prompt.
+            may_wait: whether the request has time to wait.
+        """
+        settings = self.settings
+        if load.running == 0 or not may_wait:
+            return False
+        backlog_s, own_s = self.estimate_times(load, unread, prompt_tokens)
+        longest_s = settings.max_pause_fraction * self.gap_goal_s
+        if backlog_s + own_s <= longest_s:
+            return False
+        # A prompt that is too long by itself is sent where nothing is unread.
+        is_alone = backlog_s <= settings.alone_fraction * self.gap_goal_s
+        return not (
+            own_s > longest_s and is_alone and entry.name in plan.engines
+        )
+
     def estimate_wait(
         self, load: loads_lib.Load, unread: float, prompt_tokens: int
     ) -> float:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -213,6 +213,11 @@
             pool.engine.cache_tokens if pool.engine else 0
         )
 
+    @property
+    def holds_prompts(self) -> bool:
+        """Whether prompts are held back that would pause running streams."""
+        return self.long_prompts.is_enabled(self.pool_size)
+
     def has_room(
         self, targets: list[target_list.Entry], bounds: load_bounds.Bounds
     ) -> bool:
@@ -483,6 +488,16 @@
             backlog_s + prefill_s + settings.first_event_overhead_s
         )
         if plan is not None:
+            waited_s = now - request.arrived_at
+            if self.long_prompts.must_wait(
+                plan,
+                entry,
+                load,
+                unread,
+                request.prompt.tokens,
+                waited_s < bounds.max_hold_fraction * request.route.goal_s,
+            ):
+                return None
             penalty_s += self.long_prompts.find_penalty(
                 plan, entry, load, unread, request.prompt.tokens
             )
--- a/tests/forwarding/test_long_prompts.py
+++ b/tests/forwarding/test_long_prompts.py
@@ -24,6 +24,7 @@
 CACHE_TOKENS = makers.ENGINE.cache_tokens
 TOKENS_PER_S = 64_200.0
 DOUBLE_TOKENS = 20_000.0
+GOAL_S = 2.0
 
 
 @functools.cache
@@ -252,3 +253,50 @@
     request = makers.make_request("r", ("p", 20_000), now=9.0)
     choice = placer.choose(request, targets, BOUNDS, 9.0)
     assert choice.target.name != assigned
+
+
+def hold(placer, targets, waited_s: float, bounds=BOUNDS):
+    """Places a prompt of 12,000 tokens where all engines have as much unread.
+
+    Args:
+        placer: the placer.
+        targets: the engines; a stream runs at each.
+        waited_s: time for which the request has waited, in seconds.
+        bounds: limits by what its workspace has received.
+    """
+    for number, target in enumerate(targets):
+        placer.loads.start_request(
+            f"x{number}", target.name, 12_000.0, 0.0, 18.0
+        )
+    request = makers.make_request("r", ("p", 12_000), now=20.0)
+    request = dataclasses.replace(
+        request,
+        arrived_at=20.0 - waited_s,
+        route=dataclasses.replace(request.route, goal_s=GOAL_S),
+    )
+    return placer.choose(request, targets, bounds, 20.0)
+
+
+# Guards against prompts that are prefilled one after the other while streams
+# run beside them, which pause for longer than their goal.
+def test_a_prompt_waits_while_unread_ones_pause_streams_everywhere():
+    placer, targets = make_placer()
+    assert hold(placer, targets, waited_s=0.0) is None
+    placer, targets = make_placer()
+    assert hold(placer, targets, waited_s=0.41 * GOAL_S) is not None
+
+
+# Guards against requests of workspaces that had their share which are held back
+# for so long that they are refused instead of placed.
+def test_a_prompt_of_a_workspace_with_its_share_waits_briefly():
+    bounds = load_bounds.AT_FAIR_SHARE_BOUNDS
+    placer, targets = make_placer()
+    assert hold(placer, targets, 0.0, bounds) is None
+    placer, targets = make_placer()
+    assert hold(placer, targets, 0.11 * GOAL_S, bounds) is not None
+
+
+# Guards against changes for pools whose routes have no goal for pauses.
+def test_no_prompt_waits_without_a_goal_for_pauses():
+    placer, targets = make_placer(gap_goal_s=0.0)
+    assert hold(placer, targets, waited_s=0.0) is not None
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -53,6 +53,7 @@
     "crashes": messages.CrashReport,
     "blocks": messages.BlockReport,
     "demands": messages.PoolDemand,
+    "evacuations": messages.KeptEvacuation,
 }
 """Types of the items of list fields, by the name of the field."""
 
@@ -87,6 +88,7 @@
         "pool",
         "prefix",
         "router",
+        "data_centre",
     ):
         return strategies.text("abc-é", max_size=12)
     return strategies.integers(0, 2 ** BITS_BY_FIELD.get(field.name, 32) - 1)
