--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -284,6 +284,8 @@
         tasks: tasks of each router, by name.
         output: file descriptor to which the routers log.
         engine: engine that the targets run; None if they run none.
+        tokens_per_s: throughput that the operators guarantee; 0 if unknown.
+        workspaces: workspace of each API key.
     """
 
     def __init__(
@@ -294,8 +296,14 @@
         routes=(makers.CHAT, makers.BOOK, makers.LOOK_UP),
         output: int | None = None,
         engine: configuration.Engine | None = None,
+        tokens_per_s: float = 0.0,
+        workspaces: dict[str, ids.WorkspaceId] | None = None,
     ):
         self.engine = engine
+        self.tokens_per_s = tokens_per_s
+        self.workspaces = workspaces or {
+            in_process_router.API_KEY: ids.WorkspaceId("ashby")
+        }
         self.clock = clock_lib.ManualClock(virtual_time.START)
         self.rng = random.Random(seed)
         self.routes = routes
@@ -554,8 +562,8 @@
             pools={
                 makers.POOL: configuration.Pool(makers.POOL, 100, self.engine)
             },
-            limits=configuration.Limits(),
-            workspaces={in_process_router.API_KEY: ids.WorkspaceId("ashby")},
+            limits=configuration.Limits(tokens_per_s=self.tokens_per_s),
+            workspaces=self.workspaces,
         )
 
     def _make_connect(self, router: str):
