--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -295,6 +295,8 @@
         cold_per_s: requests per second that a cold target takes; 0 if that
             does not matter.
         is_store_up: whether targets can write their entries.
+        tokens_per_s: throughput that the operators guarantee; 0 if unknown.
+        workspaces: workspace of each API key.
     """
 
     def __init__(
@@ -306,11 +308,17 @@
         output: int | None = None,
         engine: configuration.Engine | None = None,
         cold_per_s: float = 0.0,
+        tokens_per_s: float = 0.0,
+        workspaces: dict[str, ids.WorkspaceId] | None = None,
     ):
         self.engine = engine
         self.cold_per_s = cold_per_s
         self.is_store_up = True
         self.evacuated: set[ids.DataCentreId] = set()
+        self.tokens_per_s = tokens_per_s
+        self.workspaces = workspaces or {
+            in_process_router.API_KEY: ids.WorkspaceId("ashby")
+        }
         self.clock = clock_lib.ManualClock(virtual_time.START)
         self.rng = random.Random(seed)
         self.routes = routes
@@ -659,8 +667,8 @@
                     makers.POOL, 100, self.engine, cold_per_s=self.cold_per_s
                 )
             },
-            limits=configuration.Limits(),
-            workspaces={in_process_router.API_KEY: ids.WorkspaceId("ashby")},
+            limits=configuration.Limits(tokens_per_s=self.tokens_per_s),
+            workspaces=self.workspaces,
         )
 
     def _make_connect(self, router: str):
