--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/configuration_check.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/configuration_check.py
@@ -216,6 +216,14 @@
         place = f"pool {pool.name}"
         if pool.name not in used:
             yield Finding(Severity.NEVER_USED, place, "no route leads to it")
+        if pool.cold_start_s > 0 and pool.cold_per_s <= 0:
+            yield Finding(
+                Severity.CONTRADICTION,
+                place,
+                f"its targets are cold for {pool.cold_start_s:g} s, but the"
+                " rate of cold targets is 0, so they are treated like warm"
+                " ones",
+            )
         engine = pool.engine
         if engine is None:
             continue
--- a/tests/golden/test_check_routes.py
+++ b/tests/golden/test_check_routes.py
@@ -101,6 +101,12 @@
             {"name": "unused"},
         ]
     ),
+    "no-cold-rate": change(
+        services=[
+            {**CLEAN["services"][0], "cold_start_s": 8, "cold_per_s": 0},
+            CLEAN["services"][1],
+        ]
+    ),
     "no-body": change(limits={"max_body_bytes": 0, "tokens_per_s": -1}),
     "keys": change(
         tenants=[
