--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -56,8 +56,6 @@
         at_fair_share_wait_s: maximum time in the queue for a request whose
             workspace has the status `AT_FAIR_SHARE` or `ABOVE_FAIR_SHARE`, in
             seconds.
-        held_wait_fraction: the same as a fraction of the response-time goal,
-            where prompts are held back; the longer of the two counts.
         resumed_wait_s: minimum of that limit for a request that goes on with a
             stream, in seconds. Few targets can serve it, and an answer that
             has begun is lost if it is refused.
@@ -71,7 +69,6 @@
 
     wait_fraction: float = 0.6
     at_fair_share_wait_s: float = 0.05
-    held_wait_fraction: float = 0.12
     resumed_wait_s: float = 1.0
     retry_after_range_s: tuple[float, float] = (0.25, 0.7)
     retry_after_fraction: float = 0.3
@@ -198,24 +195,12 @@
             Monotonic seconds, or None if the queue is empty.
         """
         times = [
-            min(w.refuse_at, w.queued_at + self._find_brief_wait(w))
+            min(w.refuse_at, w.queued_at + self.settings.at_fair_share_wait_s)
             for queue in self.queues.values()
             for w in queue
         ]
         return min(times, default=None)
 
-    def _find_brief_wait(self, queued: QueuedRequest) -> float:
-        """Returns the wait of a request whose workspace had its fair share.
-
-        In seconds. Where prompts are held back so that they don't pause running
-        streams, it is as long as a fraction of the goal.
-        """
-        wait_s = self.settings.at_fair_share_wait_s
-        if not self.placer.holds_prompts:
-            return wait_s
-        goal_s = queued.request.route.goal_s
-        return max(wait_s, goal_s * self.settings.held_wait_fraction)
-
     def decide(
         self,
         targets: list[target_list.Entry],
@@ -370,6 +355,7 @@
     def _refuse_expired(
         self, targets: list[target_list.Entry], now: float
     ) -> list[decisions_lib.Decision]:
+        latest_queued_at = now - self.settings.at_fair_share_wait_s
         waits_briefly = {
             workspace: self._find_share_status(workspace, now)
             in (
@@ -383,7 +369,7 @@
                 queued.refuse_at <= now
                 or (
                     queued.version is None
-                    and queued.queued_at + self._find_brief_wait(queued) <= now
+                    and queued.queued_at <= latest_queued_at
                     and waits_briefly[queued.request.workspace]
                 )
             ),
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
@@ -26,7 +26,7 @@
     goal_fraction: float
     prefill_fraction: float
     slots_fraction: float
-    max_hold_fraction: float = 0.1
+    max_hold_fraction: float = 0.0
 
 
 BELOW_GUARANTEE_BOUNDS = Bounds(0.9, 0.85, 1.0, 0.4)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -213,11 +213,6 @@
             pool.engine.cache_tokens if pool.engine else 0
         )
 
-    @property
-    def holds_prompts(self) -> bool:
-        """Whether prompts are held back that would pause running streams."""
-        return self.long_prompts.is_enabled(self.pool_size)
-
     def has_room(
         self, targets: list[target_list.Entry], bounds: load_bounds.Bounds
     ) -> bool:
