Compute the prefill time of a request once for each target

find_penalty and must_wait computed the backlog and the prefill time of a prompt again, each with its own look at the slowdown of the target. Placement now passes both. A function that only the tests of configuration_check used is removed. Behaviour is unchanged; the tests of placement, long prompts and configuration checks pass.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/configuration_check.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/configuration_check.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import enum
@@ -288,10 +287,5 @@
             )
 
 
-def count_by_severity(findings: Iterable[Finding]) -> dict[Severity, int]:
-    """Returns the number of findings of each severity that occurs."""
-    return dict(collections.Counter(each.severity for each in findings))
-
-
 def _format_ms(seconds: float) -> str:
     return f"{seconds * 1000:g} ms"
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
@@ -183,8 +183,7 @@
         plan: Plan,
         entry: target_list.Entry,
         load: loads_lib.Load,
-        unread: float,
-        prompt_tokens: int,
+        pause_s: float,
     ) -> float:
         """Returns the penalty of a target for a request, in seconds.
 
@@ -192,8 +191,8 @@
             plan: what applies to the request.
             entry: the target.
             load: load of the target.
-            unread: prompt tokens that the target would have to prefill.
-            prompt_tokens: length of the prompt.
+            pause_s: time until the target would have prefilled the prompt, in
+                seconds.
         """
         settings = self.settings
         is_assigned = entry.name in plan.engines
@@ -204,7 +203,6 @@
             penalty_s = settings.short_penalty_s
         if load.held + plan.held > plan.cache_tokens:
             penalty_s += settings.full_memory_penalty_s
-        pause_s = self.estimate_wait(load, unread, prompt_tokens)
         safe_s = settings.safe_fraction * self.gap_goal_s
         risk = (pause_s - safe_s) / (self.gap_goal_s - safe_s)
         paused_streams = load.running * min(max(risk, 0.0), 1.0)
@@ -215,8 +213,8 @@
         plan: Plan,
         entry: target_list.Entry,
         load: loads_lib.Load,
-        unread: float,
-        prompt_tokens: int,
+        backlog_s: float,
+        prefill_s: float,
         may_wait: bool,
     ) -> bool:
         """Whether a request should rather wait than pause running streams.
@@ -225,46 +223,33 @@
             plan: what applies to the request.
             entry: the target.
             load: load of the target.
-            unread: prompt tokens that the target would have to prefill.
-            prompt_tokens: length of the prompt.
+            backlog_s: time for what is unread at the target, in seconds.
+            prefill_s: time for the prompt itself, in seconds.
             may_wait: whether the request has time to wait.
         """
         settings = self.settings
         if load.running == 0 or not may_wait:
             return False
-        backlog_s, own_s = self.estimate_times(load, unread, prompt_tokens)
         longest_s = settings.max_pause_fraction * self.gap_goal_s
-        if backlog_s + own_s <= longest_s:
+        if backlog_s + prefill_s <= longest_s:
             return False
         # A prompt that is too long by itself is sent where nothing is unread.
         is_alone = backlog_s <= settings.alone_fraction * self.gap_goal_s
         return not (
-            own_s > longest_s and is_alone and entry.name in plan.engines
+            prefill_s > longest_s and is_alone and entry.name in plan.engines
         )
 
-    def estimate_wait(
-        self, load: loads_lib.Load, unread: float, prompt_tokens: int
+    def estimate_prefill(
+        self, unread: float, prompt_tokens: int, slowdown: float
     ) -> float:
-        """Returns the time until a target has prefilled a prompt, in seconds.
+        """Returns the time in which a target prefills a prompt, in seconds.
 
         Args:
-            load: load of the target.
             unread: tokens of the prompt that it has to prefill.
             prompt_tokens: length of the prompt.
+            slowdown: see `find_slowdown`.
         """
-        backlog_s, own_s = self.estimate_times(load, unread, prompt_tokens)
-        return backlog_s + own_s
-
-    def estimate_times(
-        self, load: loads_lib.Load, unread: float, prompt_tokens: int
-    ) -> tuple[float, float]:
-        """Returns the times for what is unread before, and for a prompt.
-
-        Both in seconds; arguments as for `estimate_wait`.
-        """
-        slowdown = self.find_slowdown(load)
-        own_s = self.model.estimate(unread, prompt_tokens - unread)
-        return load.unread * self.model.mean_s * slowdown, own_s * slowdown
+        return self.model.estimate(unread, prompt_tokens - unread) * slowdown
 
     def find_slowdown(self, load: loads_lib.Load) -> float:
         """Returns how much slower a target is than its pool, as a factor."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -471,8 +471,8 @@
             # of these, not because the engine is slow.
             slowdown = self.long_prompts.find_slowdown(load)
             rate = 1 / (self.long_prompts.model.mean_s * slowdown)
-            _, prefill_s = self.long_prompts.estimate_times(
-                load, unread, request.prompt.tokens
+            prefill_s = self.long_prompts.estimate_prefill(
+                unread, request.prompt.tokens, slowdown
             )
         backlog_s = load.unread / rate
         recent = load.recent + unread
@@ -488,13 +488,13 @@
                 plan,
                 entry,
                 load,
-                unread,
-                request.prompt.tokens,
+                backlog_s,
+                prefill_s,
                 waited_s < bounds.max_hold_fraction * request.route.goal_s,
             ):
                 return None
             penalty_s += self.long_prompts.find_penalty(
-                plan, entry, load, unread, request.prompt.tokens
+                plan, entry, load, backlog_s + prefill_s
             )
         goal_s = (request.goal_at - now) * bounds.goal_fraction
         if (
