Learn prefill rates from the first events of all routers

Each router learned the rate of an engine alone. One whose few samples said that the only engine left was slow expected its prompts to miss their goal, placed nothing there and got no samples that would have corrected it.

The sums of times and expected times that are reported with the load of a target now hold all prefills, where long prompts are not assigned, and the rate follows from their sum over the fleet. Nothing is new on the wire. Where long prompts are assigned, the rate without an assignment is that of the shared model instead of the router's own.

A pass over the queue tried the three oldest requests of a workspace, whose remaining goals are too short for a busy engine, while newer ones behind them could have been placed. It now tries the two oldest and the newest.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -37,13 +37,19 @@
 
 The next pass begins with the workspaces that this one left out, so that a pass
 takes about as long with a thousand waiting requests as with a dozen."""
-MAX_HEAD_CANDIDATES = 3
-"""Number of requests at the head of a workspace's queue that are tried each
-time it is the workspace's turn.
+MAX_OLDEST_CANDIDATES = 2
+"""Number of the oldest requests in a workspace's queue that are tried each time
+it is the workspace's turn.
 
-If none can be placed, the rest of the pass skips the workspace. Without a
-limit, a pass over a very long queue would take longer than the interval
+If no candidate can be placed, the rest of the pass skips the workspace. Without
+a limit, a pass over a very long queue would take longer than the interval
 between two passes."""
+MAX_NEWEST_CANDIDATES = 1
+"""Number of the newest requests that are tried after the oldest.
+
+These have most of their response-time goal left. What is left to the oldest may
+be too short for the backlog of every target; with these alone, a router with a
+long queue begins nothing while others fill the targets with new arrivals."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -315,7 +321,7 @@
         now: float,
     ) -> decisions_lib.Placed | None:
         queue = self.queues[workspace]
-        for queued in itertools.islice(queue, MAX_HEAD_CANDIDATES):
+        for queued in _list_candidates(queue):
             placement = self.placer.choose(
                 queued.request, queued.select(targets), bounds, now
             )
@@ -557,3 +563,12 @@
         return decisions_lib.Refused(
             request, reason, left_s * self.settings.retry_after_fraction
         )
+
+
+def _list_candidates(
+    queue: collections.deque[QueuedRequest],
+) -> list[QueuedRequest]:
+    """Returns the requests of a workspace to try, in this order."""
+    oldest = list(itertools.islice(queue, MAX_OLDEST_CANDIDATES))
+    newest_count = min(MAX_NEWEST_CANDIDATES, len(queue) - len(oldest))
+    return oldest + list(itertools.islice(reversed(queue), newest_count))
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -166,7 +166,7 @@
         data_centre: this router's data centre.
         rng: random number generator.
         caches: estimated cache contents of the pool's targets.
-        rates: estimated prefill rates of the pool's targets.
+        rates: settings of the prefill rates of the pool's targets.
         long_prompts: assignment of long prompts to a few targets.
         pool_size: number of targets of the last placement.
         connections: tells to which targets this router has idle connections.
@@ -194,7 +194,7 @@
         )
         self.caches = prompt_cache.PromptCaches(0)
         self.update_pool(pool)
-        self.rates = prefill_rates.PrefillRates(prefill_rates.Settings())
+        self.rates = prefill_rates.Settings()
         self.long_prompts = long_prompts_lib.LongPrompts(
             long_prompts_lib.Settings()
         )
@@ -349,12 +349,10 @@
             now: monotonic seconds.
         """
         prefill_s = seconds - self.settings.first_event_overhead_s
-        self.rates.add_sample(
-            placement.target.name, placement.tokens_to_first_event, prefill_s
-        )
+        name = placement.target.name
         if self.long_prompts.is_enabled(self.pool_size):
             self.long_prompts.note_first_event(
-                placement.target.name,
+                name,
                 placement.unread,
                 placement.prompt_tokens - placement.unread,
                 placement.tokens_to_first_event - placement.unread,
@@ -362,11 +360,16 @@
                 self.loads,
                 now,
             )
+        elif prefill_s > 0 and placement.tokens_to_first_event > 0:
+            expected_s = (
+                placement.tokens_to_first_event
+                / self.rates.initial_tokens_per_s
+            )
+            self.loads.note_prefill_time(name, prefill_s, expected_s, now)
 
     def forget(self, target: ids.TargetId) -> None:
         """Removes a target that has restarted or is no longer listed."""
         self.caches.forget(target)
-        self.rates.forget(target)
         self.loads.forget(target)
 
     def _choose_plain(
@@ -463,16 +466,14 @@
         else:
             penalty_s += missing_tokens * settings.recompute_token_penalty_s
         unread = max(request.prompt.tokens - cached_tokens, 1)
+        rate = self._estimate_rate(load)
         if plan is None:
-            rate = self.rates.read(entry.name)
             prefill_s = unread / rate
         else:
-            # The learned rate of an engine for long prompts is lower because
-            # of these, not because the engine is slow.
-            slowdown = self.long_prompts.find_slowdown(load)
-            rate = 1 / (self.long_prompts.model.mean_s * slowdown)
             prefill_s = self.long_prompts.estimate_prefill(
-                unread, request.prompt.tokens, slowdown
+                unread,
+                request.prompt.tokens,
+                self.long_prompts.find_slowdown(load),
             )
         backlog_s = load.unread / rate
         recent = load.recent + unread
@@ -523,6 +524,17 @@
             first_event_delay_s + penalty_s, placement, needs_fetch
         )
 
+    def _estimate_rate(self, load: loads_lib.Load) -> float:
+        """Returns the prompt tokens that a target processes per second."""
+        if not self.long_prompts.is_enabled(self.pool_size):
+            return prefill_rates.estimate(
+                self.rates, load.timed_s, load.expected_s
+            )
+        # The ratio of tokens to time is lower at engines for long prompts only
+        # because of these, not because the engines are slow.
+        slowdown = self.long_prompts.find_slowdown(load)
+        return 1 / (self.long_prompts.model.mean_s * slowdown)
+
     def _choose_fetch_source(
         self, target: target_list.Entry, holders: list[target_list.Entry]
     ) -> target_list.Entry:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -239,8 +239,11 @@
         cold_start_ms: start of the target's process, if that process or one
             that has replaced it has turned cold a moment ago, likewise; else 0.
         timed_s: time of the prefills that ended recently, in seconds, decayed
-            with age; 0 unless the sender compares it with an estimate.
-        expected_s: time that was expected for them, likewise.
+            with age; 0 for targets that are no engines.
+        expected_s: time that was expected for them, likewise. In pools in
+            which long prompts are assigned, both are about prompts that
+            qualify as samples, see `prefill_model`; in others about all, and
+            the expected time is that at the initial rate of `prefill_rates`.
     """
 
     target: ids.TargetId
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -141,7 +141,26 @@
         calls.append(1) or choose(*arguments)
     )
     decide(queue, 0.01)
-    assert len(calls) <= admission.MAX_HEAD_CANDIDATES
+    assert len(calls) <= (
+        admission.MAX_OLDEST_CANDIDATES + admission.MAX_NEWEST_CANDIDATES
+    )
+
+
+# Guards against FAIR: a router with a long queue begins nothing because what is
+# left of its oldest requests' goals is too short, while it has newer ones.
+def test_newest_request_is_placed_if_the_oldest_would_be_late():
+    queue = makers.make_admission()
+    goal_s = makers.CHAT.goal_s
+    backlog_s = 0.5 * goal_s
+    unread = backlog_s * queue.placer.rates.initial_tokens_per_s
+    queue.placer.loads.apply_report(
+        "peer", (messages.TargetLoad("a", unread, 1, 0.0, 0.0),), 0.3
+    )
+    for n in range(4):
+        queue.enqueue(makers.make_request(f"old{n}", SMALL_PART), 0.0)
+    queue.enqueue(makers.make_request("new", SMALL_PART, now=0.3), 0.3)
+    placed, _ = decide(queue, 0.3)
+    assert [d.request.request_id for d in placed] == ["new"]
 
 
 def test_flooding_workspace_gets_no_capacity_reserved_for_others():
--- a/tests/forwarding/test_flood_cost.py
+++ b/tests/forwarding/test_flood_cost.py
@@ -58,6 +58,11 @@
     return queue, placer
 
 
+MAX_CANDIDATES = (
+    admission.MAX_OLDEST_CANDIDATES + admission.MAX_NEWEST_CANDIDATES
+)
+
+
 @pytest.mark.parametrize("workspaces", [6, 30, 300])
 @pytest.mark.parametrize("length", [3, 30])
 def test_pass_over_full_targets_tries_no_request(workspaces, length):
@@ -70,7 +75,7 @@
 def test_pass_over_busy_targets_tries_a_bounded_number(workspaces):
     queue, placer = make_flooded(BUSY_LOADS, workspaces, 30)
     assert queue.decide(TARGETS, 0.01) == []
-    most = admission.MAX_FAILED_CHOICES + admission.MAX_HEAD_CANDIDATES
+    most = admission.MAX_FAILED_CHOICES + MAX_CANDIDATES
     assert placer.choices <= most
 
 
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -203,7 +203,7 @@
     placer = makers.make_placer()
     near = makers.make_target("near")
     far = makers.make_target("far", data_centre="west")
-    rate = placer.rates.read("near")
+    rate = placer.rates.initial_tokens_per_s
     loads = tuple(
         messages.TargetLoad(name, backlog_s * rate, 1, 0.0, 0.0)
         for name, backlog_s in (("near", near_s), ("far", far_s))
