--- a/bench/overload/patterns.py
+++ b/bench/overload/patterns.py
@@ -75,6 +75,24 @@
 
 Lengths of prompts and events, and how often streams meet prompts of each
 size, are those of a recorded day of `ghpa-archive-grown`; 7 tokens an event."""
+REVIEW_KINDS = (
+    Kind("review", 50, 0.4, 0.3, 5, 2.9, ((1300, 3), (5000, 200)), 2890, 50),
+    Kind("check", 32, 0.4, 0.3, 3, 1.7, ((340, 40), (230, 320)), 1800, 25),
+    Kind("look-up", 20, 0.3, 0.3, 15, 0.85, ((172, 80),), 543, 280),
+)
+"""Reviews of drafts, short checks and look-ups, for 5 engines.
+
+Lengths and rates are those of `kwpa-press`."""
+REVIEW_ENGINE = engine_lib.Settings(
+    cache_tokens=362_738,
+    step_s=0.00374,
+    prefill_tokens_per_s=81_900.0,
+    double_tokens=20_000.0,
+    noise_factor=2.5,
+    noise_fraction=0.05,
+    event_tokens=5,
+)
+"""Engine of `kwpa-press`, from the users' data sheet."""
 ARCHIVE_ENGINE = engine_lib.Settings(
     slots=32,
     cache_tokens=507_820,
@@ -144,6 +162,13 @@
     Pattern("impatient", burst=2.5, impatient=0.5),
     Pattern("few_engines", lost_engines=5, burst=2.5, one_router=(4,)),
     Pattern("few_engines_two", lost_engines=5, burst=2.5, one_router=(4, 9)),
+    Pattern(
+        "last_engine",
+        lost_engines=4,
+        one_router=(1, 4),
+        kinds=REVIEW_KINDS,
+        engine=REVIEW_ENGINE,
+    ),
     Pattern(
         "long_among_short",
         duration_s=15.0,
