Keep serving at a router that one workspace floods

Cause: a router refused every request while it was late, and the refusals of a flood over new connections alone kept it late.

Change: while late, requests begin as far as the backlog of begun work allows, with room for workspaces below their fair share, instead of not at all (STALLED). The cost of a refusal is measured; refusals get a third of the time. That share is kept by accepting connections at a bounded rate (accept_control): what can't be handled stays in the accept queue, which is kept as short as 0.1 s of what is accepted; connections whose callers have left are closed unread, and the age of the others is asked from TCP. The cost of a request is learned during refusals as well. Requests wait for their turn in a queue, so that an iteration of the loop resumes about as many as it has time for, not all.

Not measured with processes.

--- /dev/null
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/overload_budget.py
@@ -0,0 +1,150 @@
+"""Divides the processor time of an overloaded router.
+
+Refusals take time as well. A router that refuses whatever arrives, and whose
+callers come back at once, may spend all of its time on refusals and then serves
+nobody for as long as the flood lasts. Refusals therefore get a bounded share of
+the time, the rest is for serving. The share is kept by accepting connections at
+a bounded rate: what isn't accepted waits in the accept queue, where it costs
+nothing. That queue is kept short, since callers leave it after a second.
+
+Nothing is limited beyond `Settings.inside_s` while the router is on time.
+"""
+
+import dataclasses
+import math
+
+from lentilbeam_core.forwarding import decayed
+
+UNMEASURED_FACTOR = 1.5
+"""Processor time of a refused request, including its connection, relative to
+the time from its turn to its response."""
+INITIAL_REFUSAL_S = 0.0045
+"""Cost of a refusal until some were measured, in seconds: 0.45 ms of a core, by
+the measurements in docs/design/router-resources.md, on 0.1 of a core."""
+REFUSAL_RANGE_S = (0.0001, 0.02)
+"""Limits of the estimated cost of a refusal, in seconds. On 0.1 of a core it is
+4.5 ms; what is beyond is a pause of the processor."""
+MEASUREMENT_WEIGHT = 0.01
+"""Weight of a refusal in the mean of their costs. Where a quota pauses the
+processor, a few refusals take the time of all pauses."""
+RATE_DECAY_S = 4.0
+"""Time constant of the rate at which requests begin, in seconds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of the division.
+
+    Attributes:
+        refusal_share: largest share of the time that refusals get.
+        inside_s: longest time of work that waits in the process, in seconds.
+        queue_s: longest time for which a connection is to wait in the accept
+            queue, in seconds; a third of usual goals.
+        min_queue: shortest length of the accept queue.
+        backlog_s: work that is begun ahead, in seconds of the processor.
+        fair_share_backlog_s: the same for requests of workspaces that have had
+            their fair share, so that others find room.
+    """
+
+    refusal_share: float = 1 / 3
+    inside_s: float = 0.1
+    queue_s: float = 0.1
+    min_queue: int = 4
+    backlog_s: float = 1.5
+    fair_share_backlog_s: float = 1.0
+
+
+class OverloadBudget:
+    """Processor time for serving, refusing and accepting.
+
+    Attributes:
+        settings: settings of the division.
+    """
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self._took_s = INITIAL_REFUSAL_S / UNMEASURED_FACTOR
+        self._begun = decayed.DecayingSum()
+        self._left_s = settings.inside_s
+        self._refilled_at = -math.inf
+
+    def estimate_refusal_cost(self) -> float:
+        """Returns the time of a refusal and its connection, in seconds."""
+        shortest_s, longest_s = REFUSAL_RANGE_S
+        cost_s = self._took_s * UNMEASURED_FACTOR
+        return min(max(cost_s, shortest_s), longest_s)
+
+    def note_refused(self, took_s: float) -> float:
+        """Records a refusal.
+
+        Args:
+            took_s: seconds from its turn to its response.
+
+        Returns:
+            The time that a refusal takes with its connection, in seconds.
+        """
+        self._took_s += (took_s - self._took_s) * MEASUREMENT_WEIGHT
+        return self.estimate_refusal_cost()
+
+    def note_accepted(self, now: float) -> None:
+        """Records that a connection was accepted, to be refused or not."""
+        self._refill(now)
+        # Not limited while on time, so it may be more than there is.
+        cost_s = self.estimate_refusal_cost()
+        self._left_s = max(self._left_s - cost_s, -self.settings.inside_s)
+
+    def note_begun(self, now: float) -> None:
+        """Records that a request is forwarded, so not refused."""
+        self._refill(now)
+        self._left_s += self.estimate_refusal_cost()
+        self._begun.add(1.0, now, RATE_DECAY_S)
+
+    def count_acceptable(
+        self, waiting: int, waited_s: float, is_limited: bool, now: float
+    ) -> int:
+        """Returns how many connections may be accepted now.
+
+        Args:
+            waiting: number of requests that were read and are not yet handled.
+            waited_s: for how long the first of these has waited, in seconds.
+            is_limited: whether this router was late recently.
+            now: monotonic seconds.
+        """
+        self._refill(now)
+        if waited_s >= self.settings.inside_s:
+            return 0
+        cost_s = self.estimate_refusal_cost()
+        free = int(self.settings.inside_s / cost_s) - waiting
+        if not is_limited:
+            return max(free, 1)
+        return max(min(free, int(self._left_s / cost_s)), 0)
+
+    def find_queue_length(self, now: float) -> int:
+        """Returns the length of the accept queue of an overloaded router.
+
+        It is what is accepted within `Settings.queue_s`.
+
+        Args:
+            now: monotonic seconds.
+        """
+        rate = self.settings.refusal_share / self.estimate_refusal_cost()
+        rate += self._begun.read(now, RATE_DECAY_S) / RATE_DECAY_S
+        return max(int(rate * self.settings.queue_s), self.settings.min_queue)
+
+    def is_full(self, backlog_s: float, has_had_fair_share: bool) -> bool:
+        """Whether an overloaded router has begun what it can finish.
+
+        Args:
+            backlog_s: work that was begun and is left, in seconds.
+            has_had_fair_share: whether the workspace of the next request has
+                had its fair share.
+        """
+        if has_had_fair_share:
+            return backlog_s >= self.settings.fair_share_backlog_s
+        return backlog_s >= self.settings.backlog_s
+
+    def _refill(self, now: float) -> None:
+        elapsed_s = max(now - self._refilled_at, 0.0)
+        self._refilled_at = now
+        added_s = elapsed_s * self.settings.refusal_share
+        self._left_s = min(self._left_s + added_s, self.settings.inside_s)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
@@ -88,6 +88,7 @@
         self._total_busy_s = 0.0
         self._noted_at: float | None = None
         self._new_requests = 0.0
+        self._new_refused_s = 0.0
         self._refused_at = -math.inf
         # The sums decay with the time from which was learned.
         self._learned_s = 0.0
@@ -117,12 +118,21 @@
     def note_begun(self, now: float) -> None:
         """Records that a request is forwarded."""
         self._new_requests += BEGIN_WEIGHT
-        self._add_backlog(1.0, now)
+        self._add_backlog(self.estimate_cost(), now)
 
-    def note_refused(self, now: float) -> None:
-        """Records that a request was refused because of the load."""
-        self._refused_at = now
-        self._add_backlog(REFUSAL_WEIGHT, now)
+    def note_refused(self, now: float, cost_s: float | None = None) -> None:
+        """Records that a request was refused because of the load.
+
+        Args:
+            now: monotonic seconds.
+            cost_s: time that the refusal took, in seconds; None if unknown.
+        """
+        if cost_s is None:
+            self._refused_at = now
+            cost_s = REFUSAL_WEIGHT * self.estimate_cost()
+        else:
+            self._new_refused_s += cost_s
+        self._add_backlog(cost_s, now)
 
     def note_ended(self, now: float) -> None:
         """Records that a forwarded request has ended in any way."""
@@ -171,7 +181,8 @@
         """
         if self._requests.value < self.settings.min_requests:
             return 0.0
-        return min(self._busy.value / self._requests.value, MAX_COST_S)
+        busy_s = max(self._busy.value, 0.0)
+        return min(busy_s / self._requests.value, MAX_COST_S)
 
     def read_backlog(self, now: float) -> float:
         """Returns the work that was begun and is left, in seconds."""
@@ -185,6 +196,8 @@
         that of requests; in a long overload they are used nevertheless.
         """
         requests, self._new_requests = self._new_requests, 0.0
+        busy_s -= self._new_refused_s
+        self._new_refused_s = 0.0
         if (
             now - self._refused_at < CALM_S
             and now - self._learned_at < MAX_UNLEARNED_S
@@ -196,8 +209,7 @@
         self._busy.add(busy_s, self._learned_s, decay_s)
         self._requests.add(requests, self._learned_s, decay_s)
 
-    def _add_backlog(self, requests: float, now: float) -> None:
-        added_s = requests * self.estimate_cost()
+    def _add_backlog(self, added_s: float, now: float) -> None:
         self._backlog_s = self.read_backlog(now) + added_s
         self._drained_at = now
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/caller_protocol.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/caller_protocol.py
@@ -63,8 +63,9 @@
     def connection_made(self, transport) -> None:
         """Notes when the connection may have been opened (see asyncio)."""
         super().connection_made(transport)
-        before = self.poll_times.before_read_until
-        self.unread_since = before[POLLS_TO_CONNECTION - 1]
+        if self.unread_since is None:
+            before = self.poll_times.before_read_until
+            self.unread_since = before[POLLS_TO_CONNECTION - 1]
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes (called by asyncio)."""
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -23,6 +23,7 @@
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router import peer_link
 from lentilbeam_router import signal_free_server
+from lentilbeam_router.forwarding import accept_control
 from lentilbeam_router.forwarding import cold_control
 from lentilbeam_router.forwarding import connection_pool
 from lentilbeam_router.forwarding import decision_log
@@ -89,6 +90,7 @@
         configuration_watch: compares the configuration with that of peers.
         targets_watch: compares the target list with that of peers.
         overload: what this router does if it is too busy.
+        accept_control: accepts the connections of callers.
         stop: set on SIGTERM and SIGINT.
         dispatchers: dispatcher of each pool that has had a request.
         prompt_blocks: prompt parts that are blocked, since they crash targets.
@@ -181,6 +183,9 @@
         self.request_handler = request_handler_lib.RequestHandler(
             codec, self, clock, self.metrics, self.log
         )
+        self.accept_control = accept_control.AcceptControl(
+            self.overload, self.request_handler.turns, clock, self.log
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -459,7 +464,9 @@
         except OSError as error:
             self.log.write_event("cannot_listen", detail=str(error))
             return exit_status.ExitStatus.CANNOT_LISTEN
-        server = listening.build_server(self._build_app(apps), self.poll_times)
+        server = listening.build_server(
+            self._build_app(apps), self.poll_times, self.accept_control
+        )
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
@@ -7,6 +7,7 @@
 from lentilbeam_core.forwarding import admission
 from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import lateness as lateness_lib
+from lentilbeam_core.forwarding import overload_budget
 from lentilbeam_core.forwarding import processor_load
 from lentilbeam_core.forwarding import requests
 from lentilbeam_router.forwarding import decision_log
@@ -30,6 +31,7 @@
         log: log of decisions.
         lateness: how late the timers of this process fire.
         load: work that was begun.
+        budget: divides the time between serving and refusing.
         level: level that was logged last.
     """
 
@@ -44,6 +46,7 @@
         self.log = log
         self.lateness = lateness_lib.Lateness(lateness_lib.Settings())
         self.load = processor_load.ProcessorLoad(processor_load.Settings())
+        self.budget = overload_budget.OverloadBudget(overload_budget.Settings())
         self.level = lateness_lib.Level.ON_TIME
 
     @property
@@ -56,6 +59,11 @@
         """Whether timers fire late enough for the load to count."""
         return self.lateness.late_s >= MIN_LATE_S
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether this router is late or has begun what it can finish."""
+        return self.find_level() is not lateness_lib.Level.ON_TIME
+
     def find_level(self) -> lateness_lib.Level:
         """Returns the higher of the levels of lateness and load.
 
@@ -111,12 +119,18 @@
             has_had_fair_share: whether its workspace has had its fair share.
         """
         level = self.find_level()
-        if level is not lateness_lib.Level.LATE:
-            return level is lateness_lib.Level.STALLED
-        waited_s = self.clock.monotonic() - request.arrived_at
+        if level is lateness_lib.Level.ON_TIME:
+            return False
+        now = self.clock.monotonic()
+        waited_s = now - request.arrived_at
         if waited_s > request.route.goal_s * MAX_WAITED_FRACTION:
             return True
-        return has_had_fair_share()
+        if self.load.estimate_cost() > 0:
+            return self.budget.is_full(
+                self.load.read_backlog(now), has_had_fair_share()
+            )
+        # What a request costs is not known yet.
+        return level is lateness_lib.Level.STALLED or has_had_fair_share()
 
     def can_finish(self, request: requests.Request) -> bool:
         """Whether a new request can be served whole before its deadline."""
@@ -126,6 +140,55 @@
         left_s = request.deadline_at - now
         return self.load.can_finish(request.route.name, left_s, now)
 
+    def count_acceptable(self, waiting: int, waited_s: float) -> int:
+        """Returns how many of the connections that wait may be accepted now.
+
+        A router that limits them counts as late until all are accepted: the
+        limit may be all that keeps it on time.
+
+        Args:
+            waiting: number of requests that were read and are not yet handled.
+            waited_s: for how long the first of these has waited, in seconds.
+        """
+        now = self.clock.monotonic()
+        is_limited = not self.takes_callers
+        acceptable = self.budget.count_acceptable(
+            waiting, waited_s, is_limited, now
+        )
+        if is_limited and acceptable <= 0:
+            self.lateness.last_late_at = now
+        return acceptable
+
+    def find_listen_backlog(self, usual: int) -> int:
+        """Returns the length of the accept queue.
+
+        Args:
+            usual: its length while this router is on time.
+        """
+        if self.takes_callers:
+            return usual
+        now = self.clock.monotonic()
+        return min(self.budget.find_queue_length(now), usual)
+
+    def note_accepted(self) -> None:
+        """Records that a connection was accepted."""
+        self.budget.note_accepted(self.clock.monotonic())
+
+    def note_begun(self) -> None:
+        """Records that a request is forwarded."""
+        now = self.clock.monotonic()
+        self.load.note_begun(now)
+        self.budget.note_begun(now)
+
+    def note_refused(self, took_s: float) -> None:
+        """Records that a request was refused because of the load.
+
+        Args:
+            took_s: seconds from its turn to its response.
+        """
+        now = self.clock.monotonic()
+        self.load.note_refused(now, self.budget.note_refused(took_s))
+
     def find_retry_delay(
         self, refused: decisions_lib.Refused, can_retry_elsewhere: bool
     ) -> float:
@@ -144,7 +207,6 @@
             Seconds.
         """
         now = self.clock.monotonic()
-        self.load.note_refused(now)
         if can_retry_elsewhere:
             return refused.retry_after_s
         left_s = max(refused.request.deadline_at - now, 0.0)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -17,6 +17,7 @@
 from lentilbeam_router.forwarding import body_reader
 from lentilbeam_router.forwarding import caller_channel
 from lentilbeam_router.forwarding import decision_log
+from lentilbeam_router.forwarding import turns as turns_lib
 from lentilbeam_router.forwarding import wire as wire_lib
 
 MEMORY_RETRY_RANGE_S = (0.25, 0.7)
@@ -25,10 +26,6 @@
 NO_CONFIGURATION_RETRY_S = 0.5
 """`Retry-After`, in seconds, while the router has no configuration. It has
 usually read one by then."""
-MAX_TURN_S = 0.02
-"""Time, in seconds, for which an iteration of the event loop handles new
-requests. The others wait until the loop has read its sockets and run its timers
-again."""
 
 Receive = Callable[[], Any]
 
@@ -44,6 +41,7 @@
         metrics: counts denied requests and internal errors.
         log: log of decisions.
         active: number of requests that are being served.
+        turns: requests that wait until the event loop has time for them.
     """
 
     def __init__(
@@ -60,6 +58,7 @@
         self.metrics = metrics
         self.log = log
         self.active = 0
+        self.turns = turns_lib.TurnQueue(gateway.poll_times, clock)
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one HTTP request; ignores other ASGI scopes."""
@@ -127,6 +126,7 @@
             handled_at - arrived_at,
         )
         if request is not None and self._is_refused(request_head, request):
+            refused_at = self.clock.monotonic()
             refused = self.gateway.refuse_as_busy(request)
             self.log.write_request_event(
                 request.request_id,
@@ -137,6 +137,9 @@
             )
             self.metrics.count("request.refused")
             await channel.respond(503, refused.retry_after_s)
+            self.gateway.overload.note_refused(
+                self.clock.monotonic() - refused_at
+            )
         elif request is not None:
             # Hashing the body is left to here, since it makes refusals dearer.
             request = dataclasses.replace(
@@ -165,12 +168,7 @@
         Requests that arrive together would otherwise be handled in a single
         iteration, and the router would not notice who leaves meanwhile.
         """
-        poll_times = self.gateway.poll_times
-        has_waited = False
-        while self.clock.monotonic() - poll_times.returned_at > MAX_TURN_S:
-            has_waited = True
-            await asyncio.sleep(0)
-        if has_waited:
+        if await self.turns.wait(handled_at):
             self.gateway.note_lateness(handled_at)
 
     async def _build_request(
@@ -236,7 +234,7 @@
         begun_at = self.clock.monotonic()
         dispatcher.budget.note_request(begun_at)
         load = self.gateway.overload.load
-        load.note_begun(begun_at)
+        self.gateway.overload.note_begun()
         run = asyncio.ensure_future(
             self.gateway.forwarder.run(
                 request_head,
--- a/tests/forwarding/overloaded_router.py
+++ b/tests/forwarding/overloaded_router.py
@@ -14,7 +14,7 @@
 
 from lentilbeam_core.forwarding import lateness as lateness_lib
 from lentilbeam_core.forwarding import processor_load
-from lentilbeam_router.forwarding import request_handler
+from lentilbeam_router.forwarding import turns
 
 CORE_SHARE = 0.12
 """Share of a core that a router has."""
@@ -156,9 +156,7 @@
     def _handle_waiting(self) -> None:
         """Handles the requests that were read in earlier iterations."""
         began_at = self.now
-        while (
-            self.waiting and self.now - began_at <= request_handler.MAX_TURN_S
-        ):
+        while self.waiting and self.now - began_at <= turns.MAX_TURN_S:
             call = self.waiting.popleft()
             if call.read_at < began_at:
                 self.lateness.note_timer(call.read_at, self.now)
--- /dev/null
+++ b/tests/forwarding/test_flood.py
@@ -0,0 +1,233 @@
+"""A router that is flooded over new connections.
+
+Pattern: the callers of a workspace connect to one router only, send it ten
+times what it can process for 30 s, and come back at once when refused. To
+accept and refuse their connections alone takes more than its processor has.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import socket
+import time
+import types
+
+import pytest
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core import poll_times
+from lentilbeam_core.forwarding import overload_budget
+from lentilbeam_router import addresses
+from lentilbeam_router.forwarding import accept_control
+from lentilbeam_router.forwarding import listening
+from lentilbeam_router.forwarding import turns
+from tests.forwarding import flooded_router
+from tests.forwarding import overloaded_router
+
+FLOOD_AT_S = 5
+FLOOD_END_S = 35
+END_S = 47
+RECOVERY_S = 2
+WINDOW_S = 6
+USUAL = 0.6
+WAITED_S = 0.2
+"""Time, in seconds, for which requests wait in the accept queue."""
+
+
+def run_flood(seed, has_quota, waits_as_told=False, factor=10):
+    """Returns a router after a flood, with a usual load before and after."""
+    usual = flooded_router.Workspace(
+        "usual",
+        [USUAL] * FLOOD_AT_S
+        + [0.0] * (FLOOD_END_S - FLOOD_AT_S)
+        + [USUAL] * (END_S - FLOOD_END_S),
+        has_had_fair_share=False,
+    )
+    flood = flooded_router.Workspace(
+        "flood",
+        [0.0] * FLOOD_AT_S + [factor] * (FLOOD_END_S - FLOOD_AT_S),
+        waits_as_told=waits_as_told,
+        ends_at_s=FLOOD_END_S,
+    )
+    router = flooded_router.FloodedRouter([usual, flood], seed, has_quota)
+    router.run(END_S)
+    return router
+
+
+# Guards against a router that refuses everything for as long as a flood lasts,
+# since refusing keeps it late, and against one that stays overloaded after it.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("has_quota", [False, True])
+@pytest.mark.parametrize("waits_as_told", [False, True])
+def test_flooded_router_goes_on_serving(seed, has_quota, waits_as_told):
+    router = run_flood(seed, has_quota, waits_as_told)
+    served = router.find_least_served(FLOOD_AT_S, FLOOD_END_S, WINDOW_S)
+    assert served >= 0.6
+    recovered_at = FLOOD_END_S + RECOVERY_S
+    assert max(router.refused_at) < recovered_at
+    sent = [at for _, at in router.sent_calls if recovered_at <= at < END_S - 2]
+    on_time = router.count_on_time(recovered_at, END_S - 2)
+    assert on_time >= 0.95 * len(sent)
+
+
+# Guards against requests that wait in the process until they are useless.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("has_quota", [False, True])
+def test_little_work_waits_in_the_process(seed, has_quota):
+    router = run_flood(seed, has_quota)
+    refusal_s = overloaded_router.REFUSAL_S / overloaded_router.CORE_SHARE
+    assert router.most_waiting * refusal_s <= 0.2
+
+
+# Guards against a flooded router that accepts nobody although it says that it
+# is ready: the shortest window in which that counts is 3 s.
+def test_flooded_router_always_accepts_some_connections():
+    router = run_flood(seed=1, has_quota=True)
+    during = [t for t in router.accepted_at if FLOOD_AT_S < t < FLOOD_END_S]
+    assert max(b - a for a, b in itertools.pairwise(during)) < 1.0
+
+
+# Guards against a router that accepts nothing any more, because a pause of its
+# processor made a refusal look dearer than all that refusals may take.
+def test_pause_during_a_refusal_does_not_stop_the_router():
+    budget = overload_budget.OverloadBudget(overload_budget.Settings())
+    for _ in range(20):
+        budget.note_refused(2.0)
+    for _ in range(20):
+        budget.note_accepted(10.0)
+    assert budget.count_acceptable(0, 0.0, is_limited=True, now=10.0) == 0
+    assert budget.count_acceptable(0, 0.0, is_limited=True, now=13.0) > 0
+
+
+# Guards against a long accept queue, whose callers leave before they are read.
+def test_accept_queue_is_as_long_as_what_is_accepted_soon():
+    settings = overload_budget.Settings()
+    budget = overload_budget.OverloadBudget(settings)
+    budget.note_refused(0.001)
+    rate = settings.refusal_share / budget.estimate_refusal_cost()
+    expected = rate * settings.queue_s
+    assert budget.find_queue_length(10.0) == int(expected)
+
+
+def make_overload(acceptable, takes_callers):
+    """Returns overload decisions that allow a number of connections."""
+    accepted = []
+    return types.SimpleNamespace(
+        count_acceptable=lambda waiting, waited_s: acceptable - len(accepted),
+        find_listen_backlog=lambda usual: usual if takes_callers else 8,
+        note_accepted=lambda: accepted.append(True),
+        takes_callers=takes_callers,
+    )
+
+
+def block(seconds):
+    """Makes the event loop stand still."""
+    time.sleep(seconds)
+
+
+@contextlib.asynccontextmanager
+async def listen(overload, app):
+    """Serves callers with accept control; yields control and address."""
+    clock = clock_lib.SystemClock()
+    times = poll_times.PollTimes(clock.monotonic())
+    control = accept_control.AcceptControl(
+        overload, turns.TurnQueue(times, clock), clock, None
+    )
+    sock = listening.open_socket(addresses.Address("127.0.0.1", 0))
+    server = listening.build_server(app, times, control)
+    serving = asyncio.create_task(server.serve(sockets=[sock]))
+    await asyncio.sleep(0.05)
+    try:
+        yield control, sock.getsockname()
+    finally:
+        server.should_exit = True
+        await serving
+
+
+def run_callers(overload, callers, leaving=0):
+    """Returns the control, the scopes, and when the requests were sent.
+
+    Args:
+        overload: the decisions.
+        callers: number of callers that send a request.
+        leaving: how many of these leave before the router reads anything.
+    """
+    scopes = []
+
+    async def app(scope, receive, send):
+        scopes.append(scope)
+        await send({"type": "http.response.start", "status": 204})
+        await send({"type": "http.response.body"})
+
+    async def scenario():
+        async with listen(overload, app) as (control, address):
+            sockets = [
+                socket.create_connection(address) for _ in range(callers)
+            ]
+            sent_at = time.monotonic()
+            for sock in sockets:
+                sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            for sock in sockets[:leaving]:
+                sock.close()
+            # All of it waits in the accept queue, since nothing else runs.
+            block(WAITED_S)
+            await asyncio.sleep(0.2)
+            for sock in sockets:
+                sock.close()
+            return control, scopes, sent_at
+
+    return asyncio.run(scenario())
+
+
+# Guards against connections that are accepted although their requests can't be
+# handled in time.
+def test_only_acceptable_connections_are_accepted():
+    control, scopes, _ = run_callers(make_overload(3, takes_callers=False), 5)
+    assert len(scopes) == 3
+    assert control.backlog == 8
+
+
+# Guards against requests that look new although they have waited in the accept
+# queue, and against work for callers that have left it.
+def test_unread_connections_have_their_age_and_callers():
+    overload = make_overload(9, takes_callers=False)
+    control, scopes, sent_at = run_callers(overload, 5, 2)
+    assert (len(scopes), control.left) == (3, 2)
+    for scope in scopes:
+        arrived_at = scope["state"]["caller"].arrived_after
+        assert sent_at - 0.02 <= arrived_at < sent_at + WAITED_S / 2
+
+
+# Guards against limits at a router that is on time.
+def test_router_on_time_accepts_all_connections():
+    control, scopes, _ = run_callers(make_overload(40, takes_callers=True), 30)
+    assert len(scopes) == 30
+    assert control.backlog == accept_control.BACKLOG
+
+
+# Guards against requests that are handled out of order, and against a turn that
+# resumes all that wait.
+def test_requests_get_their_turns_in_order():
+    clock = clock_lib.ManualClock(clock_lib.SystemClock().now())
+    times = poll_times.PollTimes(0.0)
+    queue = turns.TurnQueue(times, clock)
+    order = []
+    resumed = 0
+
+    async def handle(name):
+        nonlocal resumed
+        await queue.wait(clock.monotonic())
+        order.append(name)
+        clock.advance(turns.MAX_TURN_S / 2)
+
+    async def scenario():
+        clock.advance(1.0)
+        handling = [asyncio.create_task(handle(n)) for n in range(20)]
+        while not all(task.done() for task in handling):
+            await asyncio.sleep(0)
+            times.returned_at = clock.monotonic()
+        return len(queue.waiting)
+
+    assert asyncio.run(scenario()) == 0
+    assert order == list(range(20))
+    assert queue.batch <= 8
--- a/tests/forwarding/test_late_router.py
+++ b/tests/forwarding/test_late_router.py
@@ -14,7 +14,7 @@
 from lentilbeam_core.forwarding import lateness as lateness_lib
 from lentilbeam_platform import directory
 from lentilbeam_router import addresses
-from lentilbeam_router.forwarding import request_handler
+from lentilbeam_router.forwarding import turns
 from tests.forwarding import fake_target
 from tests.forwarding import in_process_router
 from tests.forwarding import makers
@@ -26,7 +26,7 @@
 REFUSAL_S = 0.0007
 """Processor time of a request that is refused at once."""
 TICK_S = 0.04
-MAX_TURN_S = request_handler.MAX_TURN_S
+MAX_TURN_S = turns.MAX_TURN_S
 
 
 def make_arrivals(load, flood_s, calm_s):
