Decode and encode reports with less work for each item

Cause: of the time to decode a load, half went into the creation of a frozen dataclass, which sets each field by object.__setattr__ (3.3 us for a TargetLoad, 0.4 if it is not frozen). Empty lists were read like others.

Change: the messages that occur hundreds of times a report are not frozen; empty lists are skipped, fields are read and written in bulk, the union member is read by its schema.

--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -5,6 +5,10 @@
 within one incarnation of the sender or, for grants, within one session. The
 receiver starts counting again when either changes, so that a restart never
 lowers a total.
+
+No message is changed after its creation. `LoadReport` and the items of its
+long lists are not frozen: creating a frozen object takes up to eight times as
+long, and a router creates some thousands of them per second.
 """
 
 import dataclasses
@@ -214,7 +218,7 @@
     queues: tuple[QueuedElsewhere, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class TargetLoad:
     """The load that one router, or several together, have put on a target.
 
@@ -262,7 +266,7 @@
     expected_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class PoolDemand:
     """Requests for a pool that callers have sent lately, and prefill work.
 
@@ -300,7 +304,7 @@
     data_centre: ids.DataCentreId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class WorkspaceUse:
     """Recent cost of a workspace's requests, decayed with age.
 
@@ -319,7 +323,7 @@
     asked: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class PlacedPart:
     """A part of a prompt that was sent to a target.
 
@@ -382,7 +386,7 @@
     PARTS = 3  # No load; only prompt parts that did not fit other reports.
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Included:
     """Names a report that is included in a sum.
 
@@ -395,7 +399,7 @@
     report: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class LoadReport:
     """Load that a forwarding router reports to its peers.
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_codec.py
@@ -5,9 +5,10 @@
 message, in the field `names`; items refer to them by index.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable
 import dataclasses
 import enum
+import operator
 import pathlib
 import re
 from typing import Any
@@ -27,6 +28,7 @@
 """
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+_ENVELOPE_FIELDS = _schema.Envelope.schema.fields
 
 
 class PeerCodecError(ValueError):
@@ -59,11 +61,12 @@
         envelope = _schema.Envelope.from_bytes_packed(
             data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         )
-        member = envelope.which()
+        read = envelope._get_by_field
+        member = str(envelope.which())
         message = _read_message(
-            getattr(envelope, str(member)), _MESSAGE_TYPES[str(member)]
+            read(_ENVELOPE_FIELDS[member]), _MESSAGE_TYPES[member]
         )
-        return ids.InstanceId(envelope.sender), message
+        return ids.InstanceId(read(_ENVELOPE_FIELDS["sender"])), message
     except (capnp.KjException, ValueError, LookupError) as error:
         raise PeerCodecError(str(error)) from error
 
@@ -127,17 +130,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ItemPlan:
-    """How the items of lists of one type are decoded.
+    """How the items of lists of one type are encoded and decoded.
 
     Attributes:
         schemas: schemas of the fields, in the order of the dataclass.
+        get_values: returns the values of an item's fields, as a tuple.
         name_positions: positions of the fields that are indexes into `names`.
+        max_values: position and largest value of each other unsigned field.
         float_positions: positions of the integers that are floats in the
             dataclass.
     """
 
     schemas: tuple[Any, ...]
+    get_values: Callable[[Any], tuple[Any, ...]]
     name_positions: tuple[int, ...]
+    max_values: tuple[tuple[int, int], ...]
     float_positions: tuple[int, ...]
 
 
@@ -209,9 +216,18 @@
 
 
 def _build_plan(fields: tuple[_Field, ...]) -> _ItemPlan:
+    names = [field.name for field in fields]
+    get_values = operator.attrgetter(*names)
     return _ItemPlan(
         tuple(field.schema for field in fields),
+        # With a single name, `attrgetter` returns no tuple.
+        get_values if len(names) > 1 else lambda item: (get_values(item),),
         tuple(n for n, field in enumerate(fields) if field.is_name_index),
+        tuple(
+            (n, field.max_value)
+            for n, field in enumerate(fields)
+            if field.max_value and not field.is_name_index
+        ),
         tuple(
             n
             for n, field in enumerate(fields)
@@ -225,76 +241,67 @@
     item_type: _build_plan(_FIELDS[item_type])
     for item_type in _ITEM_TYPES.values()
 }
-_HAS_NAMES = {
-    struct_type: any(field.item for field in fields)
+_NAMES_SCHEMAS = {
+    struct_type: _STRUCTS[struct_type].schema.fields["names"]
     for struct_type, fields in _FIELDS.items()
+    if any(field.item for field in fields)
 }
-
-
-class _NameTable:
-    """Table of the names to which the items of one message refer.
-
-    Index 0 is the empty name; it is not sent.
-    """
-
-    def __init__(self, names: Iterable[str] = ()):
-        self.names = ["", *names]
-        self.indexes = {name: index for index, name in enumerate(self.names)}
-
-    def get_index(self, name: str) -> int:
-        """Returns the index of `name`; adds it if it is missing."""
-        if name not in self.indexes:
-            self.indexes[name] = len(self.names)
-            self.names.append(name)
-        return self.indexes[name]
+"""Schema of the field `names` of each message that has lists."""
 
 
 def _write_message(builder, message) -> None:
-    names = _NameTable()
+    # Index of each name; 0 is the empty name, which is not sent.
+    indexes = {"": 0}
     for field in _FIELDS[type(message)]:
         value = getattr(message, field.name)
         if field.item is None:
             _write_value(builder, field, value)
         elif value:
             item_builders = builder.init(field.wire_name, len(value))
-            for index, item in enumerate(value):
-                _write_item(item_builders[index], item, names)
-    if len(names.names) > 1:
-        builder.names = names.names[1:]
-
-
-def _write_item(builder, item, names: _NameTable) -> None:
-    # All text fields of items are names, see `_Field.is_name_index`.
-    write = builder._set_by_field
-    for field in _FIELDS[type(item)]:
-        value = getattr(item, field.name)
-        if isinstance(value, str):
-            write(field.schema, names.get_index(value))
-        elif value:
-            # Fields of a new item are 0.
-            write(field.schema, _encode_value(field, value))
+            _write_items(item_builders, value, _ITEM_PLANS[field.item], indexes)
+    if len(indexes) > 1:
+        builder.names = list(indexes)[1:]
 
 
-def _write_value(builder, field: _Field, value) -> None:
-    setattr(builder, field.wire_name, _encode_value(field, value))
+def _write_items(builders, items, plan: _ItemPlan, indexes) -> None:
+    """Writes the items of a list; adds their new names to `indexes`."""
+    for builder, item in zip(builders, items, strict=True):
+        values = list(plan.get_values(item))
+        for position in plan.name_positions:
+            name = values[position]
+            values[position] = indexes.setdefault(name, len(indexes))
+        for position, max_value in plan.max_values:
+            values[position] = _clip(values[position], max_value)
+        write = builder._set_by_field
+        for schema, value in zip(plan.schemas, values, strict=True):
+            if value:  # Fields of a new item are 0.
+                write(schema, value)
 
 
-def _encode_value(field: _Field, value):
+def _clip(value: float, max_value: int) -> int:
+    """Returns a value rounded and clipped to the range of its field."""
+    if not value or value < 0:
+        return 0
+    return round(value) if value < max_value else max_value
+
+
+def _write_value(builder, field: _Field, value) -> None:
     if field.enum_type is not None:
-        return value.value
-    if field.max_value:
-        return min(max(round(value), 0), field.max_value)
-    return value
+        value = value.value
+    elif field.max_value:
+        value = _clip(value, field.max_value)
+    builder._set_by_field(field.schema, value)
 
 
 def _read_message(reader, message_type: type):
-    names = _NameTable(reader.names if _HAS_NAMES[message_type] else ()).names
     read = reader._get_by_field
+    names_schema = _NAMES_SCHEMAS.get(message_type)
+    names = ["", *read(names_schema)] if names_schema is not None else []
     values = []
     for field in _FIELDS[message_type]:
         value = read(field.schema)
         if field.item is not None:
-            value = _read_items(value, field.item, names)
+            value = _read_items(value, field.item, names) if len(value) else ()
         elif field.enum_type is not None:
             value = field.enum_type(value)
         values.append(float(value) if field.is_float else value)
@@ -305,8 +312,7 @@
     plan = _ITEM_PLANS[item_type]
     items = []
     for reader in readers:
-        read = reader._get_by_field
-        values = [read(schema) for schema in plan.schemas]
+        values = list(map(reader._get_by_field, plan.schemas))
         for position in plan.name_positions:
             values[position] = names[values[position]]
         for position in plan.float_positions:
