Sum loads with one computation of the decay for each report

Cause: two exponentials were computed for each reported load, and a load summed over routers was copied twice; PoolDemand was copied by dataclasses.astuple, which copies deeply.

The choices of targets are the same.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -35,6 +35,31 @@
 sample falls below it some 3 s later, and zeros take no room in reports."""
 
 
+@dataclasses.dataclass(slots=True)
+class Aging:
+    """Decay of what was reported or summed some time ago.
+
+    Attributes:
+        age_s: that time, in seconds.
+        recent: remaining fraction of `Load.recent`.
+        outcomes: remaining fraction of `Load.outcomes` and of what decays
+            like it.
+    """
+
+    age_s: float
+    recent: float
+    outcomes: float
+
+
+def compute_aging(age_s: float) -> Aging:
+    """Returns the decay after `age_s`, in seconds."""
+    return Aging(
+        age_s,
+        math.exp(-age_s / RECENT_DECAY_S),
+        math.exp(-age_s / OUTCOME_DECAY_S),
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Load:
     """Load of one target.
@@ -88,17 +113,17 @@
         self.expected_s += sign * other.expected_s
 
     def add_reported(
-        self, item: messages.TargetLoad, age_s: float, sign: int = 1
+        self, item: messages.TargetLoad, aging: Aging, sign: int = 1
     ) -> None:
         """Adds a load that a router has reported, decayed by its age.
 
         Args:
             item: the reported load.
-            age_s: time since the report was received, in seconds.
+            aging: decay since the report was received.
             sign: 1 to add the load, -1 to subtract it.
         """
-        recent_decay = sign * math.exp(-age_s / RECENT_DECAY_S)
-        outcome_decay = sign * math.exp(-age_s / OUTCOME_DECAY_S)
+        recent_decay = sign * aging.recent
+        outcome_decay = sign * aging.outcomes
         self.unread += item.unread * sign
         self.running += item.running * sign
         self.held += item.held * sign
@@ -108,15 +133,16 @@
         self.timed_s += item.timed_s * outcome_decay
         self.expected_s += item.expected_s * outcome_decay
         # Facts, not amounts: they stay true when a report is subtracted.
-        self.leaving_start_ms = max(
-            self.leaving_start_ms, item.leaving_start_ms
-        )
-        self.cold_start_ms = max(self.cold_start_ms, item.cold_start_ms)
-        limit_age_s = item.limit_age_ms / 1000 + age_s
-        if item.limit_start_ms and limit_age_s < self.limit_age_s:
-            self.limit_start_ms = item.limit_start_ms
-            self.limit_per_s = item.limit_per_s
-            self.limit_age_s = limit_age_s
+        if item.leaving_start_ms > self.leaving_start_ms:
+            self.leaving_start_ms = item.leaving_start_ms
+        if item.cold_start_ms > self.cold_start_ms:
+            self.cold_start_ms = item.cold_start_ms
+        if item.limit_start_ms:
+            limit_age_s = item.limit_age_ms / 1000 + aging.age_s
+            if limit_age_s < self.limit_age_s:
+                self.limit_start_ms = item.limit_start_ms
+                self.limit_per_s = item.limit_per_s
+                self.limit_age_s = limit_age_s
 
     def set_limit(self, limit: target_limits.Limit, now: float) -> None:
         """Sets what the target has said about the rate of its requests."""
@@ -210,6 +236,7 @@
         totals: results of `total` as of `totals_at`, by target; a scheduling
             pass asks for the same ones many times.
         totals_at: monotonic seconds.
+        sums_aging: decay of `peer_sums` as of `totals_at`.
     """
 
     def __init__(self):
@@ -225,6 +252,7 @@
         self.summed_at = -math.inf
         self.totals: dict[ids.TargetId, Load] = {}
         self.totals_at = -math.inf
+        self.sums_aging = compute_aging(0.0)
 
     def start_request(
         self,
@@ -342,9 +370,11 @@
         if now != self.totals_at:
             self.totals_at = now
             self.totals.clear()
-        if target not in self.totals:
-            self.totals[target] = self._sum(target, now)
-        return self.totals[target]
+            self.sums_aging = compute_aging(now - self.summed_at)
+        total = self.totals.get(target)
+        if total is None:
+            total = self.totals[target] = self._sum(target, now)
+        return total
 
     def read_held(self, target: ids.TargetId, now: float) -> float:
         """Returns `held` of `total`.
@@ -360,18 +390,18 @@
         return held + own.held if own else held
 
     def _sum(self, target: ids.TargetId, now: float) -> Load:
-        total = Load()
+        total = self._read_own(target, now)
         peers = self.peer_sums.get(target)
         if peers is not None:
-            total.add(peers)
-            age_s = now - self.summed_at
-            total.recent *= math.exp(-age_s / RECENT_DECAY_S)
-            outcome_decay = math.exp(-age_s / OUTCOME_DECAY_S)
-            total.outcomes *= outcome_decay
-            total.failures *= outcome_decay
-            total.timed_s *= outcome_decay
-            total.expected_s *= outcome_decay
-        total.add(self._read_own(target, now))
+            outcome_decay = self.sums_aging.outcomes
+            total.unread += peers.unread
+            total.running += peers.running
+            total.held += peers.held
+            total.recent += peers.recent * self.sums_aging.recent
+            total.outcomes += peers.outcomes * outcome_decay
+            total.failures += peers.failures * outcome_decay
+            total.timed_s += peers.timed_s * outcome_decay
+            total.expected_s += peers.expected_s * outcome_decay
         return total
 
     def count_running(self, target: ids.TargetId) -> int:
@@ -430,18 +460,16 @@
             self.totals.pop(target, None)
 
     def _read_own(self, target: ids.TargetId, now: float) -> Load:
-        load = Load()
-        if target in self.own_loads:
-            load.add(self.own_loads[target])
-        for sums, decay_s, name in (
-            (self.recent, RECENT_DECAY_S, "recent"),
-            (self.outcomes, OUTCOME_DECAY_S, "outcomes"),
-            (self.failures, OUTCOME_DECAY_S, "failures"),
-            (self.timed_s, OUTCOME_DECAY_S, "timed_s"),
-            (self.expected_s, OUTCOME_DECAY_S, "expected_s"),
-        ):
-            if target in sums:
-                setattr(load, name, sums[target].read(now, decay_s))
+        own = self.own_loads.get(target)
+        load = Load(own.unread, own.running, own.held) if own else Load()
+        if target in self.recent:
+            load.recent = self.recent[target].read(now, RECENT_DECAY_S)
+        if target in self.outcomes:
+            load.outcomes = self.outcomes[target].read(now, OUTCOME_DECAY_S)
+            load.failures = self.failures[target].read(now, OUTCOME_DECAY_S)
+        if target in self.timed_s:
+            load.timed_s = self.timed_s[target].read(now, OUTCOME_DECAY_S)
+            load.expected_s = self.expected_s[target].read(now, OUTCOME_DECAY_S)
         return load
 
     def _sum_peers(self, now: float) -> None:
@@ -452,11 +480,14 @@
         """
         self.summed_at = now
         self.peer_sums = {}
-        self.totals.clear()
+        self.totals_at = -math.inf
         for report in self.peers.values():
             age_s = now - report.received_at
             if age_s >= PEER_REPORT_MAX_AGE_S:
                 continue
+            aging = compute_aging(age_s)
             for item in report.loads:
-                load = self.peer_sums.setdefault(item.target, Load())
-                load.add_reported(item, age_s)
+                load = self.peer_sums.get(item.target)
+                if load is None:
+                    load = self.peer_sums[item.target] = Load()
+                load.add_reported(item, aging)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 import dataclasses
 import math
+import operator
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
@@ -69,14 +70,17 @@
         # Demand is compared between routers, so it does not fade between two
         # reports.
         for demand in term.work.demands:
-            amounts = dataclasses.astuple(demand)[1:]
+            amounts = _read_amounts(demand)
             sums = demands.setdefault(demand.pool, [0.0] * len(amounts))
             for index, amount in enumerate(amounts):
                 sums[index] += term.sign * amount
         usage_factor = term.sign * math.exp(-term.age_s / decay_s)
+        aging = loads_lib.compute_aging(term.age_s)
         for item in term.work.loads:
-            load = loads.setdefault(item.target, loads_lib.Load())
-            load.add_reported(item, term.age_s, term.sign)
+            load = loads.get(item.target)
+            if load is None:
+                load = loads[item.target] = loads_lib.Load()
+            load.add_reported(item, aging, term.sign)
         for use in term.work.uses:
             amounts = uses.setdefault((use.pool, use.workspace), [0.0, 0.0])
             amounts[0] += use.cost * usage_factor
@@ -90,6 +94,12 @@
     return Work(listed, _list_uses(uses), listed_demands, max(routers, 0))
 
 
+# Unlike `dataclasses.astuple`, it copies nothing.
+_read_amounts = operator.attrgetter(
+    *(field.name for field in dataclasses.fields(messages.PoolDemand)[1:])
+)
+
+
 def _list_uses(
     sums: dict[tuple[ids.PoolId, ids.WorkspaceId], list[float]],
 ) -> tuple[messages.WorkspaceUse, ...]:
