Find usable targets with less work in a pool without trouble

Change: if no target can have enough failures, nothing is summed; where nothing is ejected, avoided, quiet, limited or evacuated, the ready targets are usable.

The choices of targets are the same.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/evacuations.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/evacuations.py
@@ -56,6 +56,11 @@
         """Whether a data centre is evacuated."""
         return data_centre in self.read_in or data_centre in self.reported_until
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no data centre is evacuated."""
+        return not self.read_in and not self.reported_until
+
     def list_all(self) -> set[ids.DataCentreId]:
         """Returns the data centres that are evacuated."""
         return self.read_in.keys() | self.reported_until.keys()
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -415,6 +415,15 @@
         peers = self.peer_sums.get(target)
         return (own.running if own else 0) + (peers.running if peers else 0)
 
+    def read_max_failures(self, target: ids.TargetId) -> float:
+        """Returns a number that `failures` of `total` does not exceed.
+
+        Takes less time than `total`; as of the last `refresh`.
+        """
+        own = self.failures.get(target)
+        peers = self.peer_sums.get(target)
+        return (own.value if own else 0.0) + (peers.failures if peers else 0.0)
+
     def export(
         self,
         now: float,
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -344,12 +344,10 @@
 
         They are ready, not leaving, and in no evacuated data centre.
         """
-        return [
-            entry
-            for entry in self.entries.values()
-            if self._is_ready(entry, pool)
-            and not self.is_evacuated(entry.data_centre)
-        ]
+        ready = self._list_ready(pool)
+        if self.evacuations.is_empty:
+            return ready
+        return [e for e in ready if not self.is_evacuated(e.data_centre)]
 
     def is_evacuated(self, data_centre: ids.DataCentreId) -> bool:
         """Whether the targets of a data centre get no new requests."""
@@ -357,15 +355,20 @@
 
     def is_pool_evacuated(self, pool: ids.PoolId) -> bool:
         """Whether a pool has ready targets, all in evacuated data centres."""
-        ready = [e for e in self.entries.values() if self._is_ready(e, pool)]
+        if self.evacuations.is_empty:
+            return False
+        ready = self._list_ready(pool)
         return bool(ready) and all(
             self.is_evacuated(entry.data_centre) for entry in ready
         )
 
-    def _is_ready(self, entry: Entry, pool: ids.PoolId) -> bool:
-        """Whether a target of a pool is ready and not leaving."""
-        return (
-            entry.pool == pool
+    def _list_ready(self, pool: ids.PoolId) -> list[Entry]:
+        """Returns the targets of a pool that are ready and not leaving."""
+        leaving = self.leaving
+        return [
+            entry
+            for entry in self.entries.values()
+            if entry.pool == pool
             and entry.state is TargetState.READY
-            and entry.name not in self.leaving
-        )
+            and entry.name not in leaving
+        ]
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -391,25 +391,30 @@
         `OUTLIER_CHECK_INTERVAL_S`, and the credit at limited targets.
         """
         now = self.clock.monotonic()
-        usable = []
         ready = self.targets.find_ready(self.pool.name)
         if now - self.avoided_checked_at >= OUTLIER_CHECK_INTERVAL_S:
             self._refresh_avoided(ready, now)
         self._update_credits(ready, now)
         self.cold.update(self.pool, ready, now)
-        for entry in ready:
-            if self._is_failing(entry.name, now):
-                continue
-            if self.targets.is_quiet(entry.name, now):
-                continue
-            if not self.admission.limit_parts.may_send(entry.name):
-                continue
-            own = self.loads.own_loads.get(entry.name)
-            is_busy = own is not None and own.running > 0
-            if is_busy and self.ejector.needs_probe(entry.name):
-                continue
-            usable.append(entry)
-        return usable
+        if not (
+            self.avoided
+            or self.ejector.health
+            or self.targets.quiet_until
+            or not self.admission.limit_parts.is_empty
+        ):
+            return ready
+        return [entry for entry in ready if self._is_usable(entry, now)]
+
+    def _is_usable(self, entry: target_list.Entry, now: float) -> bool:
+        """Whether a ready target may be sent a request now."""
+        name = entry.name
+        if self._is_failing(name, now) or self.targets.is_quiet(name, now):
+            return False
+        if not self.admission.limit_parts.may_send(name):
+            return False
+        own = self.loads.own_loads.get(name)
+        is_busy = own is not None and own.running > 0
+        return not (is_busy and self.ejector.needs_probe(name))
 
     def _is_failing(self, target: ids.TargetId, now: float) -> bool:
         """Whether a target is ejected or avoided."""
@@ -464,11 +469,17 @@
         self, ready: list[target_list.Entry], now: float
     ) -> None:
         self.avoided_checked_at = now
+        settings = outliers.Settings()
+        self.loads.refresh(now)
+        if all(
+            self.loads.read_max_failures(entry.name) < settings.min_failures
+            for entry in ready
+        ):
+            self.avoided = set()
+            return
         totals = {e.name: self.loads.total(e.name, now) for e in ready}
         slots = {entry.name: entry.slots for entry in ready}
-        self.avoided = outliers.find_outliers(
-            totals, slots, outliers.Settings()
-        )
+        self.avoided = outliers.find_outliers(totals, slots, settings)
 
     def _note_placed(self, decision: decisions_lib.Placed) -> None:
         self.is_changed = True
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -624,12 +624,7 @@
             return
         now = self.clock.monotonic()
         self._compare_feeds(sender, message, now)
-        if message.evacuations:
-            self.evacuations.note_reported(
-                sender, message.evacuations, self.peers.peer_timeout_s
-            )
-        if message.crashes or message.blocks:
-            self.prompt_blocks.apply_report(sender, message)
+        self._apply_news(sender, message)
         accepted = self.report_exchange.accept_report(sender, message)
         if accepted is None:
             return
@@ -649,6 +644,17 @@
         if self.report_exchange.is_direct or not is_group:
             self._decide_all()
 
+    def _apply_news(
+        self, sender: ids.InstanceId, report: messages.LoadReport
+    ) -> None:
+        """Applies what a report says besides work; mostly that is nothing."""
+        if report.evacuations:
+            self.evacuations.note_reported(
+                sender, report.evacuations, self.peers.peer_timeout_s
+            )
+        if report.crashes or report.blocks:
+            self.prompt_blocks.apply_report(sender, report)
+
     def _compare_feeds(
         self, peer: ids.InstanceId, report: messages.LoadReport, now: float
     ) -> None:
