--- a/packages/lentilbeam-core/src/lentilbeam_core/poll_times.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/poll_times.py
@@ -28,6 +28,18 @@
         self.busy_s = 0.0
         self.before_read_until = (now,) * KEPT_POLLS
 
+    def note_no_poll(self) -> None:
+        """Records an iteration of the loop that did not poll.
+
+        It counts as a poll that returned nothing: what is read later was not
+        returned by it, and callbacks that an earlier poll has led to count the
+        iterations since.
+        """
+        self.before_read_until = (
+            self.read_until,
+            *self.before_read_until[: KEPT_POLLS - 1],
+        )
+
     def note_poll(
         self, entered_at: float, returned_at: float, timeout_s: float | None
     ) -> None:
