--- a/packages/lentilbeam-router/src/lentilbeam_router/event_loop.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/event_loop.py
@@ -6,15 +6,14 @@
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import poll_times as poll_times_lib
 
-
 MIN_POLL_INTERVAL_S = 0.001
 """Shortest time, in seconds, between the end of a poll and the next one while
 callbacks are ready. A callback that resumes a task would otherwise cost a poll
 of its own, a second one for each event of a stream."""
 MAX_DELAY_S = 0.02
-"""Delay of a poll, in seconds, after which the loop polls in each iteration, for
+"""Delay of a poll, in seconds, after which the loop polls in each iteration for
 `CATCH_UP_S`. A caller that left meanwhile must be noticed before its request is
-sent, and the end of a connection is only read by the poll after its data."""
+sent, and the end of a connection is read by the poll after that of its data."""
 CATCH_UP_S = 0.1
 """See `MAX_DELAY_S`."""
 
