--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/work_sums.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 import dataclasses
 import math
+import operator
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
@@ -69,14 +70,17 @@
         # Demand is compared between routers, so it does not fade between two
         # reports.
         for demand in term.work.demands:
-            amounts = dataclasses.astuple(demand)[1:]
+            amounts = _read_amounts(demand)
             sums = demands.setdefault(demand.pool, [0.0] * len(amounts))
             for index, amount in enumerate(amounts):
                 sums[index] += term.sign * amount
         usage_factor = term.sign * math.exp(-term.age_s / decay_s)
+        aging = loads_lib.compute_aging(term.age_s)
         for item in term.work.loads:
-            load = loads.setdefault(item.target, loads_lib.Load())
-            load.add_reported(item, term.age_s, term.sign)
+            load = loads.get(item.target)
+            if load is None:
+                load = loads[item.target] = loads_lib.Load()
+            load.add_reported(item, aging, term.sign)
         for use in term.work.uses:
             amounts = uses.setdefault((use.pool, use.workspace), [0.0, 0.0])
             amounts[0] += use.cost * usage_factor
@@ -90,6 +94,46 @@
     return Work(listed, _list_uses(uses), listed_demands, max(routers, 0))
 
 
+def subtract(work: Work, parts: Iterable[Term], decay_s: float) -> Work:
+    """Returns work without some of the reports that it sums.
+
+    Takes less time than `sum_terms` if most of the work has nothing in common
+    with the reports.
+
+    Args:
+        work: the sum, as of now.
+        parts: reports in the sum, with their ages.
+        decay_s: see `sum_terms`.
+    """
+    parts = [dataclasses.replace(part, sign=-part.sign) for part in parts]
+    targets = {item.target for part in parts for item in part.work.loads}
+    users = {
+        (use.pool, use.workspace) for part in parts for use in part.work.uses
+    }
+    loads: dict[bool, list[messages.TargetLoad]] = {True: [], False: []}
+    for item in work.loads:
+        loads[item.target in targets].append(item)
+    uses: dict[bool, list[messages.WorkspaceUse]] = {True: [], False: []}
+    for use in work.uses:
+        uses[(use.pool, use.workspace) in users].append(use)
+    common = Work(
+        tuple(loads[True]), tuple(uses[True]), work.demands, work.routers
+    )
+    rest = sum_terms([Term(common), *parts], decay_s)
+    return Work(
+        (*loads[False], *rest.loads),
+        (*uses[False], *rest.uses),
+        rest.demands,
+        rest.routers,
+    )
+
+
+# Unlike `dataclasses.astuple`, it copies nothing.
+_read_amounts = operator.attrgetter(
+    *(field.name for field in dataclasses.fields(messages.PoolDemand)[1:])
+)
+
+
 def _list_uses(
     sums: dict[tuple[ids.PoolId, ids.WorkspaceId], list[float]],
 ) -> tuple[messages.WorkspaceUse, ...]:
