Share reads of the target list and retries of failed calls to the store

Cause: targets write their entries every 1.2 s, so the long poll of each router returned at once after each pause, although nothing had changed. In an outage three followers retried each by itself, and a router that could not read took itself for one with a broken connection, since its peers had read further, and read whole lists.

Change: in fleets of more than 16 routers, 8 readers read the list, and the others put their reads off while reports show that peers read on without a change (new field targetsChange). Each reads at the latest 1.2 s after its last read if no report shows that, and 10 s after it in any case. Jobs of a router take turns with retries, and the first answer ends all delays. The time behind peers does not count during a pause. Targets whose entry says that they leave are told to peers.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/cold_targets.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/cold_targets.py
@@ -20,8 +20,8 @@
 
 MAX_RECORD_DELAY_S = 1.5
 """Time, in seconds, after which a record that is read was surely written after
-an event: routers read the records of targets every 0.8 s or more often, and a
-read takes up to 0.5 s."""
+an event: while a target is not known to be warm, a router reads the records of
+targets every 1.0 s or more often, and a read takes up to 0.5 s."""
 REWRITE_S = 2.0
 """Time, in seconds, within which targets write their records again after the
 store is available again, as documented by the platform. Records that are read
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/feed_lag.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/feed_lag.py
@@ -43,6 +43,11 @@
                 self.reread_timer_started_at, now
             )
 
+    def restart_timer(self, now: float) -> None:
+        """Counts the time for which this router is behind from now on."""
+        if self.reread_timer_started_at < now:
+            self.reread_timer_started_at = now
+
     def take_due_reread(self, now: float) -> bool:
         """Returns whether the feed must be read again on a new connection.
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -144,6 +144,14 @@
             self.limits.forget(entry.name)
         return previous
 
+    def take_snapshot(self) -> tuple:
+        """Returns what records determine; equal if nothing has changed."""
+        return (
+            dict(self.entries),
+            dict(self.leaving),
+            dict(self.pending_removals),
+        )
+
     def is_known_as_removed(self, entry: Entry) -> bool:
         """Whether this process of a target was removed from the list lately."""
         removed = self.removed.get(entry.name)
@@ -259,7 +267,7 @@
         }
 
     def find_leaving(self, pool: ids.PoolId) -> dict[ids.TargetId, int]:
-        """Returns the targets of a pool that leave but are listed as ready.
+        """Returns the targets of a pool that are known to leave.
 
         Returns:
             Start of the process (`Entry.start_ms`) by name of the target.
@@ -268,7 +276,6 @@
             name: start_ms
             for name, start_ms in self.leaving.items()
             if self.entries[name].pool == pool
-            and self.entries[name].state is TargetState.READY
         }
 
     def remove(self, name: ids.TargetId, now: float) -> bool:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -418,6 +418,8 @@
         demands: recent demand, by pool.
         evacuations: evacuations that the sender has kept although the store
             lacks them since it came back from an older copy.
+        targets_change: offset after the last record of the target list that
+            changed anything for the sender; 0 if it does not tell.
     """
 
     incarnation: ids.Incarnation
@@ -436,6 +438,7 @@
     routers: int = 0
     demands: tuple[PoolDemand, ...] = ()
     evacuations: tuple[KeptEvacuation, ...] = ()
+    targets_change: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/feeds.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/feeds.py
@@ -1,6 +1,8 @@
 """Router entries of the platform's store, and the lag of its feeds."""
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 from lentilbeam_core import ids
@@ -32,11 +34,23 @@
         lag: positions up to which this router and its peers have read.
         must_reread: set when the reader must read the feed again on a new
             connection.
+        is_held: whether the reader pauses, so that peers may have read further
+            although no connection is broken.
     """
 
     def __init__(self, max_lag_s: float):
         self.lag = feed_lag.FeedLag(max_lag_s)
         self.must_reread = asyncio.Event()
+        self.is_held = False
+
+    @contextlib.contextmanager
+    def hold(self) -> Iterator[None]:
+        """Counts the time behind peers only from the end of this context."""
+        self.is_held = True
+        try:
+            yield
+        finally:
+            self.is_held = False
 
     def note_peer_position(self, position: int, now: float) -> bool:
         """Records a peer's position; returns whether it set `must_reread`.
@@ -46,6 +60,9 @@
             now: monotonic seconds.
         """
         self.lag.note_peer_position(position, now)
+        if self.is_held:
+            self.lag.restart_timer(now)
+            return False
         if not self.lag.take_due_reread(now):
             return False
         self.must_reread.set()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -39,6 +39,7 @@
 from lentilbeam_router.forwarding import prompt_blocks as prompt_blocks_lib
 from lentilbeam_router.forwarding import report_exchange as report_exchange_lib
 from lentilbeam_router.forwarding import request_handler as request_handler_lib
+from lentilbeam_router.forwarding import shared_reads
 from lentilbeam_router.forwarding import target_notices
 from lentilbeam_router.forwarding import wire as wire_lib
 
@@ -61,6 +62,9 @@
 """The same for the target list, in a small and in a large fleet. This router
 pauses for up to 0.4 or 0.8 s between two reads of the list, so it may be behind
 a peer for longer."""
+MAX_OPEN_READ_LAG_S = 0.6
+"""The same for the target list if routers share its reads: only the time for
+which a read is open counts then, and a read takes up to 0.5 s."""
 ROUTERS_AT_MIN_PACE = 16
 """Largest number of routers that read the store at full speed. In larger
 fleets, pauses between reads grow in proportion, so that the rate of calls
@@ -88,6 +92,7 @@
         logged_as_avoided: targets that were logged as avoided.
         configuration_watch: compares the configuration with that of peers.
         targets_watch: compares the target list with that of peers.
+        shared_reads: when the target list is read again, in a large fleet.
         overload: what this router does if it is too busy.
         stop: set on SIGTERM and SIGINT.
         dispatchers: dispatcher of each pool that has had a request.
@@ -141,6 +146,12 @@
             self.targets,
             self.log,
         )
+        self.shared_reads = shared_reads.SharedReads(
+            self.targets,
+            self.cold,
+            self.peers,
+            random.Random(settings.instance),
+        )
         self.report_exchange = report_exchange_lib.ReportExchange(
             settings.instance,
             self.incarnation,
@@ -201,6 +212,11 @@
         pace = self.count_routers() / ROUTERS_AT_MIN_PACE
         return min(max(pace, 1.0), MAX_READ_PACE)
 
+    @property
+    def shares_reads(self) -> bool:
+        """Whether the fleet is so large that routers share reads."""
+        return not self.report_exchange.is_direct
+
     def list_addresses(self) -> list[addresses.Address]:
         """Returns the addresses of all routers that take requests."""
         found = [entry.front for entry in self.peers.find_serving()]
@@ -351,6 +367,8 @@
         self.targets_watch.lag.max_lag_s = min(
             min_lag_s * self.read_pace, max_lag_s
         )
+        if self.shares_reads:
+            self.targets_watch.lag.max_lag_s = MAX_OPEN_READ_LAG_S
 
     def store_lost(
         self, topic: str, detail: str, is_target_topic: bool
@@ -586,6 +604,7 @@
             is_ready=self.is_ready and self.takes_callers,
             leaving=self.is_leaving,
             evacuations=self.evacuations.list_kept(),
+            targets_change=self.shared_reads.pauses.own_change,
         )
 
     def _collect_work(self) -> report_exchange_lib.OwnWork:
@@ -651,6 +670,7 @@
         self, peer: ids.InstanceId, report: messages.LoadReport, now: float
     ) -> None:
         """Checks whether a peer has read the store further."""
+        self.shared_reads.note_report(peer, report, now)
         for name, watch, position in (
             ("configuration", self.configuration_watch, report.version),
             ("targets", self.targets_watch, report.targets_offset),
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
@@ -70,6 +70,8 @@
         is_ready: whether this router may receive requests.
         leaving: whether this router is shutting down.
         evacuations: evacuations that the store lacks.
+        targets_change: offset after the last record of the target list that
+            changed anything.
     """
 
     version: int
@@ -77,6 +79,7 @@
     is_ready: bool
     leaving: bool
     evacuations: tuple[messages.KeptEvacuation, ...] = ()
+    targets_change: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -568,6 +571,7 @@
             routers=work.routers,
             demands=work.demands,
             evacuations=status.evacuations,
+            targets_change=status.targets_change,
         )
         self.link.broadcast(receivers, report)
         return report
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -180,6 +180,7 @@
   routers @14 :UInt16;
   demands @15 :List(PoolDemand);
   evacuations @16 :List(KeptEvacuation);
+  targetsChange @17 :UInt64;
 }
 
 struct StreamOrigin {
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import json
+import random
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core.forwarding import target_list
@@ -11,6 +12,7 @@
 from lentilbeam_router.forwarding import evacuation_control
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import gateway as gateway_lib
+from lentilbeam_router.forwarding import shared_reads
 from tests import virtual_time
 from tests.forwarding import test_platform
 
@@ -28,6 +30,10 @@
         targets_watch: compares the feed of targets with peers.
         routers: number of routers in the fleet.
         evacuations: applies evacuations.
+        targets: an empty list of targets.
+        clock: source of the time; stands still.
+        shares_reads: whether routers share reads.
+        shared_reads: what is known of reads.
     """
 
     def __init__(self):
@@ -36,11 +42,14 @@
         self.configuration_watch = feeds.FeedWatch(0.3)
         self.targets_watch = feeds.FeedWatch(0.9)
         self.routers = 7
+        self.targets = target_list.TargetList()
+        self.clock = clock_lib.ManualClock(virtual_time.START)
         self.evacuations = evacuation_control.EvacuationControl(
-            target_list.TargetList(),
-            self,
-            clock_lib.ManualClock(virtual_time.START),
-            lambda: None,
+            self.targets, self, self.clock, lambda: None
+        )
+        self.shares_reads = False
+        self.shared_reads = shared_reads.SharedReads(
+            self.targets, None, None, random.Random(1)
         )
 
     @property
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -19,6 +19,7 @@
     "stamp": 64,
     "version": 64,
     "targets_offset": 64,
+    "targets_change": 64,
     "running": 16,
     "start_ms": 64,
     "level": 8,
