Refuse early at a flooded router, with one log line a second

A late router accepted its connections in the order in which they came and could not prefer anyone.

Change: while connections are limited, the head of a request is read and decided on before its connection is opened (early_refusal); it is opened with what was read if it is served, or not read whole. Requests of workspaces below their fair share are opened although as many wait as may. A late router logs numbers of refusals once a second (refused_many). While late, can_finish applies whether or not timers are late.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/overload_budget.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/overload_budget.py
@@ -14,6 +14,7 @@
 import math
 
 from lentilbeam_core.forwarding import decayed
+from lentilbeam_core.forwarding import processor_load
 
 UNMEASURED_FACTOR = 1.5
 """Processor time of a refused request, including its connection, relative to
@@ -63,7 +64,7 @@
 
     def __init__(self, settings: Settings):
         self.settings = settings
-        self._took_s = INITIAL_REFUSAL_S / UNMEASURED_FACTOR
+        self._refusal_s = INITIAL_REFUSAL_S
         self._begun = decayed.DecayingSum()
         self._left_s = settings.inside_s
         self._refilled_at = -math.inf
@@ -71,20 +72,15 @@
     def estimate_refusal_cost(self) -> float:
         """Returns the time of a refusal and its connection, in seconds."""
         shortest_s, longest_s = REFUSAL_RANGE_S
-        cost_s = self._took_s * UNMEASURED_FACTOR
-        return min(max(cost_s, shortest_s), longest_s)
+        return min(max(self._refusal_s, shortest_s), longest_s)
 
-    def note_refused(self, took_s: float) -> float:
+    def note_refused(self, took_s: float) -> None:
         """Records a refusal.
 
         Args:
-            took_s: seconds from its turn to its response.
-
-        Returns:
-            The time that a refusal takes with its connection, in seconds.
+            took_s: seconds that it took, with its connection.
         """
-        self._took_s += (took_s - self._took_s) * MEASUREMENT_WEIGHT
-        return self.estimate_refusal_cost()
+        self._refusal_s += (took_s - self._refusal_s) * MEASUREMENT_WEIGHT
 
     def note_accepted(self, now: float) -> None:
         """Records that a connection was accepted, to be refused or not."""
@@ -114,10 +110,20 @@
         if waited_s >= self.settings.inside_s:
             return 0
         cost_s = self.estimate_refusal_cost()
-        free = int(self.settings.inside_s / cost_s) - waiting
         if not is_limited:
-            return max(free, 1)
-        return max(min(free, int(self._left_s / cost_s)), 0)
+            return max(int(self.settings.inside_s / cost_s) - waiting, 1)
+        return max(int(self._left_s / cost_s), 0)
+
+    def count_openable(self, waiting: int, request_s: float) -> int:
+        """Returns how many requests may begin to wait for their turn.
+
+        Args:
+            waiting: number of those that wait.
+            request_s: cost of a request, in seconds; 0 if it is unknown.
+        """
+        begin_s = processor_load.BEGIN_WEIGHT * request_s
+        cost_s = max(begin_s, self.estimate_refusal_cost())
+        return max(int(self.settings.inside_s / cost_s), 1) - waiting
 
     def find_queue_length(self, now: float) -> int:
         """Returns the length of the accept queue of an overloaded router.
--- a/packages/lentilbeam-router/src/lentilbeam_router/caller_protocol.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/caller_protocol.py
@@ -52,6 +52,7 @@
             have arrived, monotonic seconds; None if it is that of the last
             poll.
         caller: caller of the newest request; None before the first.
+        initial_data: bytes that were read before the connection was opened.
     """
 
     def __init__(self, poll_times: poll_times_lib.PollTimes, **arguments):
@@ -59,6 +60,7 @@
         self.poll_times = poll_times
         self.unread_since: float | None = None
         self.caller: Caller | None = None
+        self.initial_data = b""
 
     def connection_made(self, transport) -> None:
         """Notes when the connection may have been opened (see asyncio)."""
@@ -66,6 +68,8 @@
         if self.unread_since is None:
             before = self.poll_times.before_read_until
             self.unread_since = before[POLLS_TO_CONNECTION - 1]
+        if self.initial_data:
+            self.data_received(self.initial_data)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes (called by asyncio)."""
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
@@ -7,12 +7,14 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import enum
 import socket
 import struct
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_router import caller_protocol
 from lentilbeam_router.forwarding import decision_log
+from lentilbeam_router.forwarding import early_refusal
 from lentilbeam_router.forwarding import overload as overload_lib
 from lentilbeam_router.forwarding import turns as turns_lib
 
@@ -33,6 +35,15 @@
 """State and milliseconds since data was last received, at the beginning of
 `struct tcp_info` of Linux."""
 
+
+class Outcome(enum.Enum):
+    """What became of an accepted connection."""
+
+    LEFT = "left"
+    REFUSED = "refused"
+    OPENED = "opened"
+
+
 BuildProtocol = Callable[[], caller_protocol.CallerProtocol]
 
 
@@ -70,6 +81,7 @@
         turns: requests that wait for their turn.
         clock: source of monotonic time.
         log: log of decisions.
+        early: refuses requests before their connections are opened.
         sock: the listening socket; None before `start` and after `stop`.
         backlog: length of its accept queue.
         left: connections that were closed because their callers had left.
@@ -81,11 +93,13 @@
         turns: turns_lib.TurnQueue,
         clock: clock_lib.Clock,
         log: decision_log.DecisionLog,
+        early: early_refusal.EarlyRefusal,
     ):
         self.overload = overload
         self.turns = turns
         self.clock = clock
         self.log = log
+        self.early = early
         self.sock: socket.socket | None = None
         self.backlog = BACKLOG
         self.left = 0
@@ -113,19 +127,29 @@
 
     def _accept(self) -> None:
         """Accepts what may be accepted in this iteration."""
-        acceptable = min(
-            self.overload.count_acceptable(
-                len(self.turns.waiting), self.turns.waited_s
-            ),
-            BACKLOG,
+        waiting = len(self.turns.waiting) + len(self._opening)
+        acceptable = self.overload.count_acceptable(
+            waiting, self.turns.waited_s
         )
+        is_limited = not self.overload.takes_callers
+        openable = BACKLOG
+        if is_limited:
+            openable = self.overload.count_openable(waiting)
+        # Requests of workspaces below their fair share find room nevertheless.
+        reserve = max(openable, 1)
         self._limit_queue()
-        if acceptable <= 0:
+        if min(acceptable, openable + reserve) <= 0:
+            self.overload.note_unaccepted()
             self._pause(PAUSE_S)
             return
+        until = self.clock.monotonic() + turns_lib.MAX_TURN_S
         for _ in range(BACKLOG):
-            if acceptable <= 0:
+            if (
+                min(acceptable, openable + reserve) <= 0
+                or self.clock.monotonic() > until
+            ):
                 # The others are accepted in the next iteration.
+                self.overload.note_unaccepted()
                 return
             try:
                 connection, _ = self.sock.accept()
@@ -135,36 +159,72 @@
                 self.log.write_event("accept_failed", detail=str(error))
                 self._pause(FAILURE_PAUSE_S)
                 return
-            acceptable -= self._open(connection)
-
-    def _open(self, connection: socket.socket) -> bool:
-        """Opens an accepted connection; returns whether it still has a caller.
+            if is_limited:
+                outcome = self._read_early(connection, openable <= 0)
+            else:
+                outcome = Outcome.OPENED
+                self.overload.note_accepted()
+                self._open(connection, None, b"")
+            acceptable -= outcome is not Outcome.LEFT
+            openable -= outcome is Outcome.OPENED
+
+    def _read_early(self, connection: socket.socket, is_full: bool) -> Outcome:
+        """Opens a connection, unless its request is refused at once.
 
         While connections are limited, how long they have waited in the accept
-        queue is not bounded by the polls of the event loop.
+        queue is not bounded by the polls of the event loop, so TCP is asked.
+
+        Args:
+            connection: an accepted connection.
+            is_full: whether requests of workspaces that have had their fair
+                share are refused.
         """
-        unread_since = None
-        if not self.overload.takes_callers:
-            state = read_state(connection)
-            if state.has_left:
-                self.left += 1
-                connection.close()
-                return False
-            unread_since = self.clock.monotonic() - state.age_s
+        began_at = self.clock.monotonic()
+        state = read_state(connection)
+        if state.has_left:
+            self.left += 1
+            connection.close()
+            return Outcome.LEFT
+        unread_since = began_at - state.age_s
         self.overload.note_accepted()
+        data = self.early.read(connection, unread_since, is_full)
+        if data is None:
+            took_s = self.clock.monotonic() - began_at
+            self.overload.note_refused(took_s, is_whole=True)
+            return Outcome.REFUSED
+        self._open(connection, unread_since, data)
+        return Outcome.OPENED
+
+    def _open(
+        self,
+        connection: socket.socket,
+        unread_since: float | None,
+        data: bytes,
+    ) -> None:
+        """Opens an accepted connection.
+
+        Args:
+            connection: the connection.
+            unread_since: when its first request arrived, monotonic seconds;
+                None if the polls of the event loop tell it.
+            data: what was read already.
+        """
         opening = asyncio.get_running_loop().create_task(
-            self._connect(connection, unread_since)
+            self._connect(connection, unread_since, data)
         )
         self._opening.add(opening)
         opening.add_done_callback(self._opening.discard)
-        return True
 
     async def _connect(
-        self, connection: socket.socket, unread_since: float | None
+        self,
+        connection: socket.socket,
+        unread_since: float | None,
+        data: bytes,
     ) -> None:
         def build() -> caller_protocol.CallerProtocol:
             protocol = self._build_protocol()
             protocol.unread_since = unread_since
+            protocol.initial_data = data
             return protocol
 
         loop = asyncio.get_running_loop()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -28,6 +28,7 @@
 from lentilbeam_router.forwarding import connection_pool
 from lentilbeam_router.forwarding import decision_log
 from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
+from lentilbeam_router.forwarding import early_refusal
 from lentilbeam_router.forwarding import evacuation_control
 from lentilbeam_router.forwarding import feeds
 from lentilbeam_router.forwarding import forwarder as forwarder_lib
@@ -184,7 +185,11 @@
             codec, self, clock, self.metrics, self.log
         )
         self.accept_control = accept_control.AcceptControl(
-            self.overload, self.request_handler.turns, clock, self.log
+            self.overload,
+            self.request_handler.turns,
+            clock,
+            self.log,
+            early_refusal.EarlyRefusal(codec, self),
         )
 
     @property
@@ -239,6 +244,7 @@
     def note_lateness(self, due_at: float) -> None:
         """Updates `overload`; see `Overload.note_lateness`."""
         self.overload.note_lateness(due_at, self.request_handler.active)
+        self.request_handler.refusals.flush_if_due()
 
     def find_dispatcher(self, pool: ids.PoolId) -> dispatcher_lib.Dispatcher:
         """Returns the dispatcher of a pool, created on first use.
@@ -404,6 +410,9 @@
             "request_processor_s": self.overload.load.estimate_cost(),
             "processor_backlog_s": self.overload.load.read_backlog(now),
             "requests_active": self.request_handler.active,
+            "requests_refused_early": self.accept_control.early.refused,
+            "connections_left_unread": self.accept_control.left,
+            "accept_queue_limit": self.accept_control.backlog,
             "peers_listed": len(self.peers.listed),
             "peers_serving": len(self.peers.find_serving()),
             "targets_listed": len(self.targets.entries),
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
@@ -118,8 +118,7 @@
             request: the request.
             has_had_fair_share: whether its workspace has had its fair share.
         """
-        level = self.find_level()
-        if level is lateness_lib.Level.ON_TIME:
+        if self.takes_callers:
             return False
         now = self.clock.monotonic()
         waited_s = now - request.arrived_at
@@ -130,34 +129,46 @@
                 self.load.read_backlog(now), has_had_fair_share()
             )
         # What a request costs is not known yet.
-        return level is lateness_lib.Level.STALLED or has_had_fair_share()
+        level = self.find_level()
+        if level is lateness_lib.Level.LATE:
+            return has_had_fair_share()
+        return level is lateness_lib.Level.STALLED
 
     def can_finish(self, request: requests.Request) -> bool:
         """Whether a new request can be served whole before its deadline."""
-        if not self._is_behind:
+        if self.takes_callers and not self._is_behind:
             return True
         now = self.clock.monotonic()
         left_s = request.deadline_at - now
         return self.load.can_finish(request.route.name, left_s, now)
 
     def count_acceptable(self, waiting: int, waited_s: float) -> int:
-        """Returns how many of the connections that wait may be accepted now.
-
-        A router that limits them counts as late until all are accepted: the
-        limit may be all that keeps it on time.
+        """Returns how many connections may be accepted now.
 
         Args:
             waiting: number of requests that were read and are not yet handled.
             waited_s: for how long the first of these has waited, in seconds.
         """
-        now = self.clock.monotonic()
-        is_limited = not self.takes_callers
-        acceptable = self.budget.count_acceptable(
-            waiting, waited_s, is_limited, now
+        return self.budget.count_acceptable(
+            waiting, waited_s, not self.takes_callers, self.clock.monotonic()
         )
-        if is_limited and acceptable <= 0:
-            self.lateness.last_late_at = now
-        return acceptable
+
+    def note_unaccepted(self) -> None:
+        """Records that connections were left in the accept queue.
+
+        A router that limits them goes on to count as late: the limit may be
+        all that keeps it on time.
+        """
+        if not self.takes_callers:
+            self.lateness.last_late_at = self.clock.monotonic()
+
+    def count_openable(self, waiting: int) -> int:
+        """Returns how many requests may begin to wait for their turn.
+
+        Args:
+            waiting: number of requests that were read and are not yet handled.
+        """
+        return self.budget.count_openable(waiting, self.load.estimate_cost())
 
     def find_listen_backlog(self, usual: int) -> int:
         """Returns the length of the accept queue.
@@ -180,14 +191,18 @@
         self.load.note_begun(now)
         self.budget.note_begun(now)
 
-    def note_refused(self, took_s: float) -> None:
+    def note_refused(self, took_s: float, is_whole: bool = False) -> None:
         """Records that a request was refused because of the load.
 
         Args:
-            took_s: seconds from its turn to its response.
+            took_s: seconds that the refusal took.
+            is_whole: whether these include all that was done for its
+                connection; else they count from its turn.
         """
-        now = self.clock.monotonic()
-        self.load.note_refused(now, self.budget.note_refused(took_s))
+        if not is_whole:
+            took_s *= overload_budget.UNMEASURED_FACTOR
+        self.budget.note_refused(took_s)
+        self.load.note_refused(self.clock.monotonic(), took_s)
 
     def find_retry_delay(
         self, refused: decisions_lib.Refused, can_retry_elsewhere: bool
--- /dev/null
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/refusal_log.py
@@ -0,0 +1,74 @@
+"""Log lines of requests that are refused because a router is too busy.
+
+A line for each would take a late router more time the more it refuses. While
+it is late, it writes one line a second with the numbers of refusals.
+"""
+
+import collections
+
+from lentilbeam_core import clock as clock_lib
+from lentilbeam_core.forwarding import decisions as decisions_lib
+from lentilbeam_router.forwarding import decision_log
+
+INTERVAL_S = 1.0
+"""Time between two lines with numbers, in seconds."""
+MAX_WORKSPACES = 20
+"""Largest number of workspaces in a line, those with most refusals."""
+
+
+class RefusalLog:
+    """Writes refusals one by one, or their numbers while the router is late.
+
+    Attributes:
+        clock: source of monotonic time.
+        log: log of decisions.
+        counts: refusals that were not written yet, by reason and workspace.
+        since: when the first of these was counted, monotonic seconds.
+    """
+
+    def __init__(self, clock: clock_lib.Clock, log: decision_log.DecisionLog):
+        self.clock = clock
+        self.log = log
+        self.counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.since = 0.0
+
+    def note(self, refused: decisions_lib.Refused, is_late: bool) -> None:
+        """Records a refusal.
+
+        Args:
+            refused: the refusal.
+            is_late: whether refusals are only counted.
+        """
+        request = refused.request
+        if not is_late:
+            self.log.write_request_event(
+                request.request_id,
+                "refused",
+                reason=refused.reason.value,
+                retry_after_s=round(refused.retry_after_s, 2),
+                workspace=request.workspace,
+            )
+            return
+        if not self.counts:
+            self.since = self.clock.monotonic()
+        self.counts[refused.reason.value, request.workspace] += 1
+
+    def flush_if_due(self) -> None:
+        """Writes the numbers of refusals once a second."""
+        now = self.clock.monotonic()
+        if not self.counts or now - self.since < INTERVAL_S:
+            return
+        by_reason: dict[str, dict[str, int]] = {}
+        for (reason, workspace), number in self.counts.most_common(
+            MAX_WORKSPACES
+        ):
+            by_reason.setdefault(reason, {})[workspace] = number
+        self.log.write_event(
+            "refused_many",
+            number=self.counts.total(),
+            reasons=by_reason,
+            seconds=round(now - self.since, 2),
+        )
+        self.counts.clear()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from lentilbeam_core import clock as clock_lib
-from lentilbeam_core import ids
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import request_identity
 from lentilbeam_core.forwarding import requests
@@ -17,6 +16,8 @@
 from lentilbeam_router.forwarding import body_reader
 from lentilbeam_router.forwarding import caller_channel
 from lentilbeam_router.forwarding import decision_log
+from lentilbeam_router.forwarding import refusal_log
+from lentilbeam_router.forwarding import request_builder
 from lentilbeam_router.forwarding import turns as turns_lib
 from lentilbeam_router.forwarding import wire as wire_lib
 
@@ -42,6 +43,7 @@
         log: log of decisions.
         active: number of requests that are being served.
         turns: requests that wait until the event loop has time for them.
+        refusals: writes log lines of refusals.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.log = log
         self.active = 0
         self.turns = turns_lib.TurnQueue(gateway.poll_times, clock)
+        self.refusals = refusal_log.RefusalLog(clock, log)
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one HTTP request; ignores other ASGI scopes."""
@@ -125,18 +128,9 @@
             arrived_at,
             handled_at - arrived_at,
         )
-        if request is not None and self._is_refused(request_head, request):
+        if request is not None and self.is_refused(request_head, request):
             refused_at = self.clock.monotonic()
-            refused = self.gateway.refuse_as_busy(request)
-            self.log.write_request_event(
-                request.request_id,
-                "refused",
-                reason=refused.reason.value,
-                retry_after_s=round(refused.retry_after_s, 2),
-                workspace=request.workspace,
-            )
-            self.metrics.count("request.refused")
-            await channel.respond(503, refused.retry_after_s)
+            await channel.respond(503, self.refuse(request))
             self.gateway.overload.note_refused(
                 self.clock.monotonic() - refused_at
             )
@@ -149,7 +143,14 @@
                 request_head, body, request, channel, receive, caller
             )
 
-    def _is_refused(
+    def refuse(self, request: requests.Request) -> float:
+        """Records that a request is refused; returns when to retry, in s."""
+        refused = self.gateway.refuse_as_busy(request)
+        self.refusals.note(refused, is_late=not self.gateway.takes_callers)
+        self.metrics.count("request.refused")
+        return refused.retry_after_s
+
+    def is_refused(
         self, request_head: wire_lib.RequestHead, request: requests.Request
     ) -> bool:
         """Whether this router is too busy for a request.
@@ -184,39 +185,18 @@
         Requests are refused if there is no configuration, and denied if they
         are invalid or not allowed.
         """
-        current = self.gateway.configuration.current
-        if current is None:
+        try:
+            return request_builder.build(
+                self.gateway, request_head, len(body), arrived_at, unread_s
+            )
+        except request_builder.NoConfigurationError:
             self.log.write_request_event(
                 request_head.request_id, "refused", reason="no_configuration"
             )
             await channel.respond(503, NO_CONFIGURATION_RETRY_S)
-            return None
-        route = current.find_route(request_head.host, request_head.path)
-        if route is None:
-            await self._deny(channel, 404, "no route", current.version)
-            return None
-        workspace = ids.WorkspaceId("")
-        if current.requires_api_key and not route.is_public:
-            found = current.workspaces.get(request_head.api_key or "")
-            if found is None:
-                await self._deny(channel, 401, "unknown key", current.version)
-                return None
-            workspace = found
-        timeout_s = route.timeout_s
-        if request_head.deadline_s is not None:
-            timeout_s = min(timeout_s, request_head.deadline_s)
-        return requests.Request(
-            request_id=request_head.request_id,
-            workspace=workspace,
-            route=route,
-            pool=configuration.choose_pool(route, self.gateway.rng.random()),
-            arrived_at=arrived_at,
-            deadline_at=arrived_at + timeout_s,
-            prompt=request_head.prompt,
-            configuration_version=current.version,
-            body_bytes=len(body),
-            unread_s=unread_s,
-        )
+        except request_builder.DeniedError as error:
+            await self._deny(channel, error.status, error.reason, error.version)
+        return None
 
     async def _forward(
         self,
--- a/tests/forwarding/flooded_router.py
+++ b/tests/forwarding/flooded_router.py
@@ -31,6 +31,9 @@
 before it was accepted."""
 REFUSAL_S = base.REFUSAL_S - ACCEPT_S
 """Processor time, in seconds, to read and refuse a request."""
+EARLY_REFUSAL_S = 0.00028
+"""Processor time, in seconds, to accept a connection, read its request and
+refuse it before the connection is opened (bench.flood: 0.25 to 0.28 ms)."""
 CONNECT_TIMEOUT_S = 1.0
 """Time, in seconds, after which a caller gives up a connection that the full
 accept queue doesn't take."""
@@ -310,11 +313,19 @@
         if not self.unaccepted:
             return
         waited_s = polled_at - self.waiting[0][0] if self.waiting else 0.0
-        acceptable = min(
-            self.overload.count_acceptable(len(self.waiting), waited_s),
-            accept_control.BACKLOG,
-        )
-        while self.unaccepted and acceptable > 0:
+        waiting = len(self.waiting)
+        acceptable = self.overload.count_acceptable(waiting, waited_s)
+        is_limited = not self.overload.takes_callers
+        openable = accept_control.BACKLOG
+        if is_limited:
+            openable = self.overload.count_openable(waiting)
+        reserve = max(openable, 1)
+        until = polled_at + turns.MAX_TURN_S
+        while self.unaccepted:
+            now = self.clock.monotonic()
+            if min(acceptable, openable + reserve) <= 0 or now > until:
+                self.overload.note_unaccepted()
+                return
             attempt = self.unaccepted.popleft()
             self.accepted_at.append(self.now)
             if attempt.is_given_up:
@@ -323,9 +334,31 @@
                 continue
             acceptable -= 1
             self.overload.note_accepted()
+            if is_limited and self._refuse_early(attempt, openable <= 0):
+                continue
+            openable -= 1
             self._work(ACCEPT_S)
             self.accepted.append(attempt)
 
+    def _refuse_early(self, attempt: Attempt, is_full: bool) -> bool:
+        """Reads a request before its connection is opened.
+
+        Returns whether it is refused.
+        """
+        began_at = self.clock.monotonic()
+        attempt.is_read = True
+        self._work(EARLY_REFUSAL_S)
+        if not self._is_refused(attempt) and not (
+            is_full and attempt.workspace.has_had_fair_share
+        ):
+            return False
+        self.attempts += 1
+        self.refused_at.append(self.now)
+        took_s = self.clock.monotonic() - began_at
+        self.overload.note_refused(took_s, is_whole=True)
+        self._come_back(attempt)
+        return True
+
     def _pass_on(self, sent_at: float, attempt: Attempt) -> None:
         """Passes on an event of a stream."""
         now = self.clock.monotonic()
@@ -381,8 +414,12 @@
         ) or not self.overload.can_finish(attempt)
 
     def _refuse(self, attempt: Attempt, began_at: float) -> None:
+        self.overload.note_refused(self.clock.monotonic() - began_at)
+        self._come_back(attempt)
+
+    def _come_back(self, attempt: Attempt) -> None:
+        """Sends a refused request again."""
         now = self.clock.monotonic()
-        self.overload.note_refused(now - began_at)
         retry_s = 0.0
         if attempt.workspace.waits_as_told:
             left_s = attempt.deadline_at - now
--- a/tests/forwarding/test_flood.py
+++ b/tests/forwarding/test_flood.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import itertools
+import re
 import socket
 import time
 import types
@@ -16,12 +17,18 @@
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core import poll_times
+from lentilbeam_core.forwarding import decisions
 from lentilbeam_core.forwarding import overload_budget
+from lentilbeam_platform import call_wire
 from lentilbeam_router import addresses
 from lentilbeam_router.forwarding import accept_control
+from lentilbeam_router.forwarding import early_refusal
 from lentilbeam_router.forwarding import listening
+from lentilbeam_router.forwarding import refusal_log
 from lentilbeam_router.forwarding import turns
 from tests.forwarding import flooded_router
+from tests.forwarding import in_process_router
+from tests.forwarding import makers
 from tests.forwarding import overloaded_router
 
 FLOOD_AT_S = 5
@@ -70,6 +77,67 @@
     assert on_time >= 0.95 * len(sent)
 
 
+def run_flood_beside(factor, small_load, waits_as_told, seed=1):
+    """Returns a router that one workspace floods beside another, small one."""
+    flood = flooded_router.Workspace(
+        "flood",
+        [0.0] * FLOOD_AT_S + [factor] * (FLOOD_END_S - FLOOD_AT_S),
+        waits_as_told=waits_as_told,
+        ends_at_s=FLOOD_END_S,
+    )
+    small = flooded_router.Workspace(
+        "small",
+        [small_load] * FLOOD_END_S,
+        waits_as_told=waits_as_told,
+        has_had_fair_share=False,
+    )
+    router = flooded_router.FloodedRouter([flood, small], seed)
+    router.run(FLOOD_END_S)
+    return router
+
+
+def count_served(router, workspace, to_s):
+    """Returns the fraction of a workspace's calls that were served whole.
+
+    Args:
+        router: a router after a flood.
+        workspace: name of the workspace.
+        to_s: calls that were sent from `FLOOD_AT_S` to this time count.
+    """
+    sent = sum(
+        name == workspace and FLOOD_AT_S <= at < to_s
+        for name, at in router.sent_calls
+    )
+    first_s = flooded_router.FIRST_S
+    served = sum(
+        attempt.events == overloaded_router.EVENTS
+        for attempt in router.begun
+        if attempt.workspace.name == workspace
+        and FLOOD_AT_S <= attempt.first_sent_at - first_s < to_s
+    )
+    return served / sent
+
+
+# Guards against a flood that crowds out another workspace at the same router:
+# its requests are to be served although its callers hardly get a connection.
+@pytest.mark.parametrize("waits_as_told", [False, True])
+def test_small_workspace_beside_a_flood_gets_what_it_asks_for(waits_as_told):
+    router = run_flood_beside(10, 0.1, waits_as_told)
+    complete_by = FLOOD_END_S - overloaded_router.TIMEOUT_S - RECOVERY_S
+    assert count_served(router, "small", complete_by) >= 0.95
+
+
+# Guards against a workspace that gets nothing because it floods.
+@pytest.mark.parametrize("waits_as_told", [False, True])
+def test_workspace_that_floods_gets_half_of_what_is_left(waits_as_told):
+    small_load = 0.1
+    router = run_flood_beside(10, small_load, waits_as_told)
+    served = router.find_least_served(
+        FLOOD_AT_S, FLOOD_END_S - RECOVERY_S, WINDOW_S, "flood"
+    )
+    assert served >= (1 - small_load) / 2
+
+
 # Guards against requests that wait in the process until they are useless.
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("has_quota", [False, True])
@@ -115,11 +183,20 @@
     return types.SimpleNamespace(
         count_acceptable=lambda waiting, waited_s: acceptable - len(accepted),
         find_listen_backlog=lambda usual: usual if takes_callers else 8,
+        count_openable=lambda waiting: acceptable,
         note_accepted=lambda: accepted.append(True),
+        note_unaccepted=lambda: None,
+        note_refused=lambda took_s, is_whole: None,
         takes_callers=takes_callers,
     )
 
 
+def read_early(connection, arrived_at, is_full):
+    """Reads a request that is not refused."""
+    del arrived_at, is_full
+    return connection.recv(early_refusal.READ_BYTES)
+
+
 def block(seconds):
     """Makes the event loop stand still."""
     time.sleep(seconds)
@@ -131,7 +208,11 @@
     clock = clock_lib.SystemClock()
     times = poll_times.PollTimes(clock.monotonic())
     control = accept_control.AcceptControl(
-        overload, turns.TurnQueue(times, clock), clock, None
+        overload,
+        turns.TurnQueue(times, clock),
+        clock,
+        None,
+        types.SimpleNamespace(read=read_early),
     )
     sock = listening.open_socket(addresses.Address("127.0.0.1", 0))
     server = listening.build_server(app, times, control)
@@ -205,6 +286,83 @@
     assert control.backlog == accept_control.BACKLOG
 
 
+def read_request(request, refuses, has_had_fair_share=False, is_full=False):
+    """Reads a request early; returns what was read, the response and the log.
+
+    Args:
+        request: the bytes of the request.
+        refuses: whether the router is too busy for it.
+        has_had_fair_share: whether its workspace has had its fair share.
+        is_full: see `EarlyRefusal.read`.
+    """
+    router = in_process_router.InProcessRouter([makers.make_target("t")])
+    gateway = router.gateway
+    gateway.request_handler = router.request_handler
+    gateway.is_too_late_for = lambda request: refuses
+    gateway.takes_callers = False
+    router.dispatcher.has_had_fair_share = lambda name: has_had_fair_share
+    early = early_refusal.EarlyRefusal(call_wire.CODEC, gateway)
+    caller, connection = socket.socketpair()
+    connection.setblocking(False)
+    with caller, connection:
+        caller.sendall(request)
+        found = early.read(connection, time.monotonic(), is_full)
+        response = caller.recv(1000) if found is None else b""
+    return found, response, router
+
+
+REQUEST = (
+    b"POST /look/1 HTTP/1.1\r\nHost: studio.example\r\nRequest-Id: r-1\r\n"
+    b"Api-Key: key-1\r\nContent-Length: 4\r\n\r\nbody"
+)
+
+
+# Guards against refusals that callers can't read, or that aren't counted.
+def test_early_refusal_is_complete():
+    found, response, router = read_request(REQUEST, refuses=True)
+    head = response.lower()
+    assert found is None
+    assert head.startswith(b"http/1.1 503 ")
+    assert b"\r\nrequest-id: r-1\r\n" in head
+    assert b"\r\nconnection: close\r\n" in head
+    assert 0.2 <= float(re.search(rb"retry-after: (\S+)", head)[1]) <= 0.7
+    assert head.endswith(b"\r\n\r\n")
+    assert router.dispatcher.usage.asked
+    assert router.request_handler.metrics.counters["request.refused"] == 1
+    assert router.request_handler.refusals.counts.total() == 1
+
+
+# Guards against callers below their fair share that a full router refuses, and
+# against requests that are lost or refused although they aren't read whole.
+def test_only_whole_requests_are_refused_early():
+    assert read_request(REQUEST, refuses=False)[0] == REQUEST
+    full = {"refuses": False, "is_full": True}
+    assert read_request(REQUEST, **full)[0] == REQUEST
+    assert read_request(REQUEST, **full, has_had_fair_share=True)[0] is None
+    for data in (REQUEST[:-1], REQUEST * 2, b"nonsense\r\n\r\n"):
+        assert read_request(data, refuses=True)[0] == data
+    unknown = REQUEST.replace(b"key-1", b"key-2")
+    assert read_request(unknown, refuses=True)[0] == unknown
+
+
+# Guards against a log that grows with the refusals of a late router.
+def test_late_router_logs_numbers_of_refusals():
+    router = in_process_router.InProcessRouter([makers.make_target("t")])
+    clock = clock_lib.ManualClock(clock_lib.SystemClock().now())
+    refusals = refusal_log.RefusalLog(clock, router.request_handler.log)
+    refused = decisions.Refused(
+        makers.make_request("r"), decisions.RefusalReason.ROUTER_BUSY, 0.3
+    )
+    for _ in range(500):
+        refusals.note(refused, is_late=True)
+        refusals.flush_if_due()
+        clock.advance(0.005)
+    lines = router.read_log().splitlines()
+    assert len(lines) == 2
+    assert b'"number":201' in lines[0]
+    assert b'"router_busy":{"ashby":201}' in lines[0]
+
+
 # Guards against requests that are handled out of order, and against a turn that
 # resumes all that wait.
 def test_requests_get_their_turns_in_order():
