Refuse at a stalled router only what would miss its goal

Cause: found by reading. Begun work counted for a second after any lateness, also at a router with time to spare, whose cost of a request includes the reports of a relay. And a router whose processor is starved began requests whose first event would be late.

A stalled router refuses a request whose goal would be over if it waited for as long as timers are late. A system whose TCP does not tell the state of a connection is taken to say that its data has just arrived.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
@@ -63,12 +63,16 @@
 def read_state(connection: socket.socket) -> Unread:
     """Returns the state of an accepted connection, as TCP tells it.
 
+    A system that tells less is taken to say that the data has just arrived.
+
     Raises:
-        OSError: the connection is no TCP connection.
+        OSError: the connection was closed, or TCP tells nothing.
     """
     info = connection.getsockopt(
         socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_FORMAT.size
     )
+    if len(info) < TCP_INFO_FORMAT.size:
+        return Unread(has_left=False, age_s=0.0)
     state, age_ms = TCP_INFO_FORMAT.unpack(info)
     return Unread(state in LEFT_STATES, age_ms / 1000)
 
@@ -180,7 +184,11 @@
                 share are refused.
         """
         began_at = self.clock.monotonic()
-        state = read_state(connection)
+        try:
+            state = read_state(connection)
+        except OSError as error:
+            self.log.write_event("accept_failed", detail=str(error))
+            state = Unread(has_left=False, age_s=0.0)
         if state.has_left:
             self.left += 1
             connection.close()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
@@ -124,12 +124,21 @@
         waited_s = now - request.arrived_at
         if waited_s > request.route.goal_s * MAX_WAITED_FRACTION:
             return True
+        level = self.find_level()
+        if level is lateness_lib.Level.STALLED:
+            # Its first event would wait about as long as timers do.
+            waited_s += self.lateness.late_s
+            if waited_s > request.route.goal_s:
+                return True
         if self.load.estimate_cost() > 0:
-            return self.budget.is_full(
+            # Work that was begun counts only while it may make requests late.
+            is_busy = level is not lateness_lib.Level.ON_TIME or (
+                self.load.busy_fraction >= self.load.settings.busy_fraction
+            )
+            return is_busy and self.budget.is_full(
                 self.load.read_backlog(now), has_had_fair_share()
             )
         # What a request costs is not known yet.
-        level = self.find_level()
         if level is lateness_lib.Level.LATE:
             return has_had_fair_share()
         return level is lateness_lib.Level.STALLED
