Test short floods and usual loads at the emulated flooded router

Cause: test_overload's emulation has no connections, and it refuses by level, which the router no longer does while the cost of a request is known.

Change: the short overloads of test_overload (3 and 6 times the capacity for 4 s) and a usual load (0.75) run in the emulation with connections, too.

--- a/tests/forwarding/test_flood.py
+++ b/tests/forwarding/test_flood.py
@@ -20,32 +20,54 @@
 
 FLOOD_AT_S = 5
 FLOOD_END_S = 35
-END_S = 47
+CALM_S = 12
 RECOVERY_S = 2
 WINDOW_S = 6
 USUAL = 0.6
 
 
-def run_flood(seed, has_quota, waits_as_told=False, factor=10):
-    """Returns a router after a flood, with a usual load before and after."""
+def run_flood(
+    seed,
+    has_quota,
+    waits_as_told=False,
+    factor=10,
+    usual_load=USUAL,
+    end_s=FLOOD_END_S,
+):
+    """Returns a router `CALM_S` after the end of a flood.
+
+    Args:
+        seed: seed of the arrivals.
+        has_quota: see `FloodedRouter`.
+        waits_as_told: see `Workspace`.
+        factor: load of the flood, relative to the capacity.
+        usual_load: load before and after it, likewise.
+        end_s: when it ends, in seconds.
+    """
     usual = flooded_router.Workspace(
         "usual",
-        [USUAL] * FLOOD_AT_S
-        + [0.0] * (FLOOD_END_S - FLOOD_AT_S)
-        + [USUAL] * (END_S - FLOOD_END_S),
+        [usual_load] * FLOOD_AT_S
+        + [0.0] * (end_s - FLOOD_AT_S)
+        + [usual_load] * CALM_S,
         has_had_fair_share=False,
     )
     flood = flooded_router.Workspace(
         "flood",
-        [0.0] * FLOOD_AT_S + [factor] * (FLOOD_END_S - FLOOD_AT_S),
+        [0.0] * FLOOD_AT_S + [factor] * (end_s - FLOOD_AT_S),
         waits_as_told=waits_as_told,
-        ends_at_s=FLOOD_END_S,
+        ends_at_s=end_s,
     )
     router = flooded_router.FloodedRouter([usual, flood], seed, has_quota)
-    router.run(END_S)
+    router.run(end_s + CALM_S)
     return router
 
 
+def find_on_time(router, from_s, to_s):
+    """Returns the fraction of calls sent in a time that were on time."""
+    sent = sum(from_s <= at < to_s for _, at in router.sent_calls)
+    return router.count_on_time(from_s, to_s) / sent
+
+
 # Guards against a router that refuses everything for as long as a flood lasts,
 # since refusing keeps it late, and against one that stays overloaded after it.
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -57,9 +79,29 @@
     assert served >= 0.6
     recovered_at = FLOOD_END_S + RECOVERY_S
     assert max(router.refused_at) < recovered_at
-    sent = [at for _, at in router.sent_calls if recovered_at <= at < END_S - 2]
-    on_time = router.count_on_time(recovered_at, END_S - 2)
-    assert on_time >= 0.95 * len(sent)
+    assert find_on_time(router, recovered_at, recovered_at + 8) >= 0.95
+
+
+# Guards against a short overload that outlasts its cause, as `test_overload`
+# does for the processor load alone.
+@pytest.mark.parametrize("usual_load", [0.6, 0.75, 0.85])
+@pytest.mark.parametrize("factor", [3, 6])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_router_recovers_from_a_short_flood(usual_load, factor, seed):
+    end_s = FLOOD_AT_S + 4
+    router = run_flood(seed, False, True, factor, usual_load, end_s)
+    recovered_at = end_s + RECOVERY_S
+    assert find_on_time(router, recovered_at, recovered_at + 8) >= 0.95
+
+
+# Guards against limits that refuse a load that the processor can bear.
+@pytest.mark.parametrize("seed", range(5))
+def test_usual_load_is_not_refused(seed):
+    usual = flooded_router.Workspace("usual", [0.75] * 20)
+    router = flooded_router.FloodedRouter([usual], seed)
+    router.run(20)
+    assert not router.refused_at
+    assert find_on_time(router, 0, 16) == 1.0
 
 
 def run_flood_beside(factor, small_load, waits_as_told, seed=1):
