Fetch prompt parts from targets that get no new requests

Cause: only targets that may get a request counted as holders of a part. In a rolling replacement the parts of a leaving target were processed again at others although it still handed them out; the same for targets in evacuated data centres, and for limited and quiet ones.

Change: if such a target has cached more of the prompt than all others, it is the source of the fetch. Targets that fail are left out.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -11,6 +11,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import random
 
@@ -18,6 +19,7 @@
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import connection_preference
+from lentilbeam_core.forwarding import fetch_sources
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import long_prompts as long_prompts_lib
@@ -140,9 +142,11 @@
     Attributes:
         cached_tokens: leading tokens that each target has cached, in the
             order of the targets.
-        max_cached_tokens: maximum of `cached_tokens`.
-        holder_indexes: indexes of the targets that have cached this maximum;
-            empty if it is 0.
+        max_cached_tokens: maximum of `cached_tokens`, and of what can be
+            fetched from targets that get no new requests.
+        holder_indexes: indexes of the targets that have cached the maximum of
+            `cached_tokens`; empty if it is 0.
+        sources: targets that have cached `max_cached_tokens`.
         shared_tokens: length of all parts but the last, which is rarely
             shared.
         home_target: target chosen by rendezvous hashing, so that all routers
@@ -152,6 +156,7 @@
     cached_tokens: list[int]
     max_cached_tokens: int
     holder_indexes: list[int]
+    sources: tuple[target_list.Entry, ...]
     shared_tokens: int
     home_target: ids.TargetId
 
@@ -169,6 +174,8 @@
         rates: settings of the prefill rates of the pool's targets.
         long_prompts: assignment of long prompts to a few targets.
         pool_size: number of targets of the last placement.
+        list_sources: returns targets that hand out prompt parts, whether or
+            not they get new requests.
         connections: tells to which targets this router has idle connections.
         homes: home targets among `home_candidates`, by the hashed key.
         home_candidates: targets of the last placement.
@@ -199,6 +206,7 @@
             long_prompts_lib.Settings()
         )
         self.pool_size = 0
+        self.list_sources: Callable[[], Iterable[target_list.Entry]] = tuple
         self.homes: dict[str, ids.TargetId] = {}
         self.home_candidates: tuple[ids.TargetId, ...] = ()
         self.select_recorded: Callable[
@@ -284,8 +292,9 @@
             return None
         if not best.needs_fetch:
             return best.placement
-        holders = [targets[position] for position in prefix.holder_indexes]
-        source = self._choose_fetch_source(best.placement.target, holders)
+        source = self._choose_fetch_source(
+            best.placement.target, prefix.sources
+        )
         return dataclasses.replace(best.placement, fetch_from=source)
 
     def _sample(
@@ -415,8 +424,14 @@
         key = shared_parts[-1].name if shared_parts else ""
         home_target = self._find_home(key, targets)
         shared_tokens = sum(part.tokens for part in shared_parts)
+        sources = fetch_sources.find_sources(counts, targets, self.list_sources)
         return _CachedPrefix(
-            tokens, max_cached_tokens, holders, shared_tokens, home_target
+            tokens,
+            sources.tokens,
+            holders,
+            sources.targets,
+            shared_tokens,
+            home_target,
         )
 
     def _find_home(
@@ -536,7 +551,7 @@
         return 1 / (self.long_prompts.model.mean_s * slowdown)
 
     def _choose_fetch_source(
-        self, target: target_list.Entry, holders: list[target_list.Entry]
+        self, target: target_list.Entry, holders: Sequence[target_list.Entry]
     ) -> target_list.Entry:
         """Returns a random holder, preferably in the target's data centre.
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -358,6 +358,10 @@
             and not self.is_evacuated(entry.data_centre)
         ]
 
+    def find_listed(self, pool: ids.PoolId) -> list[Entry]:
+        """Returns all listed targets of a pool, also those that leave."""
+        return [e for e in self.entries.values() if e.pool == pool]
+
     def is_evacuated(self, data_centre: ids.DataCentreId) -> bool:
         """Whether the targets of a data centre get no new requests."""
         return data_centre in self.evacuations
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -88,6 +88,7 @@
         self.placer = placement.Placer(
             placement.Settings(), pool, self.loads, data_centre, rng
         )
+        self.placer.list_sources = self._list_sources
         self.admission = admission.Admission(
             admission.Settings(), self.placer, self.usage, rng
         )
@@ -411,6 +412,18 @@
             usable.append(entry)
         return usable
 
+    def _list_sources(self) -> list[target_list.Entry]:
+        """Returns the listed targets from which parts can be fetched.
+
+        Those that fail are left out: a fetch from them would fail, too.
+        """
+        now = self.clock.monotonic()
+        return [
+            entry
+            for entry in self.targets.find_listed(self.pool.name)
+            if not self._is_failing(entry.name, now)
+        ]
+
     def _is_failing(self, target: ids.TargetId, now: float) -> bool:
         """Whether a target is ejected or avoided."""
         return target in self.avoided or self.ejector.is_ejected(target, now)
--- /dev/null
+++ b/tests/forwarding/test_fetch_sources.py
@@ -0,0 +1,52 @@
+"""Prompt parts are not read again because their holder gets no new requests."""
+
+import asyncio
+
+import pytest
+
+from lentilbeam_core import ids
+from tests.forwarding import gateway_fleet
+from tests.forwarding import makers
+
+SOURCE = "t0"
+PROMPT = {"token_count": "5500,80", "prefix_hash": "aa:5000,bb:500"}
+
+
+def leave(fleet: gateway_fleet.Fleet) -> None:
+    """Lets the holder leave."""
+    for gateway in fleet.gateways.values():
+        gateway.targets.note_leaving(ids.TargetId(SOURCE), 1000)
+
+
+def evacuate(fleet: gateway_fleet.Fleet) -> None:
+    """Evacuates the data centre of the holder."""
+    fleet.evacuate("a")
+
+
+def fail(fleet: gateway_fleet.Fleet) -> None:
+    """Lets all routers avoid the holder, since it fails."""
+    for gateway in fleet.gateways.values():
+        dispatcher = gateway.find_dispatcher(makers.POOL)
+        dispatcher.avoided = {ids.TargetId(SOURCE)}
+        dispatcher.avoided_checked_at = float("inf")
+
+
+@pytest.mark.parametrize(
+    "stop,is_fetched", [(leave, True), (evacuate, True), (fail, False)]
+)
+def test_part_of_a_target_that_gets_no_new_requests(stop, is_fetched):
+    """Guards against parts read again in a rolling replacement of targets."""
+
+    async def scenario(fleet):
+        fleet.add_target(SOURCE)
+        await fleet.send("r0", **PROMPT)
+        fleet.add_target("t1", data_centre=ids.DataCentreId("b"))
+        await asyncio.sleep(1.0)
+        stop(fleet)
+        await fleet.send("r0", **PROMPT)
+
+    fleet = gateway_fleet.Fleet(routers=2, targets=0, engine=makers.ENGINE)
+    fleet.run(scenario)
+    heads = [arrival.head.lower() for arrival in fleet.targets["t1"].arrivals]
+    assert len(heads) == 1
+    assert (b"kv-fetch: t0:1\r\n" in heads[0]) == is_fetched
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -239,3 +239,27 @@
     request = dataclasses.replace(request, route=plain)
     chosen = placer.choose(request, targets, BELOW_GUARANTEE, 0.0).target
     assert chosen.name == "a"
+
+
+def test_part_is_fetched_from_a_target_that_gets_no_requests():
+    """Guards against parts read again when their only holder leaves."""
+    placer = makers.make_placer()
+    leaving = makers.make_target("leaving")
+    targets = [makers.make_target("a"), makers.make_target("b")]
+    request = makers.make_request("r", ("hot", 5000), ("own", 500))
+    placer.note_prompt_placed("leaving", request.prompt.parts[:1], 0.0)
+    placer.list_sources = lambda: [leaving, *targets]
+    choice = placer.choose(request, targets, BELOW_GUARANTEE, 0.0)
+    assert choice.fetch_from.name == "leaving"
+    assert choice.unread == 500
+
+
+def test_part_is_not_fetched_from_a_target_that_is_no_source():
+    """Guards against a fetch from a target that is gone or fails."""
+    placer = makers.make_placer()
+    targets = [makers.make_target("a"), makers.make_target("b")]
+    request = makers.make_request("r", ("hot", 5000), ("own", 500))
+    placer.note_prompt_placed("gone", request.prompt.parts[:1], 0.0)
+    choice = placer.choose(request, targets, BELOW_GUARANTEE, 0.0)
+    assert choice.fetch_from is None
+    assert choice.unread == 5500
