--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/configuration.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/configuration.py
@@ -80,10 +80,12 @@
     Attributes:
         slots: maximum number of requests that run concurrently.
         cache_tokens: size of the KV cache, in tokens.
+        event_tokens: output tokens in each event of a stream; 0 if unknown.
     """
 
     slots: int
     cache_tokens: int
+    event_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -30,11 +30,14 @@
         tokens: length of the prompt.
         max_output_tokens: maximum length of the answer, in tokens.
         parts: leading parts of the prompt, in order.
+        hinted_output_tokens: the caller's estimate of the length of the
+            answer, in tokens; None if it gave none.
     """
 
     tokens: int
     max_output_tokens: int
     parts: tuple[Part, ...] = ()
+    hinted_output_tokens: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -61,7 +61,7 @@
         {
             "name": "engines",
             "max_conns": 360,
-            "engine": {"slots": 64, "kv_tokens": 800000},
+            "engine": {"slots": 64, "kv_tokens": 800000, "stride": 7},
         },
         {"name": "canary"},
     ],
@@ -104,6 +104,7 @@
     assert (route.timeout_s, route.goal_s, route.gap_goal_s) == (15, 0.6, 0.4)
     assert [share.weight for share in route.pool_weights] == [90, 10]
     assert decoded.pools["engines"].engine.cache_tokens == 800_000
+    assert decoded.pools["engines"].engine.event_tokens == 7
     assert decoded.pools["canary"].engine is None
     assert decoded.workspaces == {"k1": "ashby", "k2": "ashby"}
     assert decoded.limits.tokens_per_s == 250_000
@@ -226,6 +227,7 @@
     request_head = call_wire.decode_request_head(
         make_scope(
             token_count="1460,80",
+            length_hint="40",
             prefix_hash="5c1e07a2:800,91bd3f06:410,e4402b7d:250",
             request_deadline="15000",
             last_event_id="12",
@@ -239,6 +241,7 @@
         "x=1",
     )
     assert request_head.prompt.tokens == 1460
+    assert request_head.prompt.hinted_output_tokens == 40
     assert [part.tokens for part in request_head.prompt.parts] == [
         800,
         410,
@@ -248,6 +251,15 @@
     names = {name for name, _ in request_head.headers}
     assert b"x-hop" not in names
     assert b"token-count" in names
+    assert b"length-hint" in names
+
+
+# Guards against a request that is denied for an estimate that says nothing.
+@pytest.mark.parametrize("hint", ["", "0", "-5", "4.5", "9" * 5000, "1,2"])
+def test_hint_without_a_meaning_is_ignored(hint):
+    headers = {"token_count": "1460,80", "length_hint": hint}
+    request_head = call_wire.decode_request_head(make_scope(**headers))
+    assert request_head.prompt.hinted_output_tokens is None
 
 
 @pytest.mark.parametrize("missing", ["request-id", "host"])
@@ -262,7 +274,13 @@
 @hypothesis.given(
     strategies.dictionaries(
         strategies.sampled_from(
-            ["token-count", "prefix-hash", "request-deadline", "last-event-id"]
+            [
+                "token-count",
+                "length-hint",
+                "prefix-hash",
+                "request-deadline",
+                "last-event-id",
+            ]
         ),
         strategies.text("0123456789abc:, .-", max_size=30),
     )
