Count the output that streams have left; place by it

Cause: a running stream counted as one slot, however much it had still to produce, and a request's memory by the longest answer it may get.

Change: the new module work_left keeps, for each stream of the router, the expected output left as seconds at the pace of recent streams. TargetLoad.decode_s sums it over all routers. Placement adds a penalty (decode_penalty_s) for the streams that the request will share its batch with, and memory counts the prompt and the 90% quantile of the output.

--- a/bench/overload/engine.py
+++ b/bench/overload/engine.py
@@ -90,6 +90,11 @@
     events: int = 0
     largest_other_tokens: int = 0
 
+    @property
+    def held(self) -> int:
+        """Tokens of the KV cache that the request occupies at its end."""
+        return self.request.prompt.tokens + self.output
+
 
 class Engine:
     """Simulated engine, advanced one batch step at a time by `step`.
@@ -192,12 +197,13 @@
         while self.waiting:
             used_slots = len(self.running) + len(self.prefilling)
             job = self.waiting[0]
-            held = requests.estimate_cache_tokens(job.request)
-            is_full = self.reserved_tokens + held > self.settings.cache_tokens
+            is_full = (
+                self.reserved_tokens + job.held > self.settings.cache_tokens
+            )
             if used_slots >= self.settings.slots or (is_full and used_slots):
                 return
             self.waiting.popleft()
-            self.reserved_tokens += held
+            self.reserved_tokens += job.held
             prompt = job.request.prompt
             cached_tokens = self.cache.count_cached(prompt.parts)
             job.unread_tokens = max(prompt.tokens - cached_tokens, 1)
@@ -237,7 +243,7 @@
                 completed.append(job)
         for job in completed:
             self.running.remove(job)
-            self.reserved_tokens -= requests.estimate_cache_tokens(job.request)
+            self.reserved_tokens -= job.held
         return completed
 
     def _get_free_tokens(self) -> float:
--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -12,6 +12,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import decisions as decisions_lib
+from lentilbeam_core.forwarding import output_estimate
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
 
@@ -151,14 +152,16 @@
         self.routers = [
             policies.build_admission(
                 policy,
-                self.settings.slots,
-                self.settings.cache_tokens,
+                self.settings,
                 prefill_tokens_per_s * GUARANTEED_FRACTION,
                 min(kind.gap_s for kind in pattern.kinds),
                 self.rng,
             )
             for _ in range(routers)
         ]
+        if policy.knows_outputs:
+            for router in self.routers:
+                router.placer.work_left.estimate = self._find_output
         self.unreported_parts: list[list[messages.PlacedPart]] = [
             [] for _ in range(routers)
         ]
@@ -195,6 +198,13 @@
             action(argument, now)
         return list(self.outcomes.values())
 
+    def _find_output(
+        self, request: requests.Request, now: float
+    ) -> output_estimate.Estimate:
+        del now
+        output = self.outcomes[request.request_id].arrival.output
+        return output_estimate.make_estimate([(output, 1.0)], output)
+
     def _schedule(self, at: float, action, argument) -> None:
         event = (at, next(self.order), (action, argument))
         heapq.heappush(self.events, event)
@@ -276,15 +286,25 @@
         at = now + duration_s + NETWORK_DELAY_S
         for job in started:
             self._schedule(at, self._note_first_event, job.request.request_id)
+        for job in engine.running:
+            if job.generated_tokens % engine.settings.event_tokens == 0:
+                self._schedule(at, self._note_events, (job, job.events))
         for job in ended:
             self._schedule(at, self._end, job)
         self._schedule(now + duration_s, self._step, name)
 
+    def _note_events(self, item, now: float) -> None:
+        job, events = item
+        name = job.request.request_id
+        router = self.routers[self.router_by_request[name]]
+        router.placer.work_left.note_events(name, events, now)
+
     def _note_first_event(self, name: str, now: float) -> None:
         outcome = self.outcomes[name]
         router = self.routers[self.router_by_request[name]]
         outcome.first_s = now - outcome.arrival.request.arrived_at
         router.placer.loads.note_prefill_done(name)
+        router.placer.work_left.note_events(name, 1, now)
         placed = self.placements[name]
         router.placer.update_prefill_rate(
             placed.placement, now - outcome.sent_at, now
@@ -297,10 +317,14 @@
         outcome.events = job.events
         outcome.largest_other_tokens = job.largest_other_tokens
         outcome.is_complete = now <= outcome.arrival.request.deadline_at
+        name = job.request.request_id
+        router = self.routers[self.router_by_request[name]]
+        router.placer.work_left.note_end(name, job.events, now)
         self._release(job.request.request_id, now)
 
     def _release(self, name: str, now: float) -> None:
         index = self.router_by_request[name]
+        self.routers[index].placer.work_left.note_end(name, None, now)
         self.routers[index].placer.loads.end_request(name)
         self._decide(index, now)
 
--- a/bench/overload/patterns.py
+++ b/bench/overload/patterns.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterator
 import dataclasses
+import math
 import random
 
 from bench.overload import engine as engine_lib
@@ -31,6 +32,14 @@
             number of variants it is drawn from.
         own_tokens: mean length of the unshared prompt part, in tokens.
         output_tokens: mean length of the answer, in tokens.
+        output_range: shortest and longest answer, in tokens, between which
+            the logarithm of the length is uniform, instead of
+            `output_tokens`; the longest is the bound that requests name.
+            (0, 0) for answers as long as their bound.
+        hint_octaves: standard deviation of the binary logarithm of the error
+            of the callers' hints.
+        wrong_hint: factor by which each hint is too large or too small, at
+            random. Without `output_range` there are no hints.
     """
 
     name: str
@@ -42,6 +51,9 @@
     shared: tuple[tuple[int, int], ...]
     own_tokens: int
     output_tokens: int
+    output_range: tuple[int, int] = (0, 0)
+    hint_octaves: float = 0.5
+    wrong_hint: float = 1.0
 
     def as_route(self) -> configuration.Route:
         """Returns the route that serves this kind."""
@@ -86,6 +98,21 @@
     event_tokens=7,
 )
 """Engine of `ghpa-archive-grown`, from the users' data sheet and its events."""
+VARIED_KIND = Kind(
+    "varied",
+    250,
+    0.6,
+    0.4,
+    15,
+    1,
+    ((400, 20),),
+    600,
+    0,
+    output_range=(21, 1260),
+)
+"""Similar prompts with answers of 3 to 180 events of 7 tokens."""
+VARIED_ENGINE = dataclasses.replace(ARCHIVE_ENGINE, cache_tokens=45_000)
+"""Holds 32 requests of mean length, but only 20 of the greatest length."""
 WORKSPACES = 30
 ZIPF_EXPONENT = 1.2
 """Zipf exponent of the load per workspace: a few workspaces dominate."""
@@ -170,6 +197,18 @@
         kinds=DESCRIPTION_KINDS,
         engine=dataclasses.replace(ARCHIVE_ENGINE, noise_fraction=0.25),
     ),
+    Pattern(
+        "varied_outputs",
+        duration_s=15.0,
+        kinds=(VARIED_KIND,),
+        engine=VARIED_ENGINE,
+    ),
+    Pattern(
+        "wrong_hints",
+        duration_s=15.0,
+        kinds=(dataclasses.replace(VARIED_KIND, wrong_hint=4.0),),
+        engine=VARIED_ENGINE,
+    ),
 )
 
 
@@ -221,9 +260,11 @@
         workspace = rng.choices(range(WORKSPACES), scaled)[0]
         is_hot = is_peak and rng.random() < pattern.hot_key
         length_factor = pattern.long_prompts if is_peak else 1.0
-        output = max(round(rng.gammavariate(2, kind.output_tokens / 2)), 2)
+        output, bound, hint = _draw_output(kind, rng)
         parts = _draw_parts(kind, number, is_hot, length_factor, rng)
-        prompt = requests.Prompt(sum(p.tokens for p in parts), output, parts)
+        prompt = requests.Prompt(
+            sum(p.tokens for p in parts), bound, parts, hint
+        )
         request = requests.Request(
             request_id=f"r{number}",
             workspace=ids.WorkspaceId(f"w{workspace}"),
@@ -238,6 +279,19 @@
         yield Arrival(request, output, kind, is_impatient)
 
 
+def _draw_output(kind: Kind, rng: random.Random) -> tuple[int, int, int | None]:
+    """Returns the length of an answer, its bound and the hint, in tokens."""
+    shortest, longest = kind.output_range
+    if not longest:
+        output = max(round(rng.gammavariate(2, kind.output_tokens / 2)), 2)
+        return output, output, None
+    octaves = rng.uniform(math.log2(shortest), math.log2(longest))
+    output = round(2**octaves)
+    error = rng.gauss(0.0, kind.hint_octaves)
+    error += rng.choice((-1, 1)) * math.log2(kind.wrong_hint)
+    return output, longest, max(round(2 ** (octaves + error)), 1)
+
+
 def _draw_parts(
     kind: Kind,
     number: int,
--- a/bench/overload/policies.py
+++ b/bench/overload/policies.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 
+from bench.overload import engine as engine_lib
 from lentilbeam_core import ids
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import admission
@@ -51,6 +52,8 @@
             load only from stale reports.
         placement: settings of the placement of `lentilbeam_core.forwarding`.
         is_long_assigned: whether long prompts are assigned to a few engines.
+        has_work_left: whether the output that streams have left is counted.
+        knows_outputs: whether routers know the length of each answer.
     """
 
     name: str
@@ -59,6 +62,8 @@
     is_one_queue: bool = False
     placement: placement_lib.Settings = placement_lib.Settings()
     is_long_assigned: bool = True
+    has_work_left: bool = True
+    knows_outputs: bool = False
 
 
 def choose_at_random(placer, request, targets, now) -> target_list.Entry:
@@ -103,14 +108,17 @@
     ),
     Policy("shipped", has_shares=True),
     Policy("long_anywhere", has_shares=True, is_long_assigned=False),
+    Policy("by_count", has_shares=True, has_work_left=False),
     Policy("one_queue", has_shares=True, is_one_queue=True),
+    Policy(
+        "omniscient", has_shares=True, is_one_queue=True, knows_outputs=True
+    ),
 )
 
 
 def build_admission(
     policy: Policy,
-    slots: int,
-    cache_tokens: int,
+    settings: engine_lib.Settings,
     guaranteed_per_s: float,
     gap_goal_s: float,
     rng: random.Random,
@@ -119,14 +127,17 @@
 
     Args:
         policy: the policy that it follows.
-        slots: slots of each engine.
-        cache_tokens: cache size of each engine, in tokens.
+        settings: performance figures of each engine.
         guaranteed_per_s: cost per second that is guaranteed to all workspaces
             together; ignored if the policy has no shares.
         gap_goal_s: smallest goal for pauses of streams, in seconds.
         rng: random number generator.
     """
-    engine = configuration.Engine(slots=slots, cache_tokens=cache_tokens)
+    engine = configuration.Engine(
+        settings.slots,
+        settings.cache_tokens,
+        settings.event_tokens if policy.has_work_left else 0,
+    )
     placer = placement_lib.Placer(
         policy.placement,
         # 100 is the maximum number of connections, which is not simulated.
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -346,12 +346,13 @@
             del self.queues[workspace]
         request = queued.request
         target = placement.target.name
-        held = requests.estimate_cache_tokens(request)
+        held = self.placer.work_left.estimate_held(request, now)
         self.placer.loads.start_request(
             request.request_id, target, placement.unread, held, now
         )
         is_paced = target in self.limit_parts.paces
         self.limit_parts.note_sent(target)
+        self.placer.work_left.note_start(request, now)
         if request.prompt is not None:
             self.placer.note_prompt_placed(target, request.prompt.parts, now)
             self.placer.note_placed(placement, now)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -43,8 +43,9 @@
         unread: prompt tokens that were sent to the target and that it hasn't
             processed yet (prefill).
         running: number of requests sent to the target that haven't ended.
-        held: maximum number of tokens that the running requests occupy in
-            the target's KV cache.
+        held: tokens that the running requests occupy in the target's KV
+            cache at most; where `work_left` is counted, that they are expected
+            to occupy.
         recent: prompt tokens sent to the target, decayed with
             `RECENT_DECAY_S`.
         outcomes: number of requests that ended at the target, decayed with
@@ -60,6 +61,8 @@
             `messages.TargetLoad`.
         timed_s: see `messages.TargetLoad`.
         expected_s: see `messages.TargetLoad`.
+        decode_s: time for the output that the running requests are expected
+            to have left, in seconds, see `work_left`.
     """
 
     unread: float = 0.0
@@ -75,6 +78,7 @@
     cold_start_ms: int = 0
     timed_s: float = 0.0
     expected_s: float = 0.0
+    decode_s: float = 0.0
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or subtracts it if `sign` is -1."""
@@ -86,6 +90,7 @@
         self.failures += sign * other.failures
         self.timed_s += sign * other.timed_s
         self.expected_s += sign * other.expected_s
+        self.decode_s += sign * other.decode_s
 
     def add_reported(
         self, item: messages.TargetLoad, age_s: float, sign: int = 1
@@ -107,6 +112,7 @@
         self.failures += item.failures * outcome_decay
         self.timed_s += item.timed_s * outcome_decay
         self.expected_s += item.expected_s * outcome_decay
+        self.decode_s += sign * item.decode_s
         # Facts, not amounts: they stay true when a report is subtracted.
         self.leaving_start_ms = max(
             self.leaving_start_ms, item.leaving_start_ms
@@ -159,6 +165,7 @@
             self.cold_start_ms,
             max(self.timed_s, 0.0) if is_timed else 0.0,
             self.expected_s if is_timed else 0.0,
+            max(self.decode_s, 0.0),
         )
 
 
@@ -259,6 +266,15 @@
             placed.load.unread = 0.0
             self.totals.pop(placed.target, None)
 
+    def set_decode_left(self, request_id: str, decode_s: float) -> None:
+        """Sets the time for what a request has left to produce, in seconds."""
+        placed = self.placed_requests.get(request_id)
+        if placed is not None:
+            own = self.own_loads[placed.target]
+            own.decode_s += decode_s - placed.load.decode_s
+            placed.load.decode_s = decode_s
+            self.totals.pop(placed.target, None)
+
     def end_request(self, request_id: str) -> None:
         """Records that a request has ended or was given up."""
         placed = self.placed_requests.pop(request_id, None)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/long_prompts.py
@@ -93,7 +93,7 @@
     Attributes:
         is_long: whether its prompt is long.
         engines: engines for long prompts.
-        held: KV cache tokens that the request may use at most.
+        held: KV cache tokens that the request is counted with.
         cache_tokens: size of the KV cache of an engine, in tokens.
     """
 
@@ -151,6 +151,7 @@
         self,
         prompt: requests.Prompt,
         cached_tokens: int,
+        held: float,
         cache_tokens: int,
         targets: list[target_list.Entry],
         loads: loads_lib.LoadTracker,
@@ -161,6 +162,7 @@
         Args:
             prompt: its prompt.
             cached_tokens: most leading tokens that a target has cached.
+            held: KV cache tokens that the request is counted with.
             cache_tokens: size of the KV cache of an engine, in tokens.
             targets: targets that may get it.
             loads: loads of the targets.
@@ -175,7 +177,6 @@
         unread = max(prompt.tokens - cached_tokens, 1)
         prefill_s = self.model.estimate(unread, cached_tokens)
         is_long = prefill_s > self.settings.long_fraction * self.gap_goal_s
-        held = prompt.tokens + prompt.max_output_tokens
         return Plan(is_long, self.engines, held, cache_tokens)
 
     def find_penalty(
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -25,6 +25,7 @@
 from lentilbeam_core.forwarding import prompt_cache
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
+from lentilbeam_core.forwarding import work_left as work_left_lib
 
 MAX_KNOWN_HOMES = 10_000
 """Number of keys whose home target is remembered."""
@@ -57,6 +58,9 @@
             near as far, but bytes between data centres are paid for.
         batch_penalty_s: penalty for a target whose slots are all in use, in
             proportion if some are; a large batch slows down all its streams.
+        decode_penalty_s: additional penalty if the streams in all of its slots
+            last as long as the request, in proportion if some do, see
+            `work_left`.
         sampled_targets: number of targets sampled at random in a pool that has
             more than twice as many.
         noise_s: maximum of a random penalty, so that routers with the same
@@ -83,6 +87,7 @@
     remote_penalty_s: float = 0.004
     remote_byte_penalty_s: float = 1e-5
     batch_penalty_s: float = 0.1
+    decode_penalty_s: float = 0.1
     sampled_targets: int = 5
     noise_s: float = 0.01
     bounds_exempt_backlog_s: float = 0.05
@@ -168,6 +173,7 @@
         caches: estimated cache contents of the pool's targets.
         rates: settings of the prefill rates of the pool's targets.
         long_prompts: assignment of long prompts to a few targets.
+        work_left: output that running streams have left.
         pool_size: number of targets of the last placement.
         connections: tells to which targets this router has idle connections.
         homes: home targets among `home_candidates`, by the hashed key.
@@ -193,6 +199,7 @@
             pool, lambda target, idle_s: False, lambda: 1
         )
         self.caches = prompt_cache.PromptCaches(0)
+        self.work_left = work_left_lib.WorkLeft(work_left_lib.Settings(), loads)
         self.update_pool(pool)
         self.rates = prefill_rates.Settings()
         self.long_prompts = long_prompts_lib.LongPrompts(
@@ -212,6 +219,9 @@
         self.caches.cache_tokens = (
             pool.engine.cache_tokens if pool.engine else 0
         )
+        self.work_left.event_tokens = (
+            pool.engine.event_tokens if pool.engine else 0
+        )
 
     def has_room(
         self, targets: list[target_list.Entry], bounds: load_bounds.Bounds
@@ -257,10 +267,11 @@
         if request.prompt is None or self.pool.engine is None:
             return self._choose_plain(request, targets, now)
         prefix = self._find_cached(request.prompt, targets)
-        self.pool_size = len(targets)
+        self.pool_size = self.work_left.pool_size = len(targets)
         plan = self.long_prompts.plan(
             request.prompt,
             prefix.max_cached_tokens,
+            self.work_left.estimate_held(request, now),
             self.pool.engine.cache_tokens,
             targets,
             self.loads,
@@ -509,6 +520,8 @@
                 + request.body_bytes * settings.remote_byte_penalty_s
             )
         penalty_s += settings.batch_penalty_s * load.running / entry.slots
+        batch = self.work_left.expect_batch(request, load, now)
+        penalty_s += settings.decode_penalty_s * batch / entry.slots
         penalty_s += self.connections.estimate_cost(request, entry)
         penalty_s += settings.noise_s * self.rng.random()
         placement = Placement(
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -223,8 +223,9 @@
         unread: prompt tokens sent to the target that it has not processed
             yet.
         running: requests sent to the target that have not ended.
-        held: upper bound of the tokens that these requests hold in the
-            target's KV cache.
+        held: tokens that these requests hold in the target's KV cache at
+            most; where `work_left` is counted, those that they are expected to
+            hold.
         recent: prompt tokens sent recently, decayed with age.
         outcomes: requests that ended recently, decayed with age.
         failures: those of `outcomes` that failed, decayed with age.
@@ -244,6 +245,8 @@
             which long prompts are assigned, both are about prompts that
             qualify as samples, see `prefill_model`; in others about all, and
             the expected time is that at the initial rate of `prefill_rates`.
+        decode_s: time for the output that the running requests are expected
+            to have left, in seconds; 0 where `work_left` is not counted.
     """
 
     target: ids.TargetId
@@ -260,6 +263,7 @@
     cold_start_ms: int = 0
     timed_s: float = 0.0
     expected_s: float = 0.0
+    decode_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -114,6 +114,9 @@
         """
         self.pool = new_configuration.pools.get(self.pool.name, self.pool)
         self.placer.update_pool(self.pool)
+        self.placer.work_left.estimates.keep_routes(
+            route.name for route in new_configuration.routes
+        )
         self.placer.long_prompts.gap_goal_s = long_prompts.find_gap_goal(
             new_configuration.routes, self.pool.name
         )
@@ -172,8 +175,22 @@
         self.is_changed = True
         self.decide()
 
+    def note_events(self, request_id: str, events: int) -> None:
+        """Records how many events a target has sent for a request."""
+        self.placer.work_left.note_events(
+            request_id, events, self.clock.monotonic()
+        )
+
+    def note_whole_answer(self, request_id: str, events: int) -> None:
+        """Records the number of events of a whole answer."""
+        self.placer.work_left.note_end(
+            request_id, events, self.clock.monotonic()
+        )
+
     def note_end(self, request_id: str) -> None:
         """Records that a request has left its target, given by its ID."""
+        now = self.clock.monotonic()
+        self.placer.work_left.note_end(request_id, None, now)
         self.loads.end_request(request_id)
         self.is_changed = True
         self.decide()
@@ -325,6 +342,7 @@
             "targets_cold": len(self.admission.limit_parts.paces),
             "targets_for_long_prompts": self.placer.long_prompts.count,
             "prefill_error": self.placer.long_prompts.error.read(now),
+            "output_error": self.placer.work_left.estimates.error.read(now),
             "workspaces_asking": len(self.usage.asked),
             "repeats_in_window": len(self.budget.retries),
         }
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -515,7 +515,8 @@
         """Passes on an event stream, each event once it is complete."""
         events = self.progress.events
         events.discard_partial_event()
-        answered_at = events.numbered_event_count + ANSWERED_AFTER_EVENTS
+        events_before = events.numbered_event_count
+        answered_at = events_before + ANSWERED_AFTER_EVENTS
         is_first = True
         while True:
             item = await connection.receive()
@@ -529,6 +530,10 @@
                 is_first = False
                 note_first_event()
                 self.resumption.note_began(target)
+            self.dispatcher.note_events(
+                self.request.request_id,
+                events.numbered_event_count - events_before,
+            )
             if events.numbered_event_count >= answered_at:
                 self._note_answered()
             if not self.channel.is_started:
@@ -541,6 +546,7 @@
             return broken
         if not is_first:
             self._note_answered()
+        self._note_whole_stream(events_before)
         if not self.channel.is_started:
             await self.channel.start(response.status, response.headers)
         await self.channel.finish()
@@ -689,6 +695,18 @@
         for part in blocked:
             self.log.write_event("part_blocked", part=part, source="crash")
 
+    def _note_whole_stream(self, events_before: int) -> None:
+        """Records the length of a stream, if all of it came from one target.
+
+        Args:
+            events_before: events that came from other targets.
+        """
+        if self.request_head.resume_after is None and events_before == 0:
+            self.dispatcher.note_whole_answer(
+                self.request.request_id,
+                self.progress.events.numbered_event_count,
+            )
+
     def _note_answered(self) -> None:
         """Records that a target answers the request and lives."""
         if self.is_answered:
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -110,6 +110,7 @@
   coldStartMs @11 :UInt64;
   timedS @12 :Float32;
   expectedS @13 :Float32;
+  decodeS @14 :Float32;
 }
 
 struct PoolDemand {
--- a/tests/forwarding/test_long_prompts.py
+++ b/tests/forwarding/test_long_prompts.py
@@ -126,7 +126,7 @@
     placer, targets = make_placer()
     prompt = makers.make_request("r", ("p", 50_000)).prompt
     plan = placer.long_prompts.plan(
-        prompt, 0, CACHE_TOKENS, targets[:6], placer.loads, 9.0
+        prompt, 0, prompt.tokens, CACHE_TOKENS, targets[:6], placer.loads, 9.0
     )
     assert plan is None
 
@@ -165,7 +165,7 @@
     started.loads.apply_report("relay", (load,), 9.0)
     prompt = makers.make_request("r", ("p", 500)).prompt
     started.long_prompts.plan(
-        prompt, 0, CACHE_TOKENS, targets, started.loads, 9.0
+        prompt, 0, prompt.tokens, CACHE_TOKENS, targets, started.loads, 9.0
     )
     assert started.long_prompts.count > 0
     expected_s = placer.long_prompts.model.estimate(20_000, 0)
@@ -232,7 +232,7 @@
 
     def plan(now):
         return placer.long_prompts.plan(
-            prompt, 0, CACHE_TOKENS, targets, placer.loads, now
+            prompt, 0, prompt.tokens, CACHE_TOKENS, targets, placer.loads, now
         )
 
     assert plan(9.0) is not None
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -31,6 +31,7 @@
     "requests",
     "timed_s",
     "expected_s",
+    "decode_s",
     "long_s",
     "placed_tokens",
     "sample_tokens",
