Keep what the fleet holds at an engine below its memory

Cause: in pools with fewer than 12 engines nothing bounded Load.held by cache_tokens, and many routers fill the same engine before they hear of each other.

Change: TargetMemory leaves out engines without memory for a request. Near full, routers divide the free memory, with lots for requests larger than a part; the margin follows the demand of the others, the age of reports (0.08 s and 5 ms for each router) and a burst at this router.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -355,6 +355,7 @@
         if request.prompt is not None:
             self.placer.note_prompt_placed(target, request.prompt.parts, now)
             self.placer.note_placed(placement, now)
+            self.placer.memory.note_placed(request.request_id, target, now)
         self.usage.note_served(workspace, requests.estimate_cost(request), now)
         return decisions_lib.Placed(request, placement, is_paced)
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/fleet_demand.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/fleet_demand.py
@@ -84,12 +84,25 @@
         own = self.read_own(now)
         if own <= 0.0:
             return 0.0
-        total = own
-        heard = 1
-        for report in self.peers.values():
-            age_s = now - report.received_at
-            if age_s < REPORT_MAX_AGE_S:
-                total += report.requests
-            if age_s < HEARD_MAX_AGE_S:
-                heard += report.routers
+        heard = self.count_heard(now)
+        total = own + self._sum_others(now)
         return min(heard / routers, 1.0) * own / total
+
+    def count_heard(self, now: float) -> int:
+        """Returns how many routers are heard from, this one included."""
+        return 1 + sum(
+            report.routers
+            for report in self.peers.values()
+            if now - report.received_at < HEARD_MAX_AGE_S
+        )
+
+    def estimate_others_per_s(self, now: float) -> float:
+        """Returns the requests per second that other routers receive."""
+        return self._sum_others(now) / DECAY_S
+
+    def _sum_others(self, now: float) -> float:
+        return sum(
+            report.requests
+            for report in self.peers.values()
+            if now - report.received_at < REPORT_MAX_AGE_S
+        )
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -18,6 +18,7 @@
 from lentilbeam_core import rendezvous
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import connection_preference
+from lentilbeam_core.forwarding import fleet_demand
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import long_prompts as long_prompts_lib
@@ -25,6 +26,7 @@
 from lentilbeam_core.forwarding import prompt_cache
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import target_list
+from lentilbeam_core.forwarding import target_memory
 
 MAX_KNOWN_HOMES = 10_000
 """Number of keys whose home target is remembered."""
@@ -168,6 +170,7 @@
         caches: estimated cache contents of the pool's targets.
         rates: settings of the prefill rates of the pool's targets.
         long_prompts: assignment of long prompts to a few targets.
+        memory: tells which engines have memory for a request.
         pool_size: number of targets of the last placement.
         connections: tells to which targets this router has idle connections.
         homes: home targets among `home_candidates`, by the hashed key.
@@ -198,6 +201,13 @@
         self.long_prompts = long_prompts_lib.LongPrompts(
             long_prompts_lib.Settings()
         )
+        self.memory = target_memory.TargetMemory(
+            target_memory.Settings(),
+            loads,
+            fleet_demand.FleetDemand(),
+            lambda: 1,
+            rng,
+        )
         self.pool_size = 0
         self.homes: dict[str, ids.TargetId] = {}
         self.home_candidates: tuple[ids.TargetId, ...] = ()
@@ -270,7 +280,9 @@
         if request.route.is_resumable:
             lone = find_lone_versions(targets)
         best = None
-        for index in self._sample(request, targets, prefix, plan):
+        for index in self._find_indexes(
+            request, targets, prefix, plan, bounds, now
+        ):
             entry = targets[index]
             candidate = self._evaluate(
                 request, entry, prefix, index, bounds, plan, now
@@ -288,15 +300,39 @@
         source = self._choose_fetch_source(best.placement.target, holders)
         return dataclasses.replace(best.placement, fetch_from=source)
 
-    def _sample(
+    def _find_indexes(
         self,
         request: requests.Request,
         targets: list[target_list.Entry],
         prefix: _CachedPrefix,
         plan: long_prompts_lib.Plan | None,
+        bounds: load_bounds.Bounds,
+        now: float,
     ) -> Iterable[int]:
         """Returns the indexes of the targets that are evaluated.
 
+        They have memory for the request. If a sample has none of these, all of
+        them are evaluated.
+        """
+        sampled = self._sample(request, targets, prefix, plan)
+        full = self.memory.find_full(
+            request, targets, self.pool.engine.cache_tokens, bounds, now
+        )
+        if not full:
+            return sampled
+        return [i for i in sampled if targets[i].name not in full] or [
+            i for i, entry in enumerate(targets) if entry.name not in full
+        ]
+
+    def _sample(
+        self,
+        request: requests.Request,
+        targets: list[target_list.Entry],
+        prefix: _CachedPrefix,
+        plan: long_prompts_lib.Plan | None,
+    ) -> Iterable[int]:
+        """Returns the indexes of the targets to choose from.
+
         If each router evaluated all targets of a large pool, all routers would
         send to the same least loaded target until their next load reports.
         Each router therefore evaluates a random sample of all targets, a
@@ -371,6 +407,7 @@
         """Removes a target that has restarted or is no longer listed."""
         self.caches.forget(target)
         self.loads.forget(target)
+        self.memory.forget(target)
 
     def _choose_plain(
         self,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -23,6 +23,7 @@
 from lentilbeam_core.forwarding import retry_budget
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
+from lentilbeam_core.forwarding import target_memory
 from lentilbeam_router.forwarding import cold_control
 
 OUTLIER_CHECK_INTERVAL_S = 0.05
@@ -88,6 +89,13 @@
         self.placer = placement.Placer(
             placement.Settings(), pool, self.loads, data_centre, rng
         )
+        self.placer.memory = target_memory.TargetMemory(
+            target_memory.Settings(),
+            self.loads,
+            self.demand,
+            count_routers,
+            rng,
+        )
         self.admission = admission.Admission(
             admission.Settings(), self.placer, self.usage, rng
         )
