Let placement know that cold engines are slow, and raise their rate slowly

Cause: after a start prefill rates began at the initial rate, so the first long prompts at a cold engine were late. When a target became warm, all routers sent what waited at once.

It gets a long prompt only if no warm one is within the bounds, and one at a time. The pace of each router at a target that became warm grows for a second and holds for half of one.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -350,7 +350,7 @@
         self.placer.loads.start_request(
             request.request_id, target, placement.unread, held, now
         )
-        is_paced = target in self.limit_parts.paces
+        is_paced = self.limit_parts.is_paced_as_cold(target)
         self.limit_parts.note_sent(target)
         if request.prompt is not None:
             self.placer.note_prompt_placed(target, request.prompt.parts, now)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/cold_pace.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/cold_pace.py
@@ -13,6 +13,9 @@
 
 import dataclasses
 import math
+import random
+
+from lentilbeam_core import ids
 
 MARGIN_FRACTION = 0.6
 """Part of the margin that simultaneous requests of different routers may use.
@@ -24,6 +27,18 @@
 theirs add up to more than the whole."""
 
 
+RAMP_S = 1.0
+"""Time, in seconds, in which the rate of a target grows once it is warm. It is
+idle then, and all routers prefer it."""
+HOLD_S = 0.5
+"""Time, in seconds, for which the last rate holds. The requests that waited
+meanwhile are sent in it; without it they were sent in one moment: 97 within
+0.1 s from 7 routers, where 30 had come in."""
+RAMP_FACTOR = 2.0
+"""Rate at the end of that time, as a multiple of the pool's requests for each
+target, or of the rate of a cold target if that is more."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """Margin of the operators above the rate of a cold target.
@@ -55,11 +70,13 @@
         per_s: requests per second; 0 if this router sends none.
         progress: fraction of the next request that has become due; at most 1.
         updated_at: monotonic seconds.
+        is_rising: whether the target is warm, and the rate grows.
     """
 
     per_s: float
     progress: float
     updated_at: float
+    is_rising: bool = False
 
     def update(self, per_s: float, now: float) -> None:
         """Adds what has become due at the former rate, and sets a new one."""
@@ -87,6 +104,50 @@
         return self.updated_at + (1.0 - self.progress) / self.per_s
 
 
+def find_ramp_rate(
+    cold_per_s: float, fair_per_s: float, elapsed_s: float
+) -> float:
+    """Returns the requests per second for a target that has become warm.
+
+    Args:
+        cold_per_s: rate of a cold target, from all routers.
+        fair_per_s: requests per second that each target of the pool gets.
+        elapsed_s: time since it became warm, in seconds.
+    """
+    last_per_s = RAMP_FACTOR * max(cold_per_s, fair_per_s)
+    part = min(max(elapsed_s / RAMP_S, 0.0), 1.0)
+    return cold_per_s + (last_per_s - cold_per_s) * part
+
+
+class Ramps:
+    """When the targets of a pool became warm.
+
+    Attributes:
+        since: when each of them did, monotonic seconds.
+    """
+
+    def __init__(self):
+        self.since: dict[ids.TargetId, float] = {}
+
+    def keep(self, name: ids.TargetId, now: float) -> bool:
+        """Whether the rate of a warm target still grows."""
+        if now - self.since.setdefault(name, now) < RAMP_S + HOLD_S:
+            return True
+        del self.since[name]
+        return False
+
+
+def start_rising(pace: Pace, rng: random.Random) -> None:
+    """Makes the rate of a pace grow, since its target is warm.
+
+    Routers that sent nothing before begin at random times, or they would all
+    do so at once.
+    """
+    if not pace.is_rising and pace.per_s <= 0:
+        pace.progress = rng.random()
+    pace.is_rising = True
+
+
 class GrowingPart:
     """A part that falls at once and grows slowly.
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/fleet_demand.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/fleet_demand.py
@@ -96,6 +96,10 @@
             if now - report.received_at < HEARD_MAX_AGE_S
         )
 
+    def estimate_per_s(self, now: float) -> float:
+        """Returns the requests per second that all routers receive."""
+        return self.read_own(now) / DECAY_S + self.estimate_others_per_s(now)
+
     def estimate_others_per_s(self, now: float) -> float:
         """Returns the requests per second that other routers receive."""
         return self._sum_others(now) / DECAY_S
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/limit_parts.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/limit_parts.py
@@ -140,13 +140,30 @@
             now: monotonic seconds.
         """
         pace = self.paces.get(name)
-        if pace is None:
+        if pace is None or pace.is_rising:
             # One whole interval has to pass, since this router may have sent
             # just before; the random rest spreads the routers.
             self.paces[name] = cold_pace.Pace(per_s, -self.rng.random(), now)
         else:
             pace.update(per_s, now)
 
+    def raise_pace(self, name: ids.TargetId, per_s: float, now: float) -> None:
+        """Lets the pace at a target grow that has become warm.
+
+        Args:
+            name: the target.
+            per_s: requests per second that this router may send to it.
+            now: monotonic seconds.
+        """
+        pace = self.paces[name]
+        cold_pace.start_rising(pace, self.rng)
+        pace.update(per_s, now)
+
+    def is_paced_as_cold(self, name: ids.TargetId) -> bool:
+        """Whether requests to a target count in its rate as a cold one."""
+        pace = self.paces.get(name)
+        return pace is not None and not pace.is_rising
+
     def keep_only(self, names: set[ids.TargetId]) -> None:
         """Removes the limits of all other targets."""
         for table in (self.credits, self.paces):
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -16,6 +16,7 @@
 
 from lentilbeam_core import ids
 from lentilbeam_core import rendezvous
+from lentilbeam_core.forwarding import cold_speed as cold_speed_lib
 from lentilbeam_core.forwarding import configuration
 from lentilbeam_core.forwarding import connection_preference
 from lentilbeam_core.forwarding import fleet_demand
@@ -128,11 +129,20 @@
         cost_s: estimated time to the first event plus penalties, in seconds.
         placement: the placement if the target is chosen.
         needs_fetch: whether the target should fetch shared parts.
+        is_last_resort: whether the target is chosen only if no other can be.
     """
 
     cost_s: float
     placement: Placement
     needs_fetch: bool
+    is_last_resort: bool = False
+
+    def is_better(self, other: "_Candidate | None") -> bool:
+        """Whether this target is preferred to another; None if none is."""
+        return other is None or (self.is_last_resort, self.cost_s) < (
+            other.is_last_resort,
+            other.cost_s,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,6 +181,7 @@
         rates: settings of the prefill rates of the pool's targets.
         long_prompts: assignment of long prompts to a few targets.
         memory: tells which engines have memory for a request.
+        cold_speed: tells how slow the cold engines are.
         pool_size: number of targets of the last placement.
         connections: tells to which targets this router has idle connections.
         homes: home targets among `home_candidates`, by the hashed key.
@@ -208,6 +219,7 @@
             lambda: 1,
             rng,
         )
+        self.cold_speed = cold_speed_lib.ColdSpeed()
         self.pool_size = 0
         self.homes: dict[str, ids.TargetId] = {}
         self.home_candidates: tuple[ids.TargetId, ...] = ()
@@ -290,7 +302,7 @@
             if candidate and entry.version in lone:
                 cost_s = candidate.cost_s + self.settings.lone_version_penalty_s
                 candidate = dataclasses.replace(candidate, cost_s=cost_s)
-            if candidate and (best is None or candidate.cost_s < best.cost_s):
+            if candidate and candidate.is_better(best):
                 best = candidate
         if best is None:
             return None
@@ -503,16 +515,22 @@
         else:
             penalty_s += missing_tokens * settings.recompute_token_penalty_s
         unread = max(request.prompt.tokens - cached_tokens, 1)
-        rate = self._estimate_rate(load)
+        rate = self._estimate_rate(entry.name, load, now)
         if plan is None:
             prefill_s = unread / rate
         else:
             prefill_s = self.long_prompts.estimate_prefill(
                 unread,
                 request.prompt.tokens,
-                self.long_prompts.find_slowdown(load),
+                self._find_slowdown(entry.name, load, now),
             )
         backlog_s = load.unread / rate
+        is_last_resort = (
+            entry.name in self.cold_speed.cold
+            and cold_speed_lib.is_long(prefill_s, request.route.goal_s)
+        )
+        if is_last_resort and backlog_s > cold_speed_lib.MAX_BACKLOG_S:
+            return None
         recent = load.recent + unread
         max_recent = bounds.prefill_fraction * rate * loads_lib.RECENT_DECAY_S
         if recent > max_recent and backlog_s > settings.bounds_exempt_backlog_s:
@@ -558,18 +576,34 @@
             is_long=plan is not None and plan.is_long,
         )
         return _Candidate(
-            first_event_delay_s + penalty_s, placement, needs_fetch
+            first_event_delay_s + penalty_s,
+            placement,
+            needs_fetch,
+            is_last_resort,
         )
 
-    def _estimate_rate(self, load: loads_lib.Load) -> float:
+    def _find_slowdown(
+        self, name: ids.TargetId, load: loads_lib.Load, now: float
+    ) -> float:
+        """Returns how much slower a target is than its pool, as a factor."""
+        slowdown = self.long_prompts.find_slowdown(load)
+        return self.cold_speed.correct(name, slowdown, 1.0, now)
+
+    def _estimate_rate(
+        self, name: ids.TargetId, load: loads_lib.Load, now: float
+    ) -> float:
         """Returns the prompt tokens that a target processes per second."""
         if not self.long_prompts.is_enabled(self.pool_size):
-            return prefill_rates.estimate(
+            rate = prefill_rates.estimate(
                 self.rates, load.timed_s, load.expected_s
             )
+            initial = self.rates.initial_tokens_per_s
+            return initial / self.cold_speed.correct(
+                name, initial / rate, self.cold_speed.warm_slowdown, now
+            )
         # The ratio of tokens to time is lower at engines for long prompts only
         # because of these, not because the engines are slow.
-        slowdown = self.long_prompts.find_slowdown(load)
+        slowdown = self._find_slowdown(name, load, now)
         return 1 / (self.long_prompts.model.mean_s * slowdown)
 
     def _choose_fetch_source(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/cold_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/cold_control.py
@@ -127,6 +127,8 @@
         demand: requests for the pool, at all routers.
         part: this router's part if all routers send to a cold target; None
             before it is first needed.
+        names: the cold targets.
+        ramps: when targets became warm whose rate still grows.
     """
 
     def __init__(
@@ -139,6 +141,8 @@
         self.limit_parts = limits
         self.demand = demand
         self.part: cold_pace.GrowingPart | None = None
+        self.names: frozenset[ids.TargetId] = frozenset()
+        self.ramps = cold_pace.Ramps()
 
     def is_cold(
         self,
@@ -184,23 +188,49 @@
         if pool.cold_per_s <= 0 and not limits.paces:
             return
         cold = [entry for entry in ready if self.is_cold(pool, entry, now)]
-        names = {entry.name for entry in cold}
-        for name in limits.paces.keys() - names:
-            del limits.paces[name]
-        if not cold or self.control is None:
+        self.names = frozenset(entry.name for entry in cold)
+        rising = self._keep_rising(pool, {entry.name for entry in ready}, now)
+        if not (cold or rising) or self.control is None:
             return
         routers = self.control.peers.count_routers()
         sharers = self.control.settings.count_sharers(pool.cold_per_s, routers)
-        even = pool.cold_per_s / sharers
-        by_demand = self._find_part(routers, now) * pool.cold_per_s
+        by_demand = self._find_part(routers, now)
+        if not self.control.has_peers:
+            by_demand = 0.0
         for entry in cold:
-            per_s = by_demand
-            if not self.control.has_peers:
-                per_s = 0.0
-            elif sharers < routers:
+            part = by_demand
+            if self.control.has_peers and sharers < routers:
                 is_sharer = self.control.is_sharer(entry.name, sharers)
-                per_s = even if is_sharer else 0.0
-            limits.update_pace(entry.name, per_s, now)
+                part = 1.0 / sharers if is_sharer else 0.0
+            limits.update_pace(entry.name, part * pool.cold_per_s, now)
+        part = by_demand if sharers == routers else 1.0 / routers
+        fair_per_s = self.demand.estimate_per_s(now) / max(len(ready), 1)
+        for name in rising:
+            per_s = cold_pace.find_ramp_rate(
+                pool.cold_per_s, fair_per_s, now - self.ramps.since[name]
+            )
+            limits.raise_pace(name, part * per_s, now)
+
+    def _keep_rising(
+        self, pool: configuration.Pool, ready: set[ids.TargetId], now: float
+    ) -> list[ids.TargetId]:
+        """Removes the paces at warm targets once these have their full rate.
+
+        Returns:
+            The warm targets that do not have it yet.
+        """
+        paces = self.limit_parts.paces
+        for name in self.ramps.since.keys() - (paces.keys() - self.names):
+            del self.ramps.since[name]
+        rising = []
+        for name in paces.keys() - self.names:
+            is_warm = name in ready and pool.cold_per_s > 0
+            if is_warm and self.ramps.keep(name, now):
+                rising.append(name)
+            else:
+                del paces[name]
+                self.ramps.since.pop(name, None)
+        return rising
 
     def _find_part(self, routers: int, now: float) -> float:
         wanted = self.demand.compute_part(routers, now)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -330,7 +330,7 @@
             "fleet_unread_tokens": sum(load.unread for load in totals),
             "targets_usable": len(self.find_usable()),
             "targets_limited": len(self.admission.limit_parts.credits),
-            "targets_cold": len(self.admission.limit_parts.paces),
+            "targets_cold": len(self.cold.names),
             "targets_for_long_prompts": self.placer.long_prompts.count,
             "prefill_error": self.placer.long_prompts.error.read(now),
             "workspaces_asking": len(self.usage.asked),
@@ -405,6 +405,11 @@
             self._refresh_avoided(ready, now)
         self._update_credits(ready, now)
         self.cold.update(self.pool, ready, now)
+        if self.pool.engine is not None:
+            names = [entry.name for entry in ready]
+            self.placer.cold_speed.update(
+                self.cold.names, names, self.loads, now
+            )
         for entry in ready:
             if self._is_failing(entry.name, now):
                 continue
--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -38,6 +38,9 @@
 ENTRY_INTERVAL_S = 1.2
 """Time between two entries that a target writes."""
 _REQUEST_ID = re.compile(rb"request-id: (\S+)", re.IGNORECASE)
+_PROMPT_TOKENS = re.compile(rb"token-count: (\d+)", re.IGNORECASE)
+COLD_FACTOR = 2.0
+"""How much longer a cold target takes for a prompt."""
 _LAST_EVENT_ID = re.compile(rb"last-event-id: (\d+)", re.IGNORECASE)
 
 
@@ -78,6 +81,10 @@
         cold_until: when it stops to be cold, monotonic seconds.
         read_until: when the newest entry was written that each router has
             read, monotonic seconds.
+        prefill_per_s: prompt tokens that it processes per second, one request
+            after the other; 0 if prompts take no time.
+        prefilled_at: when it will have processed all prompts, monotonic
+            seconds.
     """
 
     def __init__(self, entry: target_list.Entry):
@@ -90,6 +97,8 @@
         self.report_headers = ""
         self.cold_until = 0.0
         self.read_until: dict[str, float] = {}
+        self.prefill_per_s = 0.0
+        self.prefilled_at = 0.0
         self.headers = ""
         self.respond = self.respond_plainly
         self.arrivals: list[Arrival] = []
@@ -111,6 +120,17 @@
             number,
         )
 
+    def prefill(self, head: bytes, now: float) -> float:
+        """Returns after how many seconds a prompt will be processed."""
+        found = _PROMPT_TOKENS.search(head)
+        if not found or self.prefill_per_s <= 0:
+            return 0.0
+        seconds = int(found[1]) / self.prefill_per_s
+        if now < self.cold_until:
+            seconds *= COLD_FACTOR
+        self.prefilled_at = max(self.prefilled_at, now) + seconds
+        return self.prefilled_at - now
+
     def crash(self) -> None:
         """Ends the process: all connections break."""
         self.is_up = False
@@ -190,7 +210,8 @@
             loop.call_later(NETWORK_DELAY_S, self._deliver, report)
             return
         self.target.arrivals.append(Arrival(loop.time(), self.router, head))
-        loop.call_later(RESPONSE_S, self._respond, head)
+        prefill_s = self.target.prefill(head, loop.time())
+        loop.call_later(RESPONSE_S + prefill_s, self._respond, head)
 
     def _respond(self, head: bytes) -> None:
         if not self.target.is_up:
