Draw plain targets by room in large fleets; expected times by route

Reports are older than a request takes, so all routers chose the target that was least loaded in the same old reports, and the bound of 1.5 times the slots made them wait and then send together.

Change: the new module plain_work keeps the mean time of requests by route and method; decode_s of a plain target is what its running requests have left. In fleets of 17 routers or more, a plain target is drawn at random in proportion to its room, which follows from the response-time goal and falls while answers are late.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -261,7 +261,7 @@
             # A placement takes room, so full bounds stay full in this pass.
             if bounds in full_bounds:
                 continue
-            if not self.placer.has_room(targets, bounds):
+            if not self.placer.has_room(targets, bounds, now):
                 full_bounds.add(bounds)
                 continue
             placed = self._place_one(workspace, targets, bounds, now)
@@ -353,6 +353,8 @@
         is_paced = target in self.limit_parts.paces
         self.limit_parts.note_sent(target)
         self.placer.work_left.note_start(request, now)
+        if self.placer.pool.engine is None:
+            self.placer.plain_work.note_start(request, placement.target, now)
         if request.prompt is not None:
             self.placer.note_prompt_placed(target, request.prompt.parts, now)
             self.placer.note_placed(placement, now)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -21,6 +21,7 @@
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import long_prompts as long_prompts_lib
+from lentilbeam_core.forwarding import plain_work as plain_work_lib
 from lentilbeam_core.forwarding import prefill_rates
 from lentilbeam_core.forwarding import prompt_cache
 from lentilbeam_core.forwarding import requests
@@ -174,6 +175,7 @@
         rates: settings of the prefill rates of the pool's targets.
         long_prompts: assignment of long prompts to a few targets.
         work_left: output that running streams have left.
+        plain_work: expected times of requests to plain targets.
         pool_size: number of targets of the last placement.
         connections: tells to which targets this router has idle connections.
         homes: home targets among `home_candidates`, by the hashed key.
@@ -200,6 +202,9 @@
         )
         self.caches = prompt_cache.PromptCaches(0)
         self.work_left = work_left_lib.WorkLeft(work_left_lib.Settings(), loads)
+        self.plain_work = plain_work_lib.PlainWork(
+            plain_work_lib.Settings(), loads, settings.plain_overcommit
+        )
         self.update_pool(pool)
         self.rates = prefill_rates.Settings()
         self.long_prompts = long_prompts_lib.LongPrompts(
@@ -224,7 +229,10 @@
         )
 
     def has_room(
-        self, targets: list[target_list.Entry], bounds: load_bounds.Bounds
+        self,
+        targets: list[target_list.Entry],
+        bounds: load_bounds.Bounds,
+        now: float,
     ) -> bool:
         """Returns whether any target has a free slot within the bounds.
 
@@ -233,7 +241,10 @@
         Args:
             targets: targets that may get a request.
             bounds: limits on the load of a target.
+            now: monotonic seconds.
         """
+        if self.pool.engine is None and self.plain_work.is_used(now):
+            return bool(targets)
         fraction = self.settings.plain_overcommit
         if self.pool.engine is not None:
             fraction = bounds.slots_fraction
@@ -389,19 +400,21 @@
         targets: list[target_list.Entry],
         now: float,
     ) -> Placement | None:
+        if self.pool.engine is None and self.plain_work.is_used(now):
+            penalties = [
+                (t, self._find_plain_penalty(request, t)) for t in targets
+            ]
+            chosen = self.plain_work.choose(request, penalties, self.rng, now)
+            return chosen and Placement(chosen, 0.0, 0.0, None)
         best = None
         lowest_utilisation = self.settings.plain_overcommit
         for entry in targets:
             running = self.loads.total(entry.name, now).running
             if running >= entry.slots * self.settings.plain_overcommit:
                 continue
-            is_remote = entry.data_centre != self.data_centre
             # The random penalty of up to 0.1 requests spreads the choices of
             # routers with the same information.
-            penalty = self.settings.plain_remote_penalty * is_remote
-            penalty += self.connections.estimate_plain_cost(
-                request, entry, is_remote
-            )
+            penalty = self._find_plain_penalty(request, entry)
             utilisation = (
                 running + penalty + self.rng.random() * 0.1
             ) / entry.slots
@@ -409,6 +422,16 @@
                 best, lowest_utilisation = entry, utilisation
         return Placement(best, 0.0, 0.0, None) if best is not None else None
 
+    def _find_plain_penalty(
+        self, request: requests.Request, entry: target_list.Entry
+    ) -> float:
+        """Returns the penalty of a plain target, as a number of requests."""
+        is_remote = entry.data_centre != self.data_centre
+        penalty = self.settings.plain_remote_penalty * is_remote
+        return penalty + self.connections.estimate_plain_cost(
+            request, entry, is_remote
+        )
+
     def _find_cached(
         self, prompt: requests.Prompt, targets: list[target_list.Entry]
     ) -> _CachedPrefix:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/requests.py
@@ -61,6 +61,7 @@
             until the router read it, in seconds.
         identity: identity of the whole request, see `request_identity`; empty
             if it has none.
+        method: HTTP method.
     """
 
     request_id: str
@@ -74,6 +75,7 @@
     body_bytes: int = 0
     unread_s: float = 0.0
     identity: str = ""
+    method: str = ""
 
     @property
     def crash_identities(self) -> tuple[str, ...]:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -88,6 +88,7 @@
         self.placer = placement.Placer(
             placement.Settings(), pool, self.loads, data_centre, rng
         )
+        self.placer.plain_work.count_routers = count_routers
         self.admission = admission.Admission(
             admission.Settings(), self.placer, self.usage, rng
         )
@@ -187,10 +188,17 @@
             request_id, events, self.clock.monotonic()
         )
 
+    def note_served(self, request_id: str) -> None:
+        """Records that a request has got its whole answer."""
+        self.placer.plain_work.note_end(
+            request_id, True, self.clock.monotonic()
+        )
+
     def note_end(self, request_id: str) -> None:
         """Records that a request has left its target, given by its ID."""
         now = self.clock.monotonic()
         self.placer.work_left.note_end(request_id, None, now)
+        self.placer.plain_work.note_end(request_id, False, now)
         self.loads.end_request(request_id)
         self.is_changed = True
         self.decide()
@@ -343,6 +351,7 @@
             "targets_for_long_prompts": self.placer.long_prompts.count,
             "prefill_error": self.placer.long_prompts.error.read(now),
             "output_error": self.placer.work_left.estimates.error.read(now),
+            "plain_time_error": self.placer.plain_work.error.read(now),
             "workspaces_asking": len(self.usage.asked),
             "repeats_in_window": len(self.budget.retries),
         }
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -441,6 +441,7 @@
             self.progress.may_have_run = may_have_run_before
         if outcome.result is progress_lib.SendResult.DONE:
             self.dispatcher.note_success(target.name)
+            self.dispatcher.note_served(self.request.request_id)
         else:
             connection.close()
             self._record(
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -605,6 +605,7 @@
             leaving = self.targets.find_leaving(name)
             limits = self.targets.find_own_limits(name, now)
             cold = self.cold.find_turned_cold(name, now)
+            dispatcher.placer.plain_work.refresh(now)
             loads.extend(dispatcher.loads.export(now, leaving, limits, cold))
             demands.append(dispatcher.export_demand(now))
         work = work_sums.Work(tuple(loads), tuple(uses), tuple(demands))
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -218,6 +218,7 @@
             configuration_version=current.version,
             body_bytes=len(body),
             unread_s=unread_s,
+            method=request_head.method,
         )
 
     async def _forward(
