--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_builder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_builder.py
@@ -74,4 +74,5 @@
         configuration_version=current.version,
         body_bytes=body_bytes,
         unread_s=unread_s,
+        method=request_head.method,
     )
