--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -415,6 +415,7 @@
             total.unread += peers.unread
             total.running += peers.running
             total.held += peers.held
+            total.decode_s += peers.decode_s
             total.recent += peers.recent * self.sums_aging.recent
             total.outcomes += peers.outcomes * outcome_decay
             total.failures += peers.failures * outcome_decay
@@ -488,7 +489,12 @@
 
     def _read_own(self, target: ids.TargetId, now: float) -> Load:
         own = self.own_loads.get(target)
-        load = Load(own.unread, own.running, own.held) if own else Load()
+        load = Load()
+        if own is not None:
+            load.unread = own.unread
+            load.running = own.running
+            load.held = own.held
+            load.decode_s = own.decode_s
         if target in self.recent:
             load.recent = self.recent[target].read(now, RECENT_DECAY_S)
         if target in self.outcomes:
