Accept connections on time at the former cost

Change: the budget is charged only while connections are limited, and a router on time accepts without looking at the clock for each connection.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/overload_budget.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/overload_budget.py
@@ -83,14 +83,12 @@
         self._refusal_s += (took_s - self._refusal_s) * MEASUREMENT_WEIGHT
 
     def note_accepted(self, now: float) -> None:
-        """Records that a connection was accepted, to be refused or not."""
+        """Records that a connection was accepted while they are limited."""
         self._refill(now)
-        # Not limited while on time, so it may be more than there is.
-        cost_s = self.estimate_refusal_cost()
-        self._left_s = max(self._left_s - cost_s, -self.settings.inside_s)
+        self._left_s -= self.estimate_refusal_cost()
 
     def note_begun(self, now: float) -> None:
-        """Records that a request is forwarded, so not refused."""
+        """Records that a request is forwarded while they are limited."""
         self._refill(now)
         self._left_s += self.estimate_refusal_cost()
         self._begun.add(1.0, now, RATE_DECAY_S)
@@ -106,12 +104,12 @@
             is_limited: whether this router was late recently.
             now: monotonic seconds.
         """
-        self._refill(now)
         if waited_s >= self.settings.inside_s:
             return 0
         cost_s = self.estimate_refusal_cost()
         if not is_limited:
             return max(int(self.settings.inside_s / cost_s) - waiting, 1)
+        self._refill(now)
         return max(int(self._left_s / cost_s), 0)
 
     def count_openable(self, waiting: int, request_s: float) -> int:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
@@ -136,7 +136,7 @@
             waiting, self.turns.waited_s
         )
         is_limited = not self.overload.takes_callers
-        openable = BACKLOG
+        openable = acceptable
         if is_limited:
             openable = self.overload.count_openable(waiting)
         # Requests of workspaces below their fair share find room nevertheless.
@@ -147,30 +147,33 @@
             self._pause(PAUSE_S)
             return
         until = self.clock.monotonic() + turns_lib.MAX_TURN_S
-        for _ in range(BACKLOG):
-            if (
-                min(acceptable, openable + reserve) <= 0
-                or self.clock.monotonic() > until
-            ):
-                # The others are accepted in the next iteration.
-                self.overload.note_unaccepted()
+        while min(acceptable, openable + reserve) > 0:
+            connection = self._accept_one()
+            if connection is None:
                 return
-            try:
-                connection, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                self.log.write_event("accept_failed", detail=str(error))
-                self._pause(FAILURE_PAUSE_S)
-                return
-            if is_limited:
-                outcome = self._read_early(connection, openable <= 0)
-            else:
-                outcome = Outcome.OPENED
-                self.overload.note_accepted()
+            acceptable -= 1
+            if not is_limited:
                 self._open(connection, None, b"")
-            acceptable -= outcome is not Outcome.LEFT
+                continue
+            outcome = self._read_early(connection, openable <= 0)
+            acceptable += outcome is Outcome.LEFT
             openable -= outcome is Outcome.OPENED
+            if self.clock.monotonic() > until:
+                break
+        # The others are accepted in the next iteration.
+        self.overload.note_unaccepted()
+
+    def _accept_one(self) -> socket.socket | None:
+        """Accepts a connection; returns None if none can be accepted now."""
+        try:
+            connection, _ = self.sock.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return None
+        except OSError as error:
+            self.log.write_event("accept_failed", detail=str(error))
+            self._pause(FAILURE_PAUSE_S)
+            return None
+        return connection
 
     def _read_early(self, connection: socket.socket, is_full: bool) -> Outcome:
         """Opens a connection, unless its request is refused at once.
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
@@ -198,7 +198,8 @@
         """Records that a request is forwarded."""
         now = self.clock.monotonic()
         self.load.note_begun(now)
-        self.budget.note_begun(now)
+        if not self.takes_callers:
+            self.budget.note_begun(now)
 
     def note_refused(self, took_s: float, is_whole: bool = False) -> None:
         """Records that a request was refused because of the load.
--- a/tests/forwarding/flooded_router.py
+++ b/tests/forwarding/flooded_router.py
@@ -333,9 +333,10 @@
                 self._work(DROP_S)
                 continue
             acceptable -= 1
-            self.overload.note_accepted()
-            if is_limited and self._refuse_early(attempt, openable <= 0):
-                continue
+            if is_limited:
+                self.overload.note_accepted()
+                if self._refuse_early(attempt, openable <= 0):
+                    continue
             openable -= 1
             self._work(ACCEPT_S)
             self.accepted.append(attempt)
