Learn prompt parts before the first request of a pool

Cause: peers report once which prompt parts they sent to which engine, and a router without a dispatcher for the pool dropped the reports.

Change: dispatchers of pools of engines exist from the configuration on. The new test fails without this.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -294,9 +294,11 @@
                 for name, pool in found.pools.items()
                 if pool.cold_per_s > 0
             }
-            for name in self.cold.pools:
-                # The pace at cold targets begins before the first request.
-                self.find_dispatcher(name)
+            for name, pool in found.pools.items():
+                # The pace at cold targets begins before the first request, and
+                # peers report only once which prompt parts engines have.
+                if name in self.cold.pools or pool.engine is not None:
+                    self.find_dispatcher(name)
             self.log.write_event(
                 "configuration_in_force",
                 version=found.version,
--- a/tests/forwarding/test_fetch_sources.py
+++ b/tests/forwarding/test_fetch_sources.py
@@ -31,6 +31,27 @@
         dispatcher.avoided_checked_at = float("inf")
 
 
+def test_parts_that_peers_report_before_the_first_request_are_known():
+    """Guards against parts that a router without requests never learns."""
+
+    async def scenario(fleet):
+        fleet.add_target(SOURCE)
+        await fleet.send("r0", **PROMPT)
+        await asyncio.sleep(1.0)
+
+    fleet = gateway_fleet.Fleet(routers=2, targets=0, engine=makers.ENGINE)
+    gateways = fleet.gateways
+    known = []
+
+    async def look(fleet):
+        await scenario(fleet)
+        placer = gateways["r1"].find_dispatcher(makers.POOL).placer
+        known.extend(placer.caches.holders)
+
+    fleet.run(look)
+    assert "aa" in known
+
+
 @pytest.mark.parametrize(
     "stop,is_fetched", [(leave, True), (evacuate, True), (fail, False)]
 )
