--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_memory.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_memory.py
@@ -143,14 +143,27 @@
             usable = near
         held = {e.name: self.loads.total(e.name, now).held for e in targets}
         age_s = self.settings.find_report_age(routers)
+        others_per_s = self.demand.estimate_others_per_s(now)
+        own_per_s = self.demand.read_own(now) / fleet_demand.DECAY_S
+        # Demand decays too slowly to show a burst. So the others are taken to
+        # send, for their demand, as many as this router has just placed.
+        ratio = min(others_per_s / max(own_per_s, 1e-9), routers - 1)
+        expected = others_per_s * age_s
+        spread = self.settings.deviations / 2
+        is_known = routers == 1 or now - self.since >= self.settings.learning_s
         all_free = sum(max(near - amount, 0.0) for amount in held.values())
         full = set()
         for name, amount in held.items():
             if amount <= 0.0 and wanted > cache_tokens:
                 continue
             share = max(near - amount, 0.0) / max(all_free, 1.0)
-            placed = self._sum_fresh(name, now - age_s) / wanted
-            others = self._count_others(routers, share, placed, now)
+            others = math.inf
+            if is_known:
+                most = min(self.settings.herd_factor * share, 1.0) * expected
+                others = (math.sqrt(most) + spread) ** 2 if routers > 1 else 0
+                if name in self.fresh:
+                    placed = self._sum_fresh(name, now - age_s) / wanted
+                    others += ratio * _estimate_burst(placed)
             margin = others * wanted
             if amount + wanted + margin <= near:
                 continue
@@ -175,35 +188,6 @@
         self.fresh.pop(target, None)
         self.lots.pop(target, None)
 
-    def _count_others(
-        self, routers: int, share: float, placed: float, now: float
-    ) -> float:
-        """Returns how many requests others may have sent to an engine.
-
-        Demand decays too slowly to show a burst. So the others are taken to
-        send, for their demand, as many as this router has just placed.
-
-        Args:
-            routers: number of routers in the fleet.
-            share: part of the pool's free memory that this engine has.
-            placed: number of requests that this router has just placed there.
-            now: monotonic seconds.
-        """
-        settings = self.settings
-        if routers == 1:
-            return 0.0
-        if now - self.since < settings.learning_s:
-            return math.inf
-        others_per_s = self.demand.estimate_others_per_s(now)
-        expected = others_per_s * settings.find_report_age(routers)
-        expected *= min(settings.herd_factor * share, 1.0)
-        most = (math.sqrt(expected) + settings.deviations / 2) ** 2
-        own_per_s = self.demand.read_own(now) / fleet_demand.DECAY_S
-        ratio = others_per_s / max(own_per_s, 1e-9)
-        # One standard deviation less, since a few requests are no burst.
-        burst = max(math.sqrt(placed) - 0.5, 0.0) ** 2 if placed > 1 else 0.0
-        return most + min(ratio, routers - 1) * burst
-
     def _may_use_part(
         self,
         name: ids.TargetId,
@@ -255,3 +239,11 @@
             fresh.popleft()
         placed = self.loads.placed_requests
         return sum(placed[r].load.held for _, r in fresh if r in placed)
+
+
+def _estimate_burst(placed: float) -> float:
+    """Returns how many of the requests that were just placed are a burst.
+
+    One standard deviation less, since a few requests are no burst.
+    """
+    return (math.sqrt(placed) - 0.5) ** 2 if placed > 1 else 0.0
