--- a/tests/forwarding/test_flood.py
+++ b/tests/forwarding/test_flood.py
@@ -97,7 +97,7 @@
 # Guards against limits that refuse a load that the processor can bear.
 @pytest.mark.parametrize("seed", range(5))
 def test_usual_load_is_not_refused(seed):
-    usual = flooded_router.Workspace("usual", [0.75] * 20)
+    usual = flooded_router.Workspace("usual", [0.85] * 20)
     router = flooded_router.FloodedRouter([usual], seed)
     router.run(20)
     assert not router.refused_at
