--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -256,6 +256,7 @@
         self.caches.cache_tokens = (
             pool.engine.cache_tokens if pool.engine else 0
         )
+        self.plain_work.is_enabled = pool.cold_per_s <= 0
         self.work_left.event_tokens = (
             pool.engine.event_tokens if pool.engine else 0
         )
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/plain_work.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/plain_work.py
@@ -124,6 +124,8 @@
         loads: gets what is left at each target.
         plain_overcommit: see `placement.Settings`.
         count_routers: returns the number of routers in the fleet.
+        is_enabled: whether the pool has no cold rate. Drawing would leave half
+            of the little that cold targets may get unused.
         times: mean time of the requests of each route and method.
         mean: mean time of all requests.
         running: this router's running requests, by request ID.
@@ -143,6 +145,7 @@
         self.loads = loads
         self.plain_overcommit = plain_overcommit
         self.count_routers: Callable[[], int] = lambda: 1
+        self.is_enabled = True
         self.times: dict[tuple[str, str], MeanTime] = {}
         self.mean = MeanTime()
         self.running: dict[str, Running] = {}
@@ -153,8 +156,11 @@
 
     @property
     def is_counted(self) -> bool:
-        """Whether the fleet is large enough."""
-        return self.count_routers() >= self.settings.min_routers
+        """Whether the pool is enabled and the fleet large enough."""
+        return (
+            self.is_enabled
+            and self.count_routers() >= self.settings.min_routers
+        )
 
     def is_used(self, now: float) -> bool:
         """Whether targets are chosen by expected times."""
