Accept connections of a late router without blocking

An accepted socket blocks unless it is told otherwise, whatever the listening socket does. A late router reads a request before it opens the connection, so a caller that had connected and sent nothing would have stopped the whole process until it did. Found by reading; the new test did not end before.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
@@ -173,6 +173,8 @@
             self.log.write_event("accept_failed", detail=str(error))
             self._pause(FAILURE_PAUSE_S)
             return None
+        # A read from a caller that has sent nothing yet must not block.
+        connection.setblocking(False)
         return connection
 
     def _read_early(self, connection: socket.socket, is_full: bool) -> Outcome:
--- a/tests/forwarding/test_accept_control.py
+++ b/tests/forwarding/test_accept_control.py
@@ -136,6 +136,25 @@
     assert control.backlog == accept_control.BACKLOG
 
 
+# Guards against a router that stands still until a caller sends its request.
+def test_caller_that_sends_nothing_does_not_block_a_late_router():
+    async def scenario():
+        overload = make_overload(9, takes_callers=False)
+        early = early_refusal.EarlyRefusal(None, None)
+        async with listen(overload, None) as (control, _):
+            with listening.open_socket(
+                addresses.Address("127.0.0.1", 0)
+            ) as sock:
+                control.sock, usual = sock, control.sock
+                with socket.create_connection(sock.getsockname()):
+                    connection = control._accept_one()
+                    assert early.read(connection, 0.0, False) == b""
+                    connection.close()
+                control.sock = usual
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
 def read_request(request, refuses, has_had_fair_share=False, is_full=False):
     """Reads a request early; returns what was read, the response and the log.
 
