Read the gauges of test_learned_work at the time of the clock

Loads are summed at the time of the router's clock, and the test asked for gauges of the second 1; the decay in between overflows. Same assertions.

--- a/tests/forwarding/test_learned_work.py
+++ b/tests/forwarding/test_learned_work.py
@@ -20,7 +20,8 @@
         work = router.dispatcher.placer.work_left
         work.settings = dataclasses.replace(work.settings, min_targets=1)
         await router.call(token_count="500,900", length_hint="30", **headers)
-        return work, router.dispatcher.read_gauges(1.0)
+        now = router.dispatcher.clock.monotonic()
+        return work, router.dispatcher.read_gauges(now)
 
     return test_forwarding.run(scripts, scenario, engine=ENGINE)
 
