--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/prefill_rates.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/prefill_rates.py
@@ -19,15 +19,13 @@
     Attributes:
         initial_tokens_per_s: rate assumed before the first sample; from the
             operators' engine data sheets, less the time for decoding.
-        prior_s: weight of the initial rate, as seconds of samples at all
-            routers. With less weight, waiting within a busy engine made it
-            look slower than it is, and prompts went elsewhere or were refused.
+        prior_s: weight of the initial rate, as seconds of samples.
         min_tokens_per_s: lower bound of an estimated rate.
         max_tokens_per_s: upper bound of an estimated rate.
     """
 
     initial_tokens_per_s: float = 90_000.0
-    prior_s: float = 4.0
+    prior_s: float = 1.0
     min_tokens_per_s: float = 15_000.0
     max_tokens_per_s: float = 150_000.0
 
