Log why no target was found, and how old fleet reports are

The log of a refusal did not tell whether slots, prefill, the goal or pauses excluded the targets, or whether the request was tried at all; the metrics did not tell how long reports take through a relay. Refusals now have tries and excluded, the event relay has unheard_s, and the gauge fleet_report_delay_s is new.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -80,7 +80,7 @@
     retry_after_fraction: float = 0.3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class QueuedRequest:
     """A request in the queue.
 
@@ -91,6 +91,8 @@
         excluded: targets that it must not be sent to.
         version: the only software version that may run it, since it goes on
             with a stream; None if any may.
+        tries: how often no target was found for it.
+        exclusions: why none was found the last time, and the number of targets.
     """
 
     request: requests.Request
@@ -98,6 +100,17 @@
     refuse_at: float
     excluded: frozenset[ids.TargetId]
     version: str | None = None
+    tries: int = 0
+    exclusions: dict[placement_lib.Exclusion, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def note_failed_try(
+        self, exclusions: dict[placement_lib.Exclusion, int]
+    ) -> None:
+        """Records that no target was found."""
+        self.tries += 1
+        self.exclusions = exclusions
 
     def select(
         self, targets: list[target_list.Entry]
@@ -260,9 +273,11 @@
             ]
             # A placement takes room, so full bounds stay full in this pass.
             if bounds in full_bounds:
+                self._note_no_room(workspace, len(targets))
                 continue
             if not self.placer.has_room(targets, bounds, now):
                 full_bounds.add(bounds)
+                self._note_no_room(workspace, len(targets))
                 continue
             placed = self._place_one(workspace, targets, bounds, now)
             if placed is None:
@@ -328,10 +343,16 @@
             if placement is not None:
                 break
             self.failed_choices += 1
+            queued.note_failed_try(dict(self.placer.exclusions))
         else:
             return None
         return self._start(workspace, queued, placement, now)
 
+    def _note_no_room(self, workspace: ids.WorkspaceId, targets: int) -> None:
+        """Records that all targets have too many slots in use."""
+        for queued in _list_candidates(self.queues[workspace]):
+            queued.note_failed_try({placement_lib.Exclusion.SLOTS: targets})
+
     def _start(
         self,
         workspace: ids.WorkspaceId,
@@ -521,7 +542,14 @@
             kept = collections.deque()
             for queued in queue:
                 if is_refused(queued):
-                    refused.append(self.refuse(queued.request, reason, now))
+                    refusal = self.refuse(queued.request, reason, now)
+                    refused.append(
+                        dataclasses.replace(
+                            refusal,
+                            tries=queued.tries,
+                            exclusions=queued.exclusions,
+                        )
+                    )
                 else:
                     kept.append(queued)
             if not kept:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -1,5 +1,6 @@
 """What is decided about a request: where it is sent, or why it is refused."""
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -43,11 +44,17 @@
         request: the refused request.
         reason: why it was refused.
         retry_after_s: delay after which the caller should retry, in seconds.
+        tries: how often no target was found while it waited.
+        exclusions: why none was found the last time, and the number of targets.
     """
 
     request: requests.Request
     reason: RefusalReason
     retry_after_s: float
+    tries: int = 0
+    exclusions: Mapping[placement_lib.Exclusion, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 Decision = Placed | Refused
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import enum
 import random
 
 from lentilbeam_core import ids
@@ -102,6 +103,16 @@
     plain_remote_penalty: float = 0.3
 
 
+class Exclusion(enum.Enum):
+    """Why a target can't get a request now."""
+
+    SLOTS = "slots"  # Too many of its slots are in use.
+    PREFILL = "prefill"  # Too much of its time goes into prefill.
+    GOAL = "goal"  # Its first event would come too late.
+    PAUSE = "pause"  # It would pause its running streams for too long.
+    COLD = "cold"  # It is cold and has a backlog.
+
+
 # Not frozen, as `_Candidate`: one is created for each target that a request is
 # compared at, and creating a frozen object takes up to eight times as long.
 @dataclasses.dataclass(slots=True)
@@ -205,6 +216,8 @@
         home_candidates: targets of the last placement.
         select_recorded: returns those of some targets at which streams that
             callers may resume can begin.
+        exclusions: why targets were excluded in the last call of `choose`, and
+            how many.
     """
 
     def __init__(
@@ -248,6 +261,7 @@
         self.select_recorded: Callable[
             [list[target_list.Entry]], list[target_list.Entry]
         ] = lambda targets: targets
+        self.exclusions: collections.Counter[Exclusion] = collections.Counter()
 
     def update_pool(self, pool: configuration.Pool) -> None:
         """Applies a new configuration of the pool."""
@@ -302,8 +316,10 @@
             now: monotonic seconds.
 
         Returns:
-            The placement, or None if no target is within the bounds.
+            The placement, or None if no target is within the bounds; then
+            `exclusions` tells why.
         """
+        self.exclusions.clear()
         if request.route.is_resumable:
             targets = self.select_recorded(targets)
         if not targets:
@@ -478,6 +494,7 @@
         for entry in targets:
             running = self.loads.total(entry.name, now).running
             if running >= entry.slots * self.settings.plain_overcommit:
+                self._exclude(Exclusion.SLOTS)
                 continue
             # The random penalty of up to 0.1 requests spreads the choices of
             # routers with the same information.
@@ -556,7 +573,7 @@
         settings = self.settings
         load = self.loads.total(entry.name, now)
         if load.running >= entry.slots * bounds.slots_fraction:
-            return None
+            return self._exclude(Exclusion.SLOTS)
         cached_tokens = prefix.cached_tokens[index]
         missing_tokens = prefix.max_cached_tokens - cached_tokens
         off_home_tokens = max(
@@ -588,11 +605,11 @@
             and cold_speed_lib.is_long(prefill_s, request.route.goal_s)
         )
         if is_last_resort and backlog_s > cold_speed_lib.MAX_BACKLOG_S:
-            return None
+            return self._exclude(Exclusion.COLD)
         recent = load.recent + unread
         max_recent = bounds.prefill_fraction * rate * loads_lib.RECENT_DECAY_S
         if recent > max_recent and backlog_s > settings.bounds_exempt_backlog_s:
-            return None
+            return self._exclude(Exclusion.PREFILL)
         first_event_delay_s = (
             backlog_s + prefill_s + settings.first_event_overhead_s
         )
@@ -606,7 +623,7 @@
                 prefill_s,
                 waited_s < bounds.max_hold_fraction * request.route.goal_s,
             ):
-                return None
+                return self._exclude(Exclusion.PAUSE)
             penalty_s += self.long_prompts.find_penalty(
                 plan, entry, load, backlog_s + prefill_s
             )
@@ -615,7 +632,7 @@
             first_event_delay_s > goal_s
             and backlog_s > settings.bounds_exempt_backlog_s
         ):
-            return None
+            return self._exclude(Exclusion.GOAL)
         if entry.data_centre != self.data_centre:
             penalty_s += (
                 settings.remote_penalty_s
@@ -642,6 +659,10 @@
             is_last_resort,
         )
 
+    def _exclude(self, exclusion: Exclusion) -> None:
+        """Counts a target that can't get a request now."""
+        self.exclusions[exclusion] += 1
+
     def _find_slowdown(
         self, name: ids.TargetId, load: loads_lib.Load, now: float
     ) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -652,6 +652,8 @@
             reason=refused.reason.value,
             retry_after_s=round(refused.retry_after_s, 2),
             waiting=self.dispatcher.admission.count_waiting(),
+            tries=refused.tries,
+            excluded={e.value: n for e, n in refused.exclusions.items()},
             may_have_run=self.progress.may_have_run,
             **self._describe_request(),
             **self.dispatcher.describe_share(self.request.workspace),
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -435,6 +435,7 @@
             "accept_queue_limit": self.accept_control.backlog,
             "peers_listed": len(self.peers.listed),
             "peers_serving": len(self.peers.find_serving()),
+            "fleet_report_delay_s": self.report_exchange.fleet_report_delay_s,
             "targets_listed": len(self.targets.entries),
             "targets_lapsing": len(self.targets.pending_removals),
             "parts_blocked": len(self.prompt_blocks.evidence.list_blocks()),
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/relays.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/relays.py
@@ -88,7 +88,10 @@
         if relay == self.current:
             return
         self.log.write_event(
-            "relay", relay=chosen, before=self.current or self.own_name
+            "relay",
+            relay=chosen,
+            before=self.current or self.own_name,
+            unheard_s=round(now - self.last_report_at, 3),
         )
         self.current = relay
         self.since = now
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
@@ -151,6 +151,9 @@
             without this router's work.
         group_reports: last GROUP report of each peer that reports to this
             router: in a large fleet its members and the other relays.
+        fleet_report_delay_s: time from sending a GROUP report until a FLEET
+            report that includes it was read, in seconds; of the newest such
+            pair. 0 if there is none.
         sent_reports: own GROUP reports, by sequence number.
         parts_for_relays: prompt parts to be sent to this router's relay or,
             if it is a relay, to those of other data centres.
@@ -182,6 +185,7 @@
         self.status_announced_at = 0.0
         self.fleet_report_sender: ids.InstanceId | None = None
         self.last_fleet_report: _TimedReport | None = None
+        self.fleet_report_delay_s = 0.0
         self.group_reports: dict[ids.InstanceId, _TimedReport] = {}
         self.sent_reports: collections.OrderedDict[int, _TimedReport] = (
             collections.OrderedDict()
@@ -350,6 +354,8 @@
             if included.router == self.own_name
             and included.report in self.sent_reports
         ]
+        if own:
+            self.fleet_report_delay_s = min(term.age_s for term in own)
         others = work_sums.subtract(
             work_sums.from_report(report), own, self.decay_s
         )
