--- a/bench/overload/engine.py
+++ b/bench/overload/engine.py
@@ -38,6 +38,10 @@
         slow_speed: additional factor from `slow_from_s` to `slow_until_s`.
         slow_from_s: see above, in seconds.
         slow_until_s: see above, in seconds.
+        first_event_s: time from the end of prefill until the first event
+            reaches the router, in seconds, beyond the network delay. Engines
+            with many running streams and routers that share a processor take
+            some 0.1 s.
         fetch_s: fixed time to transfer cached parts from another engine, in
             seconds.
         fetch_token_s: additional transfer time per token, in seconds. An
@@ -59,6 +63,7 @@
     slow_speed: float = 1.0
     slow_from_s: float = 0.0
     slow_until_s: float = 0.0
+    first_event_s: float = 0.0
     fetch_s: float = 0.0027
     fetch_token_s: float = 1.08e-6
 
--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -285,7 +285,11 @@
         duration_s, started, ended = engine.step(now)
         at = now + duration_s + NETWORK_DELAY_S
         for job in started:
-            self._schedule(at, self._note_first_event, job.request.request_id)
+            self._schedule(
+                at + engine.settings.first_event_s,
+                self._note_first_event,
+                job.request.request_id,
+            )
         for job in engine.running:
             if job.generated_tokens % engine.settings.event_tokens == 0:
                 self._schedule(at, self._note_events, (job, job.events))
--- a/bench/overload/patterns.py
+++ b/bench/overload/patterns.py
@@ -196,6 +196,13 @@
         kinds=REVIEW_KINDS,
         engine=REVIEW_ENGINE,
     ),
+    Pattern(
+        "flooded_prefill",
+        burst=3.0,
+        flood=8.0,
+        one_router=(1, 3),
+        engine=engine_lib.Settings(first_event_s=0.15),
+    ),
     Pattern(
         "long_among_short",
         duration_s=15.0,
--- a/tests/forwarding/report_fleet.py
+++ b/tests/forwarding/report_fleet.py
@@ -44,6 +44,8 @@
         received_parts: prefixes of the prompt parts in received reports.
         placed: prompt parts to send with the next report.
         is_frozen: whether the router neither sends nor receives.
+        read_delay_s: time for which datagrams wait before the router reads
+            them, in seconds.
         is_leaving: whether the router reports that it is shutting down.
         datagrams_sent: number of datagrams sent.
         sent_bytes: number of bytes sent.
@@ -61,6 +63,7 @@
         self.received_parts: set[str] = set()
         self.placed: list[messages.PlacedPart] = []
         self.is_frozen = False
+        self.read_delay_s = 0.0
         self.is_leaving = False
         self.datagrams_sent = 0
         self.sent_bytes = 0
@@ -196,7 +199,8 @@
     def send(self, sender: str, receiver: str, data: bytes) -> None:
         """Delivers a datagram later, or loses it if the link is blocked."""
         if (sender, receiver) not in self.blocked_links:
-            arrives_at = self.clock.monotonic() + NETWORK_DELAY_S
+            delay_s = NETWORK_DELAY_S + self.routers[receiver].read_delay_s
+            arrives_at = self.clock.monotonic() + delay_s
             self.in_flight.append(Datagram(arrives_at, receiver, data))
 
     def run(self, seconds: float) -> None:
--- a/tests/forwarding/test_load_patterns.py
+++ b/tests/forwarding/test_load_patterns.py
@@ -51,6 +51,15 @@
     assert summary["worst_due"] > MIN_FAIR_FRACTION
 
 
+# Guards against FAIR when prompts are long enough to keep all engines busy, one
+# workspace floods all routers, and the callers of two others come to one router
+# each.
+@pytest.mark.parametrize("seed", (1, 2, 3))
+def test_each_workspace_gets_half_its_fair_share_of_flooded_prefill(seed):
+    summary = simulate("flooded_prefill", "shipped", seed)
+    assert summary["worst_due"] > MIN_FAIR_FRACTION
+
+
 @pytest.mark.parametrize("pattern", ["burst", "lost_engines", "flood"])
 def test_worth_is_much_closer_to_the_limit_than_with_prefix_hashing(pattern):
     by_hash = simulate(pattern, "prefix_hash", 1)
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -59,6 +59,20 @@
         )
 
 
+# Guards against FAIR: a busy router read the sums of its relay late, and took
+# what it had served itself for the service of others.
+@pytest.mark.parametrize("read_delay_s", [0.0, 0.3, 0.6])
+def test_own_usage_is_not_counted_twice_by_a_router_that_reads_late(
+    read_delay_s,
+):
+    fleet = start_fleet(LARGE_FLEET)
+    router = fleet.routers["r5"]
+    router.running = 10
+    router.read_delay_s = read_delay_s
+    fleet.run(CONVERGENCE_S)
+    assert router.get_usage_elsewhere() <= 0.05 * router.running * 1000.0
+
+
 def test_placed_parts_reach_every_router():
     fleet = start_fleet(LARGE_FLEET)
     part = messages.PlacedPart("t", "p", 100)
--- a/tests/unit/test_peer_link.py
+++ b/tests/unit/test_peer_link.py
@@ -1,6 +1,7 @@
-"""Tests that a router drops datagrams that it can't decode."""
+"""Tests of the datagrams between routers."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -62,3 +63,34 @@
     sender.close()
     link.close()
     return message, errors
+
+
+# Guards against FAIR: while a router handled requests, it read one datagram in
+# each iteration of its event loop. Reports waited longer and longer.
+def test_datagrams_that_wait_are_read_together():
+    count = 50
+    received = asyncio.run(send_while_busy(count))
+    assert received == count
+
+
+async def send_while_busy(count: int) -> int:
+    """Sends datagrams to a peer link whose event loop doesn't run meanwhile.
+
+    Returns:
+        The number of messages that the link received in five iterations.
+    """
+    received = []
+    link = peer_link.PeerLink(
+        ids.InstanceId("router-1"),
+        lambda *message: received.append(message),
+        metrics_lib.Metrics(),
+    )
+    await peer_link.open_link(link, addresses.Address("127.0.0.1", 0))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.connect(link.transport.get_extra_info("sockname"))
+        for _ in range(count):
+            sender.send(peer_codec.encode(SENDER, HEARTBEAT))
+        for _ in range(5):
+            await asyncio.sleep(0)
+    link.close()
+    return len(received)
