--- a/packages/lentilbeam-router/src/lentilbeam_router/peer_link.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import socket
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
@@ -9,6 +10,10 @@
 from lentilbeam_router import metrics as metrics_lib
 from lentilbeam_router import peer_codec
 
+MAX_READ_TOGETHER = 64
+"""Number of datagrams that are read in one iteration of the event loop. The
+loop itself reads one, and a busy router has few iterations a second."""
+
 Receive = Callable[[ids.InstanceId, messages.PeerMessage], None]
 
 
@@ -20,6 +25,8 @@
         receive: called with the sender and the message of each datagram.
         metrics: counts messages, bytes and errors.
         transport: the socket, or None before it is open.
+        sock: the same socket, to read the datagrams that wait; None if the
+            event loop alone reads.
     """
 
     def __init__(
@@ -32,14 +39,30 @@
         self.receive = receive
         self.metrics = metrics
         self.transport: asyncio.DatagramTransport | None = None
+        self.sock: socket.socket | None = None
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Stores the transport of the opened socket."""
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
-        """Passes a datagram's message to `receive`; counts undecodable ones."""
+        """Receives a datagram, and those that wait behind it."""
         del addr
+        self._receive_one(data)
+        if self.sock is None:
+            return
+        for _ in range(MAX_READ_TOGETHER - 1):
+            try:
+                data = self.sock.recv(peer_codec.MAX_DATAGRAM_BYTES + 1)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                self.error_received(error)
+                return
+            self._receive_one(data)
+
+    def _receive_one(self, data: bytes) -> None:
+        """Passes a datagram's message to `receive`; counts undecodable ones."""
         try:
             sender, message = peer_codec.decode(data)
         except peer_codec.PeerCodecError:
@@ -89,6 +112,7 @@
 
     def close(self) -> None:
         """Closes the socket if it is open."""
+        self.sock = None
         if self.transport is not None:
             self.transport.close()
 
@@ -100,6 +124,13 @@
         OSError: the address is invalid or in use.
     """
     loop = asyncio.get_running_loop()
-    await loop.create_datagram_endpoint(
-        lambda: link, local_addr=(address.host, address.port)
-    )
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.bind((address.host, address.port))
+        await loop.create_datagram_endpoint(lambda: link, sock=sock)
+    except OSError:
+        sock.close()
+        raise
+    link.sock = sock
