Subtract own work from sums by the time for which it has faded there

A router takes its own work off the sums that its relay sends. It let it fade since the report was sent; in the sum it fades only from the relay's receipt to the relay's sending.

--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -397,10 +397,13 @@
     Attributes:
         router: the router that sent the report.
         report: sequence number of the report.
+        age_ms: time for which what it reports has faded in the sum, in
+            milliseconds, at least 1; 0 if the sender doesn't tell.
     """
 
     router: ids.InstanceId
     report: int
+    age_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
@@ -349,15 +349,17 @@
     ) -> messages.LoadReport:
         """Returns a FLEET report without this router's own work."""
         own = [
-            self.sent_reports[included.report].as_term(now)
+            (included, self.sent_reports[included.report])
             for included in report.included
             if included.router == self.own_name
             and included.report in self.sent_reports
         ]
         if own:
-            self.fleet_report_delay_s = min(term.age_s for term in own)
+            self.fleet_report_delay_s = now - max(sent.at for _, sent in own)
         others = work_sums.subtract(
-            work_sums.from_report(report), own, self.decay_s
+            work_sums.from_report(report),
+            [_find_included_term(*pair, now) for pair in own],
+            self.decay_s,
         )
         return dataclasses.replace(
             report,
@@ -437,7 +439,7 @@
             group = work_sums.sum_terms(
                 [work_sums.Term(own.work), *terms], self.decay_s
             )
-        included = self._list_included(members)
+        included = self._list_included(members, now)
         self._send_to_relays(status, group, included, relays, now, own)
         if members:
             self._send_to_members(
@@ -522,14 +524,22 @@
             )
 
     def _list_included(
-        self, members: list[ids.InstanceId]
+        self, members: list[ids.InstanceId], now: float
     ) -> tuple[messages.Included, ...]:
         """Returns the reports that this router's GROUP report includes."""
         included = []
         for name in members:
-            report = self.group_reports[name].report
-            included.append(messages.Included(name, report.sequence))
-            included.extend(report.included)
+            timed = self.group_reports[name]
+            age_ms = max((now - timed.at) * messages.MS_PER_S, 1.0)
+            included.append(
+                messages.Included(name, timed.report.sequence, age_ms)
+            )
+            included.extend(
+                dataclasses.replace(item, age_ms=item.age_ms + age_ms)
+                if item.age_ms
+                else item
+                for item in timed.report.included
+            )
         return tuple(included)
 
     def _drop_outdated(self, now: float) -> None:
@@ -590,6 +600,25 @@
             self.sent_reports.popitem(last=False)
 
 
+def _find_included_term(
+    included: messages.Included, sent: _TimedReport, now: float
+) -> work_sums.Term:
+    """Returns this router's own work as a sum contains it.
+
+    It has faded since the relay received it, not since it was sent: datagrams
+    may wait on both ways, and what is left of it would count as others' work.
+
+    Args:
+        included: tells for how long it has faded.
+        sent: the report that is included.
+        now: monotonic seconds.
+    """
+    age_s = now - sent.at
+    if included.age_ms:
+        age_s = min(age_s, included.age_ms / messages.MS_PER_S)
+    return work_sums.Term(work_sums.from_report(sent.report), age_s)
+
+
 def _pop_parts(
     pending: collections.deque[messages.PlacedPart],
 ) -> tuple[messages.PlacedPart, ...]:
