Let engines beyond the prefill bound in by what workspaces received

In 95% of refusals, those of owed workspaces included, the prefill bound excluded the engines (excluded in the log). Routers take engines for slower than they are, since a fixed time of up to 0.1 s of each first event counts as prefill, so the bound holds for everybody all the time. What is let in is then decided by the exemption for backlogs of 0.05 s, which was the same for all: whoever asks at most routers finds it first.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
@@ -21,21 +21,26 @@
         max_hold_fraction: longest time for which a request is held back rather
             than pause running streams, as a fraction of its response-time
             goal.
+        free_backlog_s: an engine whose backlog (time to process its unread
+            prompt tokens) is at most this many seconds is accepted beyond the
+            prefill bound. While all engines are beyond it, this decides whose
+            requests are next, so it is smaller for those that received more.
     """
 
     goal_fraction: float
     prefill_fraction: float
     slots_fraction: float
     max_hold_fraction: float = 0.0
+    free_backlog_s: float = 0.05
 
 
-BELOW_GUARANTEE_BOUNDS = Bounds(0.9, 0.85, 1.0, 0.4)
+BELOW_GUARANTEE_BOUNDS = Bounds(0.9, 0.85, 1.0, 0.4, 0.15)
 """For workspaces that received less service than their guaranteed share."""
-BELOW_FAIR_SHARE_BOUNDS = Bounds(0.8, 0.72, 0.9, 0.4)
+BELOW_FAIR_SHARE_BOUNDS = Bounds(0.8, 0.72, 0.9, 0.4, 0.1)
 """For workspaces above their guarantee that received much less service than
 their fair share of the actual throughput."""
-AT_FAIR_SHARE_BOUNDS = Bounds(0.7, 0.6, 0.8)
+AT_FAIR_SHARE_BOUNDS = Bounds(0.7, 0.6, 0.8, 0.0, 0.05)
 """For workspaces that received about their fair share of service. The capacity
 above these bounds is reserved for workspaces that received less."""
-ABOVE_FAIR_SHARE_BOUNDS = Bounds(0.4, 0.4, 0.55)
+ABOVE_FAIR_SHARE_BOUNDS = Bounds(0.4, 0.4, 0.55, 0.0, 0.01)
 """For workspaces that received more service than their fair share."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -72,10 +72,9 @@
             more than twice as many.
         noise_s: maximum of a random penalty, so that routers with the same
             information don't all choose the same target.
-        bounds_exempt_backlog_s: a target whose backlog (time to process its
-            unread prompt tokens) is at most this many seconds is accepted
-            even beyond the goal and prefill bounds; the slot bound still
-            applies.
+        goal_exempt_backlog_s: a target whose backlog (time to process its
+            unread prompt tokens) is at most this many seconds, and at most
+            `Bounds.free_backlog_s`, is accepted even beyond the goal bound.
         lone_version_penalty_s: penalty for the only target of its software
             version while others run, if callers may take up the stream: it
             could go on nowhere else.
@@ -97,7 +96,7 @@
     decode_penalty_s: float = 0.1
     sampled_targets: int = 5
     noise_s: float = 0.01
-    bounds_exempt_backlog_s: float = 0.05
+    goal_exempt_backlog_s: float = 0.05
     lone_version_penalty_s: float = 0.05
     plain_overcommit: float = 1.5
     plain_remote_penalty: float = 0.3
@@ -608,7 +607,7 @@
             return self._exclude(Exclusion.COLD)
         recent = load.recent + unread
         max_recent = bounds.prefill_fraction * rate * loads_lib.RECENT_DECAY_S
-        if recent > max_recent and backlog_s > settings.bounds_exempt_backlog_s:
+        if recent > max_recent and backlog_s > bounds.free_backlog_s:
             return self._exclude(Exclusion.PREFILL)
         first_event_delay_s = (
             backlog_s + prefill_s + settings.first_event_overhead_s
@@ -628,10 +627,10 @@
                 plan, entry, load, backlog_s + prefill_s
             )
         goal_s = (request.goal_at - now) * bounds.goal_fraction
-        if (
-            first_event_delay_s > goal_s
-            and backlog_s > settings.bounds_exempt_backlog_s
-        ):
+        goal_exempt_s = min(
+            settings.goal_exempt_backlog_s, bounds.free_backlog_s
+        )
+        if first_event_delay_s > goal_s and backlog_s > goal_exempt_s:
             return self._exclude(Exclusion.GOAL)
         if entry.data_centre != self.data_centre:
             penalty_s += (
--- a/tests/forwarding/test_load_patterns.py
+++ b/tests/forwarding/test_load_patterns.py
@@ -54,7 +54,7 @@
 # Guards against FAIR when prompts are long enough to keep all engines busy, one
 # workspace floods all routers, and the callers of two others come to one router
 # each.
-@pytest.mark.parametrize("seed", (1, 2, 3))
+@pytest.mark.parametrize("seed", range(1, 7))
 def test_each_workspace_gets_half_its_fair_share_of_flooded_prefill(seed):
     summary = simulate("flooded_prefill", "shipped", seed)
     assert summary["worst_due"] > MIN_FAIR_FRACTION
