Take only a response to the request itself for a refusal

A faulty target wrote an earlier refusal once more, where the response to the next request was due. The ID is now checked first; without it nothing is known of the request, and what the response says of its target isn't used either. The nine cases of test_refusal_of_another_request_..., test_stale_refusal_on_a_kept_connection_... and test_stale_refusal_says_nothing_of_its_target failed before.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -477,16 +477,8 @@
         response = self.forwarder.codec.decode_response(
             head.status, head.headers
         )
-        target_notices.apply_response(
-            self.dispatcher,
-            self.log,
-            placement.target,
-            response,
-            self.sent_at,
-            self.clock.monotonic(),
-        )
-        for notice in response.bad_notices:
-            self.forwarder.log_bad_notice(placement.target.name, notice)
+        if response.request_id == self.request_head.request_id:
+            self._note_notices(placement.target, response)
         invalid = response_checks.check_head(
             response, self.request_head.request_id
         )
@@ -730,6 +722,21 @@
             self.progress.first_event_s = elapsed_s
         self.forwarder.metrics.record_duration("first_event", elapsed_s)
 
+    def _note_notices(
+        self, target: target_list.Entry, response: wire_lib.Response
+    ) -> None:
+        """Records what a response to this request says of its target."""
+        target_notices.apply_response(
+            self.dispatcher,
+            self.log,
+            target,
+            response,
+            self.sent_at,
+            self.clock.monotonic(),
+        )
+        for notice in response.bad_notices:
+            self.forwarder.log_bad_notice(target.name, notice)
+
     def _note_failure(self, target: target_list.Entry, is_fault: bool) -> None:
         if self.dispatcher.note_failure(target.name, is_fault):
             self.forwarder.connections.forget(target.name)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
@@ -9,7 +9,16 @@
 def check_head(
     response: wire_lib.Response, request_id: str
 ) -> progress_lib.SendOutcome | None:
-    """Returns the outcome if a head is unusable, else None."""
+    """Returns the outcome if a head is unusable, else None.
+
+    A response without the request's own ID says nothing of the request, not
+    even that it did not run.
+    """
+    if response.request_id != request_id:
+        return progress_lib.SendOutcome(
+            progress_lib.SendResult.BROKEN,
+            f"response to request {response.request_id!r}",
+        )
     if response.is_other_instance:
         return progress_lib.SendOutcome(
             progress_lib.SendResult.NOT_RUN, "wrong target instance"
@@ -20,11 +29,6 @@
             f"status {response.status}",
             is_refused_by_target=True,
         )
-    if response.request_id != request_id:
-        return progress_lib.SendOutcome(
-            progress_lib.SendResult.BROKEN,
-            f"response to request {response.request_id!r}",
-        )
     if response.is_encoded:
         return progress_lib.SendOutcome(
             progress_lib.SendResult.BROKEN, "unexpected content encoding"
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -268,6 +268,68 @@
     assert connections == 2
 
 
+STALE_REFUSALS = [
+    pytest.param((503, "Not-Executed: 1\r\n", "earlier"), id="full"),
+    pytest.param((429, "Not-Executed: 1\r\n", "earlier"), id="too_many"),
+    pytest.param((421, "", "earlier"), id="other_instance"),
+    pytest.param((503, "Not-Executed: 1\r\n", ""), id="without_id"),
+]
+
+
+def make_stale_refusal(refusal):
+    """Returns a refusal, given as status, header lines and request ID."""
+    status, headers, request_id = refusal
+    return fake_target.make_response(b"", status, headers, request_id, "")
+
+
+# Guards against REFUSED and TWICE: a target that wrote an earlier refusal once
+# more had the next request taken for one that did not run.
+@pytest.mark.parametrize("refusal", STALE_REFUSALS)
+def test_refusal_of_another_request_does_not_tell_that_this_one_did_not_run(
+    refusal,
+):
+    stale = make_stale_refusal(refusal)
+    response, targets = call(
+        fake_target.make_script(stale + fake_target.make_response(b"done")),
+        fake_target.make_script(fake_target.make_response(b"again")),
+        path="/book/1",
+    )
+    assert response.status == 502
+    assert count_received(targets) == 1
+
+
+# Guards against REFUSED on a kept connection.
+@pytest.mark.parametrize("refusal", STALE_REFUSALS)
+def test_stale_refusal_on_a_kept_connection_is_no_answer(refusal):
+    answer = fake_target.make_response(b"done")
+    answers = [answer, make_stale_refusal(refusal) + answer]
+
+    async def script(head, reader, writer):
+        del head, reader
+        writer.write(answers.pop(0))
+
+    async def scenario(router, targets):
+        first = await router.call(path="/look/1")
+        second = await router.call(path="/look/1")
+        return first, second, targets[0].connections
+
+    first, second, connections = run([script], scenario)
+    assert (first.status, second.status, connections) == (200, 502, 1)
+
+
+# Guards against notices that belong to an earlier response.
+def test_stale_refusal_says_nothing_of_its_target():
+    stale = fake_target.make_response(
+        b"", 503, "Not-Executed: 1\r\nRetry-After: 30\r\n", "earlier", ""
+    )
+
+    async def scenario(router, targets):
+        await router.call(path="/book/1")
+        return router.dispatcher.targets.quiet_until
+
+    assert run([fake_target.make_script(stale)], scenario) == {}
+
+
 def test_request_is_refused_if_another_instance_has_the_address():
     script = fake_target.make_script(
         fake_target.make_response(b"", 421, seal="")
