--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -288,3 +288,23 @@
 def test_invalid_numbers_in_headers_are_ignored(headers):
     request_head = call_wire.decode_request_head(make_scope(**headers))
     assert request_head.deadline_s is None or request_head.deadline_s >= 0
+
+
+# Guards against requests that fail at the router: numbers too large for it.
+@pytest.mark.parametrize("digits", [20, 400, 5000])
+def test_numbers_in_headers_that_are_too_large_are_ignored(digits):
+    number = "9" * digits
+    headers = {
+        "token-count": f"{number},5",
+        "length-hint": number,
+        "prefix-hash": f"a:{number}",
+        "request-deadline": number,
+        "last-event-id": number,
+    }
+    request_head = call_wire.decode_request_head(make_scope(**headers))
+    assert request_head.prompt is None
+    assert request_head.deadline_s is None
+    assert request_head.resume_after is None
+    headers["token-count"] = "7,5"
+    request_head = call_wire.decode_request_head(make_scope(**headers))
+    assert request_head.prompt.parts == ()
