--- a/tests/forwarding/stored_fleet.py
+++ b/tests/forwarding/stored_fleet.py
@@ -30,6 +30,7 @@
         store_delay_s: time that each call to the store takes, in seconds.
         without_store: routers that don't reach the store.
         silent_polls: routers whose long polls get no response.
+        rejects_writes: whether the store rejects all writes of routers.
     """
 
     def __init__(self, **options):
@@ -39,6 +40,7 @@
         self.store_delay_s = 0.002
         self.without_store: set[str] = set()
         self.silent_polls: set[str] = set()
+        self.rejects_writes = False
         self.publish()
 
     def append(self, topic: str, key: str, value: str) -> None:
@@ -166,7 +168,10 @@
         try:
             async with asyncio.timeout(extensions["timeout"]["read"]):
                 await asyncio.sleep(self.fleet.store_delay_s)
-                if self.router in self.fleet.without_store:
+                is_rejected = (
+                    self.fleet.rejects_writes and endpoint == "log-append"
+                )
+                if is_rejected or self.router in self.fleet.without_store:
                     raise httpcore.ConnectError("cut off")
                 is_long = int(target.params.get("wait_ms", "0")) > 0
                 if is_long and self.router in self.fleet.silent_polls:
