--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -92,7 +92,7 @@
         version: the only software version that may run it, since it goes on
             with a stream; None if any may.
         tries: how often no target was found for it.
-        exclusions: why none was found the last time, and the number of targets.
+        exclusions: why targets were excluded the last time, and how many.
     """
 
     request: requests.Request
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -45,7 +45,7 @@
         reason: why it was refused.
         retry_after_s: delay after which the caller should retry, in seconds.
         tries: how often no target was found while it waited.
-        exclusions: why none was found the last time, and the number of targets.
+        exclusions: why targets were excluded the last time, and how many.
     """
 
     request: requests.Request
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -397,7 +397,7 @@
     Attributes:
         router: the router that sent the report.
         report: sequence number of the report.
-        age_ms: time for which what it reports has faded in the sum, in
+        age_ms: time for which its usage has decayed in the sum, in
             milliseconds, at least 1; 0 if the sender doesn't tell.
     """
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/relays.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/relays.py
@@ -87,11 +87,14 @@
         relay = None if chosen == self.own_name else chosen
         if relay == self.current:
             return
+        unheard_s = None
+        if self.current is not None:
+            unheard_s = round(now - self.last_report_at, 3)
         self.log.write_event(
             "relay",
             relay=chosen,
             before=self.current or self.own_name,
-            unheard_s=round(now - self.last_report_at, 3),
+            unheard_s=unheard_s,
         )
         self.current = relay
         self.since = now
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
@@ -605,11 +605,11 @@
 ) -> work_sums.Term:
     """Returns this router's own work as a sum contains it.
 
-    It has faded since the relay received it, not since it was sent: datagrams
-    may wait on both ways, and what is left of it would count as others' work.
+    Its usage has decayed since the relay received it, not since it was sent:
+    datagrams may wait on both ways. A remainder would count as others' work.
 
     Args:
-        included: tells for how long it has faded.
+        included: tells for how long it has decayed.
         sent: the report that is included.
         now: monotonic seconds.
     """
