--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -145,7 +145,7 @@
 struct Included {
   router @0 :UInt16;
   report @1 :UInt32;
-  ageMs @2 :UInt16;
+  ageMs @2 :UInt32;
 }
 
 struct CrashReport {
