Tell a request that nobody looked at from a lack of room

Refusals of requests for which no target was looked for have the reason untried. Refusals also tell how busy the router was and for how long requests wait for a pass over the queue; both rates of passes are gauges. The line with numbers of refusals has their costs by workspace. No decision changes.

test_admission, test_accept_control, test_pass_times, test_late_router, test_forwarding, test_flood_cost, test_metrics_page, test_explain and test_limited_targets pass.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -313,10 +313,10 @@
                 load_bounds.BELOW_GUARANTEE_BOUNDS,
                 now,
             )
-            if placement is not None:
-                placements.append(
-                    self._start(workspace, queued, placement, now)
-                )
+            if placement is None:
+                queued.note_failed_try(dict(self.placer.exclusions))
+                continue
+            placements.append(self._start(workspace, queued, placement, now))
         return placements
 
     def _drop_spent(
@@ -532,16 +532,12 @@
         now: float,
     ) -> list[decisions_lib.Decision]:
         """Removes the requests for which `is_refused` returns True."""
-        reason = (
-            decisions_lib.RefusalReason.NO_ROOM
-            if targets
-            else decisions_lib.RefusalReason.NO_TARGET
-        )
         refused: list[decisions_lib.Decision] = []
         for workspace, queue in list(self.queues.items()):
             kept = collections.deque()
             for queued in queue:
                 if is_refused(queued):
+                    reason = _find_reason(queued, targets)
                     refusal = self.refuse(queued.request, reason, now)
                     refused.append(
                         dataclasses.replace(
@@ -597,6 +593,17 @@
         )
 
 
+def _find_reason(
+    queued: QueuedRequest, targets: list[target_list.Entry]
+) -> decisions_lib.RefusalReason:
+    """Returns why a request is refused whose time in the queue is over."""
+    if not targets:
+        return decisions_lib.RefusalReason.NO_TARGET
+    if not queued.tries:
+        return decisions_lib.RefusalReason.UNTRIED
+    return decisions_lib.RefusalReason.NO_ROOM
+
+
 def _list_candidates(
     queue: collections.deque[QueuedRequest],
 ) -> list[QueuedRequest]:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -12,6 +12,7 @@
     """Why a request was refused."""
 
     NO_ROOM = "no_room"  # No target had capacity in time.
+    UNTRIED = "untried"  # Its time was over before a target was looked for.
     NO_TARGET = "no_target"  # The pool has no usable target.
     UNKNOWN_ORIGIN = "unknown_origin"  # Nobody knows what began the stream.
     VERSION_GONE = "version_gone"  # No target runs the version that began it.
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -18,6 +18,7 @@
 from lentilbeam_core.forwarding import loads as loads_lib
 from lentilbeam_core.forwarding import long_prompts
 from lentilbeam_core.forwarding import outliers
+from lentilbeam_core.forwarding import pass_times as pass_times_lib
 from lentilbeam_core.forwarding import placement
 from lentilbeam_core.forwarding import requests
 from lentilbeam_core.forwarding import retry_budget
@@ -60,6 +61,7 @@
         avoided: targets that fail more often than the rest of the pool.
         next_pass_at: earliest time of the next pass over the queue, monotonic
             seconds.
+        pass_times: how far apart the passes are.
         avoided_checked_at: when `avoided` was computed, monotonic seconds.
         is_changed: whether the work changed since the last report.
     """
@@ -109,6 +111,7 @@
         self.placed: list[tuple[messages.PlacedPart, ...]] = []
         self.timer: asyncio.TimerHandle | None = None
         self.next_pass_at = -math.inf
+        self.pass_times = pass_times_lib.PassTimes()
         self.avoided: set[ids.TargetId] = set()
         self.avoided_checked_at = -math.inf
         self.is_changed = False
@@ -251,6 +254,7 @@
         if not self.admission.queues:
             return
         now = self.clock.monotonic()
+        self.pass_times.note_waiting(now)
         if now < self.next_pass_at:
             self._set_timer(self.next_pass_at, now)
             return
@@ -271,6 +275,7 @@
             future = self.waiters.get(decision.request.request_id)
             if future is not None and not future.done():
                 future.set_result(decision)
+        self.pass_times.note_pass(now, bool(self.admission.queues))
         ended_at = self.clock.monotonic()
         self.next_pass_at = ended_at + (ended_at - now) * (
             1 / MAX_PASS_TIME_FRACTION - 1
@@ -362,6 +367,8 @@
             "output_error": self.placer.work_left.estimates.error.read(now),
             "plain_time_error": self.placer.plain_work.error.read(now),
             "workspaces_asking": len(self.usage.asked),
+            "passes_per_s": self.pass_times.read_rate(now),
+            "pass_interval_s": self.pass_times.interval_s,
             "repeats_in_window": len(self.budget.retries),
         }
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -57,6 +57,8 @@
         origin_search: records and finds out what began streams.
         metrics: counts events of requests.
         log: log of decisions.
+        read_busy: returns the fraction of the recent time in which this
+            router was busy.
         bad_notices: target and header of each invalid notice that was logged.
     """
 
@@ -70,6 +72,7 @@
         origin_search: origin_search_lib.OriginSearch,
         metrics: metrics_lib.Metrics,
         log: decision_log.DecisionLog,
+        read_busy: Callable[[], float],
     ):
         self.codec = codec
         self.connections = connections
@@ -79,6 +82,7 @@
         self.origin_search = origin_search
         self.metrics = metrics
         self.log = log
+        self.read_busy = read_busy
         self.bad_notices: set[tuple[ids.TargetId, str]] = set()
 
     def log_bad_notice(self, target: ids.TargetId, notice: str) -> None:
@@ -647,6 +651,8 @@
             tries=refused.tries,
             excluded={e.value: n for e, n in refused.exclusions.items()},
             may_have_run=self.progress.may_have_run,
+            pass_interval_s=round(self.dispatcher.pass_times.interval_s, 3),
+            busy=round(self.forwarder.read_busy(), 2),
             **self._describe_request(),
             **self.dispatcher.describe_share(self.request.workspace),
         )
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -191,6 +191,7 @@
             self.origin_search,
             self.metrics,
             self.log,
+            lambda: self.overload.load.busy_fraction,
         )
         self.request_handler = request_handler_lib.RequestHandler(
             codec, self, clock, self.metrics, self.log
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/refusal_log.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/refusal_log.py
@@ -8,6 +8,7 @@
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core.forwarding import decisions as decisions_lib
+from lentilbeam_core.forwarding import requests
 from lentilbeam_router.forwarding import decision_log
 
 INTERVAL_S = 1.0
@@ -23,6 +24,7 @@
         clock: source of monotonic time.
         log: log of decisions.
         counts: refusals that were not written yet, by reason and workspace.
+        costs: estimated cost of these, by workspace, in cost units.
         since: when the first of these was counted, monotonic seconds.
     """
 
@@ -32,6 +34,7 @@
         self.counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self.costs: collections.Counter[str] = collections.Counter()
         self.since = 0.0
 
     def note(self, refused: decisions_lib.Refused, is_late: bool) -> None:
@@ -54,6 +57,7 @@
         if not self.counts:
             self.since = self.clock.monotonic()
         self.counts[refused.reason.value, request.workspace] += 1
+        self.costs[request.workspace] += round(requests.estimate_cost(request))
 
     def flush_if_due(self) -> None:
         """Writes the numbers of refusals once a second."""
@@ -69,6 +73,8 @@
             "refused_many",
             number=self.counts.total(),
             reasons=by_reason,
+            costs=dict(self.costs.most_common(MAX_WORKSPACES)),
             seconds=round(now - self.since, 2),
         )
         self.counts.clear()
+        self.costs.clear()
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -175,6 +175,7 @@
                 ),
                 router_metrics,
                 log,
+                lambda: self.gateway.overload.load.busy_fraction,
             ),
         )
         self.request_handler = request_handler.RequestHandler(
--- a/tests/forwarding/test_accept_control.py
+++ b/tests/forwarding/test_accept_control.py
@@ -230,6 +230,7 @@
     assert len(lines) == 2
     assert b'"number":201' in lines[0]
     assert b'"router_busy":{"ashby":201}' in lines[0]
+    assert b'"costs":{"ashby":201}' in lines[0]
 
 
 # Guards against requests that are handled out of order, and against a turn that
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -9,6 +9,7 @@
 
 TARGETS = [makers.make_target("a", slots=2)]
 SMALL_PART = ("p", 100)
+FULL = messages.TargetLoad("a", 0.0, 2, 0.0, 0.0)
 
 
 def decide(queue, now, targets=TARGETS):
@@ -64,6 +65,21 @@
     ]
 
 
+# Guards against FAIR: a log that calls it a lack of room when nobody looked.
+def test_refusal_tells_whether_a_target_was_looked_for():
+    queue = makers.make_admission()
+    queue.placer.loads.apply_report("peer", (FULL,), 0.0)
+    queue.enqueue(makers.make_request("untried", SMALL_PART), 0.0)
+    _, refused = decide(queue, 30.0)
+    queue.enqueue(makers.make_request("tried", SMALL_PART, now=30.0), 30.0)
+    queue.placer.loads.apply_report("peer", (FULL,), 30.0)
+    refused += decide(queue, 30.7)[1]
+    assert [(d.request.request_id, d.reason.value) for d in refused] == [
+        ("untried", "untried"),
+        ("tried", "no_room"),
+    ]
+
+
 def test_retry_delay_ends_well_before_the_deadline_of_the_caller():
     queue = makers.make_admission()
     delays = []
