--- /dev/null
+++ b/tests/forwarding/test_removed_targets.py
@@ -0,0 +1,170 @@
+"""Targets that leave without a word: only their entry is removed.
+
+They serve for some more time, so nothing but the list keeps requests away.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.forwarding import makers
+from tests.forwarding import test_store_calls
+
+CUT_S = 6.0
+"""Time for which a router does not reach the store."""
+SETTLE_S = 0.9
+"""Time after a router reached the store again, in seconds, when it knows what
+was removed meanwhile. Routers that were cut off are bound by the list again 3 s
+later, of which the delay of a retry takes up to 1.6 s and a call 0.5 s."""
+RETURN_S = 0.6
+"""Time within which the router of a small fleet calls the store again."""
+LOAD_PER_S = 100.0
+
+
+class RemovingFleet(test_store_calls.BusyFleet):
+    """A fleet whose targets may lose their entries while they serve.
+
+    Attributes:
+        unlisted: targets that write no entries.
+    """
+
+    def __init__(self, **options):
+        self.unlisted: set[str] = set()
+        super().__init__(**options)
+
+    def write_entry(self, target) -> None:
+        """Writes the entry of a target, unless it has been removed."""
+        if target.entry.name not in self.unlisted:
+            super().write_entry(target)
+
+    def unlist(self, name: str) -> None:
+        """Removes the entry of a target, which serves on."""
+        self.unlisted.add(name)
+        self._unlist_target(name)
+
+    def find_return(self, router: str, since: float) -> float:
+        """Returns when a router first asked for the target list again."""
+        return min(
+            at
+            for at, name, _, topic in self.calls
+            if name == router and topic == "keyed.servers" and at >= since
+        )
+
+
+def run(routers: int, scenario) -> RemovingFleet:
+    """Runs a scenario with a fleet whose start is over."""
+
+    async def play(fleet: RemovingFleet) -> None:
+        fleet.start_targets()
+        await asyncio.sleep(8.0)
+        await scenario(fleet)
+        for writer in fleet.writers:
+            writer.cancel()
+
+    return RemovingFleet(routers=routers).run(play)
+
+
+# Guards against DRAIN: a router that was cut off from the store takes the
+# outage for one of the store, and keeps targets that were removed meanwhile.
+@pytest.mark.parametrize("routers", [4, 20])
+@pytest.mark.parametrize("is_parted", [False, True])
+def test_router_that_was_cut_off_drops_what_was_removed(routers, is_parted):
+    async def scenario(fleet):
+        fleet.without_store.add("r0")
+        if is_parted:
+            fleet.part(["r0"])
+        await asyncio.sleep(CUT_S / 2)
+        fleet.unlist("t0")
+        await asyncio.sleep(CUT_S / 2)
+        fleet.without_store.discard("r0")
+        fleet.heal()
+        healed_at = fleet.clock.monotonic()
+        await fleet.load(LOAD_PER_S, 4.0, routers=["r0"])
+        fleet.returned_at = fleet.find_return("r0", healed_at)
+
+    fleet = run(routers, scenario)
+    late = [
+        arrival.at - fleet.returned_at
+        for arrival in fleet.targets["t0"].arrivals
+        if arrival.at > fleet.returned_at + SETTLE_S
+    ]
+    assert late == []
+    assert fleet.targets["t1"].arrivals
+
+
+# Guards against DRAIN: a target is removed right after the cut has ended, when
+# all routers reach the store.
+@pytest.mark.parametrize("routers", [4, 20])
+def test_removal_after_a_cut_holds_at_once(routers):
+    async def scenario(fleet):
+        fleet.without_store.add("r0")
+        await asyncio.sleep(CUT_S)
+        fleet.without_store.discard("r0")
+        await asyncio.sleep(RETURN_S)
+        fleet.unlist("t0")
+        fleet.removed_at = fleet.clock.monotonic()
+        await fleet.load(LOAD_PER_S, 4.0, routers=["r0"])
+
+    fleet = run(routers, scenario)
+    late = [
+        arrival.at - fleet.removed_at
+        for arrival in fleet.targets["t0"].arrivals
+        if arrival.at > fleet.removed_at + test_store_calls.DRAIN_S
+    ]
+    assert late == []
+
+
+# Guards against a pool without targets: entries lapse while the store is down,
+# and the running targets write them again within two seconds of its return.
+@pytest.mark.parametrize("routers", [4, 20])
+def test_entry_that_lapsed_in_an_outage_stays_for_the_grace_period(routers):
+    gaps = []
+
+    async def scenario(fleet):
+        for name in fleet.targets:
+            fleet.unlisted.add(name)
+        fleet.fail_store(True)
+        await asyncio.sleep(CUT_S)
+        for name in fleet.targets:
+            fleet.unlist(name)
+        fleet.fail_store(False)
+        for _ in range(18):
+            await asyncio.sleep(0.1)
+            gaps.append(routers - len(fleet.list_unaware("t0")))
+        for name, target in fleet.targets.items():
+            fleet.unlisted.discard(name)
+            if name != "t1":
+                fleet.write_entry(target)
+            else:
+                fleet.unlisted.add(name)
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            gaps.append(routers - len(fleet.list_unaware("t0")))
+        fleet.left = fleet.list_unaware("t1")
+
+    fleet = run(routers, scenario)
+    assert set(gaps) == {0}
+    assert fleet.left == []
+
+
+# Guards against DRAIN and against a pool without targets: one router is cut off
+# for longer than the others, which is an outage of the store for all.
+@pytest.mark.parametrize("routers", [4, 20])
+def test_router_that_returns_after_an_outage_of_all_keeps_what_lapsed(routers):
+    async def scenario(fleet):
+        fleet.unlisted |= set(fleet.targets)
+        fleet.without_store.add("r0")
+        fleet.fail_store(True)
+        await asyncio.sleep(CUT_S)
+        for name in fleet.targets:
+            fleet.unlist(name)
+        fleet.without_store.discard("r0")
+        fleet.fail_store(False)
+        fleet.ready = []
+        for _ in range(12):
+            await asyncio.sleep(0.1)
+            targets = fleet.gateways["r0"].targets
+            fleet.ready.append(len(targets.find_ready(makers.POOL)))
+
+    fleet = run(routers, scenario)
+    assert min(fleet.ready) == test_store_calls.TARGETS
