Check before the first byte that the target still takes requests

Callers saw requests run at targets that had left (DRAIN). A request was placed with what its router knew then; a connection was opened, its process asked for, and only evacuations and cold targets were looked at again before the first byte. What became known meanwhile, from the list, a peer or a response, did not count.

All that a placement depends on, except for loads, is now checked in one place right before the first byte: that the process is listed, ready, not leaving and not quiet. An attempt that is given up has not run and is placed elsewhere.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -341,6 +341,11 @@
         """Whether the list has the same process of a target."""
         return self._is_listed(entry.name, entry.start_ms)
 
+    def is_ready(self, name: ids.TargetId) -> bool:
+        """Whether a listed target is ready and not leaving."""
+        is_ready = self.entries[name].state is TargetState.READY
+        return is_ready and name not in self.leaving
+
     def is_in_grace_period(self, now: float) -> bool:
         """Returns whether the grace period lasts.
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/send_checks.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/send_checks.py
@@ -1,6 +1,8 @@
 """Checks whether a placed request may still be sent to its target.
 
-Opening a connection takes up to half a second, in which more may be learned.
+A request is placed with what its router knows then. Before its first byte, a
+connection is opened, and its process may be asked for; both take long on a busy
+router. What has become known meanwhile counts, except for loads.
 """
 
 from lentilbeam_core.forwarding import target_list
@@ -24,7 +26,14 @@
     Returns:
         The reason for the log; None if the request may be sent.
     """
-    if dispatcher.targets.is_evacuated(target.data_centre):
+    targets = dispatcher.targets
+    if not targets.is_listed(target):
+        return "not_listed"
+    if not targets.is_ready(target.name):
+        return "leaving"
+    if targets.is_quiet(target.name, now):
+        return "quiet"
+    if targets.is_evacuated(target.data_centre):
         return "evacuated"
     if not is_paced and dispatcher.cold.is_cold(dispatcher.pool, target, now):
         return "cold"
