Tell routers that were cut off which targets were removed meanwhile

Callers saw requests at targets that had left without a word (DRAIN): up to 3.84 s after their entry was removed, by a router that had been cut off from the store. It took its own outage for one of the store, and kept what was missing for a grace period of 2 s that began with its own first read.

Whether entries lapsed because the store was away is a fact of the fleet, and each router decided it from its own connection. Routers that have read the list without a break now report what was removed for good, with the position up to which they have read; in a large fleet only the readers do. Nothing new is sent to such a target. A router that has read further knows better, unless it only waits for the end of a grace period, which now ends with that of the first router for all.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -88,6 +88,9 @@
         expected_s: see `messages.TargetLoad`.
         decode_s: time for the output that the running requests are expected
             to have left, in seconds, see `work_left`.
+        removed_start_ms: start of the process that was removed, see
+            `messages.TargetLoad`.
+        removed_at: see `messages.TargetLoad`.
     """
 
     unread: float = 0.0
@@ -104,6 +107,8 @@
     timed_s: float = 0.0
     expected_s: float = 0.0
     decode_s: float = 0.0
+    removed_start_ms: int = 0
+    removed_at: int = 0
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or subtracts it if `sign` is -1."""
@@ -143,6 +148,9 @@
             self.leaving_start_ms = item.leaving_start_ms
         if item.cold_start_ms > self.cold_start_ms:
             self.cold_start_ms = item.cold_start_ms
+        if item.removed_at > self.removed_at:
+            self.removed_start_ms = item.removed_start_ms
+            self.removed_at = item.removed_at
         if item.limit_start_ms:
             limit_age_s = item.limit_age_ms / 1000 + aging.age_s
             if limit_age_s < self.limit_age_s:
@@ -159,16 +167,17 @@
     def report(self, target: ids.TargetId) -> messages.TargetLoad | None:
         """Returns the load as a message to peers.
 
-        None if the target isn't known to be leaving, to have named a limit or
-        to have turned cold, nothing is running, less than 1 prompt token was
-        sent recently and fewer than `MIN_REPORTED_OUTCOMES` requests ended
-        recently.
+        None if the target isn't known to be leaving or removed, to have named a
+        limit or to have turned cold, nothing is running, less than 1 prompt
+        token was sent recently and fewer than `MIN_REPORTED_OUTCOMES` requests
+        ended recently.
         """
         is_busy = self.running > 0 or self.recent >= 1.0
         has_notice = (
             self.leaving_start_ms > 0
             or self.limit_start_ms > 0
             or self.cold_start_ms > 0
+            or self.removed_start_ms > 0
         )
         if (
             not (is_busy or has_notice)
@@ -192,6 +201,8 @@
             max(self.timed_s, 0.0) if is_timed else 0.0,
             self.expected_s if is_timed else 0.0,
             max(self.decode_s, 0.0),
+            self.removed_start_ms,
+            self.removed_at,
         )
 
 
@@ -447,6 +458,8 @@
         leaving: Mapping[ids.TargetId, int],
         limits: Mapping[ids.TargetId, target_limits.Limit],
         cold: Mapping[ids.TargetId, int] | None = None,
+        removed: Mapping[ids.TargetId, int] | None = None,
+        removed_at: int = 0,
     ) -> list[messages.TargetLoad]:
         """Returns this router's own loads as messages to its peers.
 
@@ -458,15 +471,23 @@
                 this router.
             cold: start of the process of each target of the pool that has
                 turned cold a moment ago; None if there is none.
+            removed: start of the process of each target of the pool that was
+                removed for good lately; None if there is none.
+            removed_at: position in the target list up to which this was read.
         """
         cold = cold or {}
+        removed = removed or {}
         targets = self.own_loads.keys() | self.outcomes.keys()
         targets = targets | leaving.keys() | limits.keys() | cold.keys()
+        targets = targets | removed.keys()
         reports = []
         for target in targets:
             load = self._read_own(target, now)
             load.leaving_start_ms = leaving.get(target, 0)
             load.cold_start_ms = cold.get(target, 0)
+            if target in removed:
+                load.removed_start_ms = removed[target]
+                load.removed_at = removed_at
             if target in limits:
                 load.set_limit(limits[target], now)
             reports.append(load.report(target))
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/read_pauses.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/read_pauses.py
@@ -36,6 +36,10 @@
 """Pause of a router that must read records itself, in seconds, since it does
 not know whether a target is warm. A record is then at most 1.5 s old when it is
 read (`cold_targets.MAX_RECORD_DELAY_S`), of which a read takes up to 0.5 s."""
+MAX_BREAK_S = 2.5
+"""Longest time between two reads of a router that has read without a break, in
+seconds. It is shorter than three heartbeats of a target, after which an entry
+lapses while the store is away."""
 MAX_PAUSE_S = 10.0
 """Longest pause between two reads. The store keeps records for 20 s on the
 known deployments."""
@@ -93,6 +97,10 @@
         self.read_at = now
         self.reader_pause_s = PAUSE_S * self.rng.uniform(MIN_PAUSE_PART, 1.0)
 
+    def is_read_without_break(self, now: float) -> bool:
+        """Whether this router's last read was a moment ago."""
+        return now - self.read_at <= MAX_BREAK_S
+
     def note_report(
         self, peer: ids.InstanceId, position: int, change: int, now: float
     ) -> None:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -9,6 +9,11 @@
 happened since: a target that left or was removed may be listed as ready again.
 What this router has read before goes first.
 
+A router may also be cut off while the store serves the others. What it would
+keep for a grace period is then gone for good, as routers that have read the
+list all the time know. They report it, with the position up to which they have
+read, and whoever has read further knows better.
+
 A target may also give notice in its responses that it is leaving, that it
 wants no requests from this router for a while, or that it takes a limited
 number of requests per second.
@@ -30,6 +35,10 @@
 MAX_QUIET_S = 60.0
 """Longest time, in seconds, for which a target can ask for no requests. What it
 asks beyond that is taken for a mistake."""
+REPORT_REMOVED_S = 20.0
+"""Time, in seconds, for which peers are told of a removed target. Routers that
+are cut off from the store and from all others for longer keep what was removed
+for the grace period."""
 REMEMBER_REMOVED_S = 60.0
 """Time, in seconds, for which removed targets are remembered. The copy from
 which the store comes back is some seconds old."""
@@ -86,12 +95,17 @@
     """A target that was removed from the list.
 
     Attributes:
+        pool: pool that it belonged to.
         start_ms: start of its process, see `Entry.start_ms`.
         removed_at: monotonic seconds.
+        is_final: whether the target can't have lost its entry because the store
+            was away.
     """
 
+    pool: ids.PoolId
     start_ms: int
     removed_at: float
+    is_final: bool
 
 
 class TargetList:
@@ -106,6 +120,9 @@
         leaving: start of the process that is leaving (`Entry.start_ms`), for
             each target that its entry, a response or a peer has called
             leaving. A target that restarts under the same name isn't.
+        removed_elsewhere: start of the process that peers have reported as
+            removed for good, for each listed target; until this router reads a
+            newer record of it.
         quiet_until: until when each target has asked this router for no
             requests, monotonic seconds.
         limits: limits that targets have set on the rate of their requests.
@@ -119,6 +136,7 @@
         self.pending_removals: dict[ids.TargetId, float] = {}
         self.store_returned_at: float | None = None
         self.leaving: dict[ids.TargetId, int] = {}
+        self.removed_elsewhere: dict[ids.TargetId, int] = {}
         self.quiet_until: dict[ids.TargetId, float] = {}
         self.limits = target_limits.TargetLimits()
         self.removed: dict[ids.TargetId, RemovedTarget] = {}
@@ -135,6 +153,7 @@
         previous = self.entries.get(entry.name)
         self.pending_removals.pop(entry.name, None)
         self.removed.pop(entry.name, None)
+        self.removed_elsewhere.pop(entry.name, None)
         self.entries[entry.name] = entry
         if entry.state is TargetState.LEAVING:
             self.note_leaving(entry.name, entry.start_ms)
@@ -178,6 +197,30 @@
         self.leaving[name] = start_ms
         return True
 
+    def note_removed_elsewhere(
+        self, name: ids.TargetId, start_ms: int, is_newer: bool
+    ) -> bool:
+        """Records that a peer has reported a target as removed for good.
+
+        Args:
+            name: name of the target.
+            start_ms: start of the process, see `Entry.start_ms`.
+            is_newer: whether the peer has read the list further than this
+                router. Else the report counts only if the removal is pending
+                here, too.
+
+        Returns:
+            Whether this is new.
+        """
+        if name in self.removed_elsewhere or not self._is_listed(
+            name, start_ms
+        ):
+            return False
+        if not is_newer and name not in self.pending_removals:
+            return False
+        self.removed_elsewhere[name] = start_ms
+        return True
+
     def note_quiet(
         self, name: ids.TargetId, quiet_s: float, now: float
     ) -> float:
@@ -283,12 +326,34 @@
             if self.entries[name].pool == pool
         }
 
-    def remove(self, name: ids.TargetId, now: float) -> bool:
+    def find_removed(
+        self, pool: ids.PoolId, now: float
+    ) -> dict[ids.TargetId, int]:
+        """Returns the targets of a pool that were removed for good lately.
+
+        Returns:
+            Start of the process (`Entry.start_ms`) by name of the target.
+        """
+        return {
+            name: removed.start_ms
+            for name, removed in self.removed.items()
+            if removed.pool == pool
+            and removed.is_final
+            and now - removed.removed_at < REPORT_REMOVED_S
+        }
+
+    def remove(
+        self, name: ids.TargetId, now: float, is_final: bool = False
+    ) -> bool:
         """Removes an entry, at the end of the grace period if there is one.
 
         Args:
             name: name of the target.
             now: monotonic seconds.
+            is_final: whether the list was read without a break until now, so
+                that the target can't have lost its entry because the store was
+                away. Entries removed at the end of a grace period count as
+                such, too.
 
         Returns:
             Whether the entry existed and was removed at once.
@@ -300,7 +365,7 @@
                 name, self.store_returned_at + REMOVAL_GRACE_S
             )
             return False
-        self._drop(name, now)
+        self._drop(name, now, is_final)
         return True
 
     def expire(self, now: float) -> list[ids.TargetId]:
@@ -310,7 +375,7 @@
         ]
         for name in expired:
             del self.pending_removals[name]
-            self._drop(name, now)
+            self._drop(name, now, is_final=True)
         return expired
 
     def _is_listed(self, name: ids.TargetId, start_ms: int) -> bool:
@@ -318,10 +383,11 @@
         entry = self.entries.get(name)
         return entry is not None and entry.start_ms == start_ms
 
-    def _drop(self, name: ids.TargetId, now: float) -> None:
+    def _drop(self, name: ids.TargetId, now: float, is_final: bool) -> None:
         """Drops an entry with all notices of its target."""
         entry = self.entries.pop(name, None)
         self.leaving.pop(name, None)
+        self.removed_elsewhere.pop(name, None)
         self.quiet_until.pop(name, None)
         self.limits.forget(name)
         self.cold.forget(name)
@@ -329,7 +395,9 @@
             if now - removed.removed_at > REMEMBER_REMOVED_S:
                 del self.removed[other]
         if entry is not None:
-            self.removed[name] = RemovedTarget(entry.start_ms, now)
+            self.removed[name] = RemovedTarget(
+                entry.pool, entry.start_ms, now, is_final
+            )
 
     def has_version(self, pool: ids.PoolId, version: str) -> bool:
         """Whether a ready target of a pool runs a software version."""
@@ -342,9 +410,12 @@
         return self._is_listed(entry.name, entry.start_ms)
 
     def is_ready(self, name: ids.TargetId) -> bool:
-        """Whether a listed target is ready and not leaving."""
-        is_ready = self.entries[name].state is TargetState.READY
-        return is_ready and name not in self.leaving
+        """Whether a listed target is ready, not leaving and not removed."""
+        return (
+            self.entries[name].state is TargetState.READY
+            and name not in self.leaving
+            and name not in self.removed_elsewhere
+        )
 
     def is_in_grace_period(self, now: float) -> bool:
         """Returns whether the grace period lasts.
@@ -384,12 +455,14 @@
         )
 
     def _list_ready(self, pool: ids.PoolId) -> list[Entry]:
-        """Returns the targets of a pool that are ready and not leaving."""
-        leaving = self.leaving
+        """Returns the targets of a pool for which `is_ready` is true."""
+        gone = self.leaving
+        if self.removed_elsewhere:
+            gone = gone.keys() | self.removed_elsewhere.keys()
         return [
             entry
             for entry in self.entries.values()
             if entry.pool == pool
             and entry.state is TargetState.READY
-            and entry.name not in leaving
+            and entry.name not in gone
         ]
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -251,6 +251,9 @@
             the expected time is that at the initial rate of `prefill_rates`.
         decode_s: time for the output that the running requests are expected
             to have left, in seconds; 0 where `work_left` is not counted.
+        removed_start_ms: start of the target's process, if that process is
+            known to be removed from the list for good, likewise; else 0.
+        removed_at: position in the target list up to which this was read.
     """
 
     target: ids.TargetId
@@ -268,6 +271,8 @@
     timed_s: float = 0.0
     expected_s: float = 0.0
     decode_s: float = 0.0
+    removed_start_ms: int = 0
+    removed_at: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -353,7 +353,8 @@
         entry = self.targets.entries.get(name)
         if entry is not None:
             self.stream_versions.note_listed(entry, now)
-        is_removed = self.targets.remove(name, now)
+        is_final = self.shared_reads.pauses.is_read_without_break(now)
+        is_removed = self.targets.remove(name, now, is_final)
         self.log.write_event("target_unlisted", target=name, at_once=is_removed)
         if is_removed:
             self._forget_target(name)
@@ -644,8 +645,20 @@
             leaving = self.targets.find_leaving(name)
             limits = self.targets.find_own_limits(name, now)
             cold = self.cold.find_turned_cold(name, now)
+            removed = {}
+            if not self.shares_reads or self.shared_reads.is_reader(now):
+                removed = self.targets.find_removed(name, now)
             dispatcher.placer.plain_work.refresh(now)
-            loads.extend(dispatcher.loads.export(now, leaving, limits, cold))
+            loads.extend(
+                dispatcher.loads.export(
+                    now,
+                    leaving,
+                    limits,
+                    cold,
+                    removed,
+                    self.targets_watch.lag.own_position,
+                )
+            )
             demands.append(dispatcher.export_demand(now))
         work = work_sums.Work(tuple(loads), tuple(uses), tuple(demands))
         crashes, blocks = self.prompt_blocks.export()
@@ -667,7 +680,12 @@
             return
         for item in accepted.report.loads:
             target_notices.apply_reported(
-                self.targets, self.log, sender, item, now
+                self.targets,
+                self.log,
+                sender,
+                item,
+                self.targets_watch.lag.own_position,
+                now,
             )
         for dispatcher in self.dispatchers.values():
             for peer in accepted.replaced:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/target_notices.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/target_notices.py
@@ -68,9 +68,23 @@
     log: decision_log.DecisionLog,
     peer: ids.InstanceId,
     item: messages.TargetLoad,
+    own_position: int,
     now: float,
 ) -> None:
-    """Records what a peer reports that a target has said of itself."""
+    """Records what a peer reports that is known about a target.
+
+    Args:
+        targets: targets of all pools.
+        log: log of decisions.
+        peer: the peer.
+        item: what it reports.
+        own_position: position up to which this router has read the target list.
+        now: monotonic seconds.
+    """
+    if item.removed_start_ms and targets.note_removed_elsewhere(
+        item.target, item.removed_start_ms, item.removed_at > own_position
+    ):
+        log.write_event("target_removed", target=item.target, source=peer)
     if item.leaving_start_ms and targets.note_leaving(
         item.target, item.leaving_start_ms
     ):
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -111,6 +111,8 @@
   timedS @12 :Float32;
   expectedS @13 :Float32;
   decodeS @14 :Float32;
+  removedStartMs @15 :UInt64;
+  removedAt @16 :UInt64;
 }
 
 struct PoolDemand {
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -22,6 +22,8 @@
     "targets_change": 64,
     "running": 16,
     "start_ms": 64,
+    "removed_start_ms": 64,
+    "removed_at": 64,
     "level": 8,
     "routers": 16,
 }
