Log the age of the target list and for how long a removal is kept

Nothing told whether a request went to a target that had left because its router was cut off, read late, or kept the entry for the grace period. No change of logic.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -101,6 +101,8 @@
         entries: entries by name, including those with a pending removal.
         pending_removals: when each entry that was removed during a grace
             period will be dropped, by name, monotonic seconds.
+        complete_at: latest time up to which this router is known to have
+            missed no change, monotonic seconds; None if it has read nothing.
         store_returned_at: when the store was last found available again,
             monotonic seconds; None if it has never been unavailable.
         leaving: start of the process that is leaving (`Entry.start_ms`), for
@@ -117,6 +119,7 @@
     def __init__(self):
         self.entries: dict[ids.TargetId, Entry] = {}
         self.pending_removals: dict[ids.TargetId, float] = {}
+        self.complete_at: float | None = None
         self.store_returned_at: float | None = None
         self.leaving: dict[ids.TargetId, int] = {}
         self.quiet_until: dict[ids.TargetId, float] = {}
@@ -125,6 +128,19 @@
         self.evacuations = evacuations.Evacuations()
         self.cold = cold_targets.ColdTargets()
 
+    def note_complete(self, at: float) -> None:
+        """Records that no change was missed up to a time.
+
+        Args:
+            at: monotonic seconds.
+        """
+        if self.complete_at is None or at > self.complete_at:
+            self.complete_at = at
+
+    def read_age(self, now: float) -> float:
+        """Returns the age of the list, in seconds; 0 if it was never read."""
+        return 0.0 if self.complete_at is None else now - self.complete_at
+
     def note_store_returned(self, now: float) -> None:
         """Starts a grace period: the store is available again."""
         self.store_returned_at = now
@@ -303,6 +319,10 @@
         self._drop(name, now)
         return True
 
+    def find_time_kept(self, name: ids.TargetId, now: float) -> float:
+        """Returns for how much longer a removed entry stays, in seconds."""
+        return max(self.pending_removals.get(name, now) - now, 0.0)
+
     def expire(self, now: float) -> list[ids.TargetId]:
         """Drops entries whose pending removal is due; returns their names."""
         expired = [
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -384,6 +384,11 @@
                 return
             await asyncio.sleep(0)
 
+    def _read_targets_age(self) -> float:
+        """Returns the age of the target list, for the log, in seconds."""
+        now = self.clock.monotonic()
+        return round(self.dispatcher.targets.read_age(now), 3)
+
     def _check_deadline(self) -> None:
         """Raises TimeoutError if the request's deadline has passed.
 
@@ -417,6 +422,7 @@
             attempt=self.progress.send_count,
             version=self.request.configuration_version,
             software=target.version,
+            targets_age_s=self._read_targets_age(),
             resumes=self.request_head.resumes,
             resume_after=self.progress.events.last_event_id,
             **self._describe_request(),
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -90,6 +90,8 @@
         evacuations: puts evacuations of data centres in force.
         cold: limits the requests to cold targets.
         has_targets: whether the target list was read since the start.
+        lost_at: since when the topics of the store that can't be read are
+            lost, monotonic seconds.
         is_leaving: whether this router is shutting down.
         logged_as_avoided: targets that were logged as avoided.
         configuration_watch: compares the configuration with that of peers.
@@ -131,6 +133,7 @@
             self.targets, self.log, clock, self._decide_all
         )
         self.has_targets = False
+        self.lost_at: dict[str, float] = {}
         self.is_leaving = False
         self.logged_as_avoided: set[ids.TargetId] = set()
         self.configuration_watch = feeds.FeedWatch(MAX_CONFIGURATION_LAG_S)
@@ -353,7 +356,12 @@
         if entry is not None:
             self.stream_versions.note_listed(entry, now)
         is_removed = self.targets.remove(name, now)
-        self.log.write_event("target_unlisted", target=name, at_once=is_removed)
+        self.log.write_event(
+            "target_unlisted",
+            target=name,
+            at_once=is_removed,
+            kept_s=round(self.targets.find_time_kept(name, now), 3),
+        )
         if is_removed:
             self._forget_target(name)
 
@@ -395,6 +403,7 @@
         """
         if is_target_topic:
             self.stream_versions.note_targets_lost()
+        self.lost_at.setdefault(topic, self.clock.monotonic())
         self.log.write_event("store_lost", what=topic, detail=detail)
 
     def store_returned(self, topic: str, is_target_topic: bool) -> None:
@@ -407,13 +416,17 @@
             topic: topic of the store.
             is_target_topic: whether the topic is the target list.
         """
+        now = self.clock.monotonic()
         if is_target_topic:
-            self.targets.note_store_returned(self.clock.monotonic())
+            self.targets.note_store_returned(now)
             asyncio.get_running_loop().call_later(
                 target_list.REMOVAL_GRACE_S + TIMER_RESOLUTION_S,
                 self._expire_targets,
             )
-        self.log.write_event("store_returned", what=topic)
+        away_s = now - self.lost_at.pop(topic, now)
+        self.log.write_event(
+            "store_returned", what=topic, away_s=round(away_s, 3)
+        )
 
     def read_gauges(self) -> dict[str, float]:
         """Returns the current gauge values by name."""
@@ -438,6 +451,7 @@
             "fleet_report_delay_s": self.report_exchange.fleet_report_delay_s,
             "targets_listed": len(self.targets.entries),
             "targets_lapsing": len(self.targets.pending_removals),
+            "targets_age_s": self.targets.read_age(now),
             "parts_blocked": len(self.prompt_blocks.evidence.list_blocks()),
             "streams_remembered": len(self.origin_exchange.origins.records),
             "versions_recorded": len(self.stream_versions.stored),
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/shared_reads.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/shared_reads.py
@@ -1,5 +1,6 @@
 """Lets the routers of a large fleet share the reads of the target list."""
 
+import math
 import random
 
 from lentilbeam_core import ids
@@ -46,6 +47,8 @@
         self.pauses.note_report(
             peer, report.targets_offset, report.targets_change, now
         )
+        if self.pauses.complete_at > -math.inf:
+            self.targets.note_complete(self.pauses.complete_at)
 
     def find_due(self, now: float) -> float:
         """Returns when the target list is read again, monotonic seconds."""
