Count a workspace as behind by the promise that is kept to it

The fair share is the max-min level of what all received. Where the largest workspaces receive more than the level, 0.6 of it is below the half that is promised. A workspace is now behind below 0.6 of the least of what it asked for and what the best served one received, too.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -66,7 +66,9 @@
         fair_level: fair share of the service that was actually given, or of
             the guaranteed capacity if that is larger; infinite if that is
             enough for all.
-        levels_updated_at: when the levels were computed, monotonic seconds.
+        most_served: service received by the workspace that received most.
+        asked_totals: cost that each workspace asked for, at all routers.
+        levels_updated_at: when these were computed, monotonic seconds.
     """
 
     def __init__(self, decay_s: float):
@@ -76,6 +78,8 @@
         self.peers: dict[ids.InstanceId, tuple[float, _PeerUsage]] = {}
         self.guaranteed_level = math.inf
         self.fair_level = math.inf
+        self.most_served = 0.0
+        self.asked_totals: dict[ids.WorkspaceId, float] = {}
         self.levels_updated_at = -math.inf
 
     def note_asked(
@@ -150,7 +154,11 @@
         received = self.total_served(workspace, now)
         if received < self.guaranteed_level:
             return ShareStatus.BELOW_GUARANTEE
-        if received < self.fair_level * BELOW_FAIR_SHARE_FRACTION:
+        # Its fair share, or the service of the workspace that received most:
+        # that is more where demand changes faster than the sums decay.
+        asked = self.asked_totals.get(workspace, 0.0)
+        due = max(self.fair_level, min(asked, self.most_served))
+        if received < due * BELOW_FAIR_SHARE_FRACTION:
             return ShareStatus.BELOW_FAIR_SHARE
         if received <= self.fair_level * FAIR_SHARE_TOLERANCE:
             return ShareStatus.AT_FAIR_SHARE
@@ -176,11 +184,11 @@
 
     def _refresh_levels(self, guaranteed: float, now: float) -> None:
         asked: dict[ids.WorkspaceId, float] = {}
-        received = 0.0
+        served: dict[ids.WorkspaceId, float] = {}
         for workspace, own in self.asked.items():
             asked[workspace] = own.read(now, self.decay_s)
-        for own in self.served.values():
-            received += own.read(now, self.decay_s)
+        for workspace, own in self.served.items():
+            served[workspace] = own.read(now, self.decay_s)
         for received_at, uses in self.peers.values():
             age_s = now - received_at
             if age_s >= PEER_USAGE_MAX_AGE_S:
@@ -189,7 +197,11 @@
             for workspace, use in uses.items():
                 previous = asked.get(workspace, 0.0)
                 asked[workspace] = previous + use.asked * decay
-                received += use.cost * decay
+                previous = served.get(workspace, 0.0)
+                served[workspace] = previous + use.cost * decay
+        received = sum(served.values())
+        self.most_served = max(served.values(), default=0.0)
+        self.asked_totals = asked
         amounts = list(asked.values())
         self.levels_updated_at = now
         self.guaranteed_level = compute_max_min_share(amounts, guaranteed)
