Look at all engines of a large pool before a request finds no room

If a sample has no room, the rest of the pool is looked at, but for workspaces that received more than their fair share: their callers are at all routers, and would fill what the others are to find. Pools whose memory is bounded did this already.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
@@ -25,6 +25,8 @@
             prompt tokens) is at most this many seconds is accepted beyond the
             prefill bound. While all engines are beyond it, this decides whose
             requests are next, so it is smaller for those that received more.
+        is_exhaustive: whether all targets of a large pool are looked at if a
+            sample of them has no room.
     """
 
     goal_fraction: float
@@ -32,6 +34,7 @@
     slots_fraction: float
     max_hold_fraction: float = 0.0
     free_backlog_s: float = 0.05
+    is_exhaustive: bool = True
 
 
 BELOW_GUARANTEE_BOUNDS = Bounds(0.9, 0.85, 1.0, 0.4, 0.15)
@@ -42,5 +45,5 @@
 AT_FAIR_SHARE_BOUNDS = Bounds(0.7, 0.6, 0.8, 0.0, 0.05)
 """For workspaces that received about their fair share of service. The capacity
 above these bounds is reserved for workspaces that received less."""
-ABOVE_FAIR_SHARE_BOUNDS = Bounds(0.4, 0.4, 0.55, 0.0, 0.01)
+ABOVE_FAIR_SHARE_BOUNDS = Bounds(0.4, 0.4, 0.55, 0.0, 0.01, False)
 """For workspaces that received more service than their fair share."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -336,22 +336,20 @@
             self.loads,
             now,
         )
-        lone = frozenset()
-        if request.route.is_resumable:
-            lone = find_lone_versions(targets)
-        best = None
-        for index in self._find_indexes(
+        evaluate = self._build_evaluation(
+            request, targets, prefix, bounds, plan, now
+        )
+        indexes = self._find_indexes(
             request, targets, prefix, plan, bounds, now
+        )
+        best = _find_best(map(evaluate, indexes))
+        if (
+            best is None
+            and bounds.is_exhaustive
+            and not target_memory.is_bounded(self.pool)
         ):
-            entry = targets[index]
-            candidate = self._evaluate(
-                request, entry, prefix, index, bounds, plan, now
-            )
-            if candidate and entry.version in lone:
-                cost_s = candidate.cost_s + self.settings.lone_version_penalty_s
-                candidate = dataclasses.replace(candidate, cost_s=cost_s)
-            if candidate and candidate.is_better(best):
-                best = candidate
+            rest = set(range(len(targets))).difference(indexes)
+            best = _find_best(map(evaluate, sorted(rest)))
         if best is None:
             return None
         if not best.needs_fetch:
@@ -361,6 +359,32 @@
         )
         return dataclasses.replace(best.placement, fetch_from=source)
 
+    def _build_evaluation(
+        self,
+        request: requests.Request,
+        targets: list[target_list.Entry],
+        prefix: _CachedPrefix,
+        bounds: load_bounds.Bounds,
+        plan: long_prompts_lib.Plan | None,
+        now: float,
+    ) -> Callable[[int], _Candidate | None]:
+        """Returns a function that evaluates the target with an index."""
+        lone = frozenset()
+        if request.route.is_resumable:
+            lone = find_lone_versions(targets)
+
+        def evaluate(index: int) -> _Candidate | None:
+            entry = targets[index]
+            candidate = self._evaluate(
+                request, entry, prefix, index, bounds, plan, now
+            )
+            if candidate and entry.version in lone:
+                cost_s = candidate.cost_s + self.settings.lone_version_penalty_s
+                candidate = dataclasses.replace(candidate, cost_s=cost_s)
+            return candidate
+
+        return evaluate
+
     def _find_indexes(
         self,
         request: requests.Request,
@@ -704,3 +728,14 @@
     if len(counts) < 2:
         return frozenset()
     return frozenset(name for name, count in counts.items() if count == 1)
+
+
+def _find_best(
+    candidates: Iterable[_Candidate | None],
+) -> _Candidate | None:
+    """Returns the best of some candidates; None if there is none."""
+    best = None
+    for candidate in candidates:
+        if candidate and candidate.is_better(best):
+            best = candidate
+    return best
