Try each request before it is refused for lack of room

FAIR: a busy router refused 187 of 305 requests of a workspace untried, since a pass tried its two oldest requests and its newest, and the others were refused 50 ms after they were queued.

The short wait of workspaces at their fair share ends no sooner than the request was tried, within the longest wait as before, and a pass tries the four oldest and the two newest. Those of workspaces that are ahead are refused as before.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -37,14 +37,14 @@
 
 The next pass begins with the workspaces that this one left out, so that a pass
 takes about as long with a thousand waiting requests as with a dozen."""
-MAX_OLDEST_CANDIDATES = 2
+MAX_OLDEST_CANDIDATES = 4
 """Number of the oldest requests in a workspace's queue that are tried each time
 it is the workspace's turn.
 
 If no candidate can be placed, the rest of the pass skips the workspace. Without
 a limit, a pass over a very long queue would take longer than the interval
 between two passes."""
-MAX_NEWEST_CANDIDATES = 1
+MAX_NEWEST_CANDIDATES = 2
 """Number of the newest requests that are tried after the oldest.
 
 These have most of their response-time goal left. What is left to the oldest may
@@ -61,7 +61,8 @@
             response-time goal; the rest is left for the target.
         at_fair_share_wait_s: maximum time in the queue for a request whose
             workspace has the status `AT_FAIR_SHARE` or `ABOVE_FAIR_SHARE`, in
-            seconds.
+            seconds. In the first case it ends no sooner than the request was
+            tried: on a busy router, few are tried in this time.
         resumed_wait_s: minimum of that limit for a request that goes on with a
             stream, in seconds. Few targets can serve it, and an answer that
             has begun is lost if it is refused.
@@ -387,26 +388,25 @@
         self, targets: list[target_list.Entry], now: float
     ) -> list[decisions_lib.Decision]:
         latest_queued_at = now - self.settings.at_fair_share_wait_s
-        waits_briefly = {
+        statuses = {
             workspace: self._find_share_status(workspace, now)
-            in (
-                shares.ShareStatus.AT_FAIR_SHARE,
-                shares.ShareStatus.ABOVE_FAIR_SHARE,
-            )
             for workspace in self.queues
         }
-        return self._refuse_where(
-            lambda queued: (
-                queued.refuse_at <= now
-                or (
-                    queued.version is None
-                    and queued.queued_at <= latest_queued_at
-                    and waits_briefly[queued.request.workspace]
-                )
-            ),
-            targets,
-            now,
-        )
+
+        def has_waited(queued: QueuedRequest) -> bool:
+            if queued.refuse_at <= now:
+                return True
+            if (
+                queued.version is not None
+                or queued.queued_at > latest_queued_at
+            ):
+                return False
+            status = statuses[queued.request.workspace]
+            if status is shares.ShareStatus.AT_FAIR_SHARE:
+                return queued.tries > 0
+            return status is shares.ShareStatus.ABOVE_FAIR_SHARE
+
+        return self._refuse_where(has_waited, targets, now)
 
     def refuse_without_version(
         self, has_version: Callable[[str], bool], now: float
