Show what a planned stop does to late requests

Callers of a router that is stopped by SIGTERM see three things. A router that reads 0.8 s late in its stop passes on requests that were sent 3.05 s after SIGTERM; streams among them are cut at the end, in the middle (LOST). Plain requests that still run at the end get a 500 from the web server, without their id. Requests that take longer than what is left of the grace period are begun all the same, among them some that must not be repeated.

Targets of the process tests can be told for how long to work (/for-SECONDS), emulated routers can leave (Fleet.leave).

--- a/tests/forwarding/gateway_fleet.py
+++ b/tests/forwarding/gateway_fleet.py
@@ -35,6 +35,9 @@
 RESPONSE_S = 0.04
 DATA_CENTRES = "abc"
 EVENT_INTERVAL_S = 0.05
+SERVER_TICK_S = 0.1
+"""Time, in seconds, after which the web server looks at what has changed."""
+SERVER_ERROR = 500
 ENTRY_INTERVAL_S = 1.2
 """Time between two entries that a target writes."""
 _REQUEST_ID = re.compile(rb"request-id: (\S+)", re.IGNORECASE)
@@ -75,6 +78,7 @@
         born_ms: start of that process, Unix milliseconds; differs from the
             entry until the list has been updated.
         stream_length: number of events in a stream.
+        work_s: seconds until it answers, besides the prompt.
         reports: number of reports that were read.
         report_status: HTTP status of its reports.
         report_headers: header lines that it adds to its reports.
@@ -92,6 +96,7 @@
         self.version = entry.version
         self.born_ms = entry.started_at_ms
         self.stream_length = 20
+        self.work_s = RESPONSE_S
         self.reports = 0
         self.report_status = 200
         self.report_headers = ""
@@ -211,7 +216,7 @@
             return
         self.target.arrivals.append(Arrival(loop.time(), self.router, head))
         prefill_s = self.target.prefill(head, loop.time())
-        loop.call_later(RESPONSE_S + prefill_s, self._respond, head)
+        loop.call_later(self.target.work_s + prefill_s, self._respond, head)
 
     def _respond(self, head: bytes) -> None:
         if not self.target.is_up:
@@ -311,6 +316,8 @@
         cut: pairs of sender and receiver between which datagrams are lost.
         results: what all callers got, in the order of their requests.
         tasks: tasks of each router, by name.
+        serving: tasks of the requests that each router serves, by name.
+        closed: routers that accept no connections any more.
         output: file descriptor to which the routers log.
         engine: engine that the targets run; None if they run none.
         evacuated: data centres whose evacuation the store asks for.
@@ -351,6 +358,10 @@
         self.cut: set[tuple[str, str]] = set()
         self.results: list[Result] = []
         self.tasks: dict[str, list[asyncio.Task]] = {}
+        self.serving: dict[str, set[asyncio.Task]] = collections.defaultdict(
+            set
+        )
+        self.closed: set[str] = set()
         self.output = output or os.open(os.devnull, os.O_WRONLY)
         self.router_count = routers
         self.target_count = targets
@@ -535,6 +546,35 @@
         for task in self.tasks.pop(name):
             task.cancel()
 
+    async def leave(self, name: str) -> None:
+        """Stops a router as SIGTERM does; returns when it has stopped.
+
+        Only its web server is emulated. Requests must be sent by
+        `send_soon` meanwhile.
+        """
+        gateway = self.gateways[name]
+        server = types.SimpleNamespace(
+            config=types.SimpleNamespace(timeout_graceful_shutdown=0.0),
+            should_exit=False,
+        )
+        serving = asyncio.ensure_future(self._serve_callers(name, server))
+        await gateway._announce_leaving()
+        await gateway._stop_server(server, serving)
+        await asyncio.sleep(SERVER_TICK_S)
+        self.stop_router(name)
+
+    async def _serve_callers(self, name: str, server) -> None:
+        """Shuts a router's web server down as uvicorn does."""
+        await _wait_until(lambda: server.should_exit)
+        self.closed.add(name)
+        await asyncio.sleep(SERVER_TICK_S)
+        try:
+            async with asyncio.timeout(server.config.timeout_graceful_shutdown):
+                await _wait_until(lambda: not self.serving[name])
+        except TimeoutError:
+            for task in self.serving[name]:
+                task.cancel()
+
     def part(self, group: list[str]) -> None:
         """Cuts a group of routers off from all others, both ways."""
         for inside in group:
@@ -631,13 +671,27 @@
                 result.is_complete = not message.get("more_body", False)
             result.ended_at = loop.time()
 
+        if router in self.closed:
+            return result
         gateway = self.gateways[router]
+        task = asyncio.current_task()
+        self.serving[router].add(task)
         try:
             await gateway.request_handler(
                 scope, caller_messages.get, receive_response
             )
         except caller_channel.ResponseAbortedError:
             result.is_complete = False
+        except asyncio.CancelledError:
+            if router not in self.closed:
+                raise
+            # The web server's answer to a request that it ends.
+            if result.status is None:
+                result.status = SERVER_ERROR
+                result.ended_at = loop.time()
+                result.is_complete = True
+        finally:
+            self.serving[router].discard(task)
         return result
 
     def _connect_store(self, gateway: gateway_lib.Gateway) -> list[Coroutine]:
@@ -710,3 +764,11 @@
             return connection
 
         return connect
+
+
+async def _wait_until(check) -> None:
+    """Waits for a condition, which is looked at once a tick of the server."""
+    while True:
+        if check():
+            return
+        await asyncio.sleep(SERVER_TICK_S)
--- a/tests/standins/opaque_target.py
+++ b/tests/standins/opaque_target.py
@@ -2,7 +2,8 @@
 
 Run as `python -m tests.standins.opaque_target HOST PORT NAME VERSION BORN_MS`.
 Requests to paths below `/chat/` are answered with a stream of 20 events, 50 ms
-apart, whose text names the version, all others with a short body. A request for
+apart, whose text names the version, all others with a short body. A path that
+ends in `/for-SECONDS` makes the request run for that time. A request for
 another instance is refused with 421. `GET /v1/report` tells the start of the
 process.
 
@@ -15,6 +16,7 @@
 
 import asyncio
 import json
+import re
 import sys
 import time
 
@@ -23,6 +25,7 @@
 EVENT_COUNT = 20
 EVENT_INTERVAL_S = 0.05
 SHORT_WORK_S = 0.02
+_WORK_S = re.compile(r"/for-([0-9.]+)$")
 
 
 class Target:
@@ -88,9 +91,13 @@
         ]
         if scope["path"].startswith("/chat/"):
             first = int(headers.get(b"last-event-id", b"0")) + 1
-            await self.send_events(send, proof_headers, first)
+            interval_s = EVENT_INTERVAL_S
+            if work := _WORK_S.search(scope["path"]):
+                interval_s = float(work[1]) / EVENT_COUNT
+            await self.send_events(send, proof_headers, first, interval_s)
             return
-        await asyncio.sleep(SHORT_WORK_S)
+        work = _WORK_S.search(scope["path"])
+        await asyncio.sleep(float(work[1]) if work else SHORT_WORK_S)
         await self.send_response(send, 200, proof_headers, b"done")
 
     def list_notices(self) -> list[tuple[bytes, bytes]]:
@@ -109,13 +116,15 @@
         )
         await send({"type": "http.response.body", "body": body})
 
-    async def send_events(self, send, headers, first: int) -> None:
+    async def send_events(
+        self, send, headers, first: int, interval_s: float
+    ) -> None:
         """Streams the events from number `first` on."""
         await send(
             {"type": "http.response.start", "status": 200, "headers": headers}
         )
         for number in range(first, EVENT_COUNT + 1):
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(interval_s)
             text = f"id: {number}\ndata: word{number} {self.version}\n\n"
             await send(
                 {
