Begin only what can end in a planned stop, and answer the rest

Cause: the stop was a chain of sleeps, each counted from when the one before returned, and nothing told the requests of it. A router that reads late took requests until it got to its next step. What was left at the end was cancelled by the web server, which knows neither the request nor whether a target may have run it.

A request is begun, and handed to a target, only if it can end: by its deadline, or if 1.5 times the mean time of its route is left, three times if it must not be repeated, since a caller that is refused loses a round trip and one whose booking is cut can't ask again. Others get 503 at once. At the end, a request is given up as at its deadline: 504 if a target may have run it, 503 if not, streams break off visibly. Targets are given no deadline beyond that end.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -18,6 +18,7 @@
     ROUTER_BUSY = "router_busy"  # The router can't keep up.
     LIMITED = "limited"  # The targets take a limited number of requests.
     EVACUATED = "evacuated"  # All data centres of the pool are evacuated.
+    LEAVING = "leaving"  # The router is shutting down.
     CRASHES_TARGETS = "crashes_targets"  # Requests like it crashed targets.
 
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
@@ -166,13 +166,26 @@
         """
         if self.busy_fraction < self.settings.busy_fraction:
             return True
+        duration_s = self.find_duration_s(route, now)
+        return duration_s is None or left_s >= duration_s
+
+    def find_duration_s(self, route: str, now: float) -> float | None:
+        """Returns for how long requests of a route were served lately.
+
+        Args:
+            route: name of the route.
+            now: monotonic seconds.
+
+        Returns:
+            The mean in seconds; None if there were too few.
+        """
         if route not in self._durations:
-            return True
+            return None
         count, total = self._durations[route]
         requests = count.read(now, DURATION_DECAY_S)
         if requests < 1.0:
-            return True
-        return left_s >= total.read(now, DURATION_DECAY_S) / requests
+            return None
+        return total.read(now, DURATION_DECAY_S) / requests
 
     def estimate_cost(self) -> float:
         """Returns the processor time of a request in seconds; 0 if unknown.
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -303,8 +303,14 @@
         self.placed.clear()
         return placed
 
-    def refuse(self, request: requests.Request) -> decisions_lib.Refused:
-        """Refuses a new request because this router is too busy for it.
+    def refuse(
+        self,
+        request: requests.Request,
+        reason: decisions_lib.RefusalReason = (
+            decisions_lib.RefusalReason.ROUTER_BUSY
+        ),
+    ) -> decisions_lib.Refused:
+        """Refuses a new request because this router can't serve it.
 
         The request counts in what its workspace has asked for.
         """
@@ -313,7 +319,6 @@
         self.usage.note_asked(
             request.workspace, requests.estimate_cost(request), now
         )
-        reason = decisions_lib.RefusalReason.ROUTER_BUSY
         return self.admission.refuse(request, reason, now)
 
     def has_had_fair_share(self, workspace: ids.WorkspaceId) -> bool:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -30,6 +30,7 @@
 from lentilbeam_router.forwarding import response_checks
 from lentilbeam_router.forwarding import resumption as resumption_lib
 from lentilbeam_router.forwarding import send_checks
+from lentilbeam_router.forwarding import stop_control as stop_control_lib
 from lentilbeam_router.forwarding import target_notices
 from lentilbeam_router.forwarding import wire as wire_lib
 
@@ -57,6 +58,7 @@
         origin_search: records and finds out what began streams.
         metrics: counts events of requests.
         log: log of decisions.
+        stop_control: what may still be sent while the router shuts down.
         bad_notices: target and header of each invalid notice that was logged.
     """
 
@@ -70,6 +72,7 @@
         origin_search: origin_search_lib.OriginSearch,
         metrics: metrics_lib.Metrics,
         log: decision_log.DecisionLog,
+        stop_control: stop_control_lib.StopControl,
     ):
         self.codec = codec
         self.connections = connections
@@ -79,6 +82,7 @@
         self.origin_search = origin_search
         self.metrics = metrics
         self.log = log
+        self.stop_control = stop_control
         self.bad_notices: set[tuple[ids.TargetId, str]] = set()
 
     def log_bad_notice(self, target: ids.TargetId, notice: str) -> None:
@@ -117,12 +121,12 @@
             channel,
             routers,
         )
-        remaining_s = max(request.deadline_at - self.clock.monotonic(), 0.0)
         try:
-            async with asyncio.timeout(remaining_s):
+            async with self.stop_control.limit_time(request.deadline_at):
                 await run.serve()
         except TimeoutError:
-            await run.give_up("timeout")
+            is_stopped = self.stop_control.has_ended
+            await run.give_up("leaving" if is_stopped else "timeout")
         finally:
             run.resumption.note_end()
             self.crash_evidence.note_end(
@@ -246,7 +250,7 @@
         )
 
     async def give_up(self, reason: str) -> None:
-        """Ends a request that has reached its deadline.
+        """Ends a request that has no time left.
 
         Responds with 504 if a target may have run the request, else with 503.
         A response that has begun is aborted.
@@ -285,9 +289,7 @@
             raise
         try:
             self._check_deadline()
-            objection = send_checks.find_objection(
-                self.dispatcher, target, self.is_paced, self.clock.monotonic()
-            )
+            objection = self._find_objection(target)
             if objection is not None:
                 self._record("not_sent", target=target.name, reason=objection)
                 self.progress.tried.add(target.name)
@@ -385,14 +387,33 @@
             await asyncio.sleep(0)
 
     def _check_deadline(self) -> None:
-        """Raises TimeoutError if the request's deadline has passed.
+        """Raises TimeoutError if the request has no time left.
 
         After a stall the event loop resumes tasks that waited for I/O before
         it runs the timers that are due.
         """
-        if self.clock.monotonic() >= self.request.deadline_at:
+        deadline_at = self.forwarder.stop_control.limit_deadline(
+            self.request.deadline_at
+        )
+        if self.clock.monotonic() >= deadline_at:
             raise TimeoutError
 
+    def _find_objection(self, target: target_list.Entry) -> str | None:
+        """Returns why the request must not be sent to its target any more."""
+        if not self._can_end():
+            return "leaving"
+        return send_checks.find_objection(
+            self.dispatcher, target, self.is_paced, self.clock.monotonic()
+        )
+
+    def _can_end(self) -> bool:
+        """Whether the request may be sent, as the router may be leaving."""
+        is_resumed = (
+            self.request_head.resume_after is not None
+            or self.channel.is_started
+        )
+        return self.forwarder.stop_control.can_end(self.request, is_resumed)
+
     async def _exchange(
         self,
         placement: placement_lib.Placement,
@@ -455,7 +476,10 @@
         return outcome
 
     def _encode_request(self, placement: placement_lib.Placement) -> bytes:
-        remaining_s = self.request.deadline_at - self.clock.monotonic()
+        deadline_at = self.forwarder.stop_control.limit_deadline(
+            self.request.deadline_at
+        )
+        remaining_s = deadline_at - self.clock.monotonic()
         source = placement.fetch_from
         routing_info = wire_lib.RoutingInfo(
             target=placement.target.name,
@@ -611,6 +635,8 @@
         """
         if self.progress.send_count >= self.route.attempts:
             return False
+        if not self._can_end():
+            return False
         if (
             outcome.result is not progress_lib.SendResult.NOT_RUN
             and not self.route.is_retryable
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -15,6 +15,7 @@
 from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import memory_budget
 from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import stop_schedule
 from lentilbeam_core.forwarding import stream_versions
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_core.forwarding import work_sums
@@ -42,6 +43,7 @@
 from lentilbeam_router.forwarding import report_exchange as report_exchange_lib
 from lentilbeam_router.forwarding import request_handler as request_handler_lib
 from lentilbeam_router.forwarding import shared_reads
+from lentilbeam_router.forwarding import stop_control as stop_control_lib
 from lentilbeam_router.forwarding import target_notices
 from lentilbeam_router.forwarding import wire as wire_lib
 
@@ -49,13 +51,9 @@
 TIMER_RESOLUTION_S = 0.001
 """The event loop may run a timer earlier than this by its clock's resolution,
 in seconds."""
-SHUTDOWN_MARGIN_S = 1.2
-"""The process starts to exit this long before the platform would kill it. On a
-slow instance the exit itself takes some tenths of a second."""
-ADDRESS_TTL_FACTOR = 2.8
-"""A router that shuts down keeps accepting connections for this many TTLs of
-its address. Some callers use an address for up to three times its TTL; the
-last 0.2 TTLs aren't covered."""
+SERVER_CLOSE_S = 0.2
+"""The web server's own timeout begins up to this much, in seconds, after it was
+told to shut down."""
 MAX_CONFIGURATION_LAG_S = 0.3
 """Seconds for which a peer may report a newer configuration before this router
 reads it again on a new connection. The store responds within some 10 ms; a
@@ -98,6 +96,7 @@
         overload: what this router does if it is too busy.
         accept_control: accepts the connections of callers.
         stop: set on SIGTERM and SIGINT.
+        stop_control: what may still be begun after that.
         dispatchers: dispatcher of each pool that has had a request.
         prompt_blocks: prompt parts that are blocked, since they crash targets.
         stream_versions: which versions may have begun streams.
@@ -137,6 +136,9 @@
         self.targets_watch = feeds.FeedWatch(MAX_TARGETS_LAG_S[0])
         self.overload = overload_lib.Overload(poll_times, clock, self.log)
         self.stop = asyncio.Event()
+        self.stop_control = stop_control_lib.StopControl(
+            clock, self.overload.load.find_duration_s
+        )
         self.dispatchers: dict[ids.PoolId, dispatcher_lib.Dispatcher] = {}
         self.link = peer_link.PeerLink(
             settings.instance, self._receive, self.metrics
@@ -191,6 +193,7 @@
             self.origin_search,
             self.metrics,
             self.log,
+            self.stop_control,
         )
         self.request_handler = request_handler_lib.RequestHandler(
             codec, self, clock, self.metrics, self.log
@@ -249,9 +252,15 @@
     def refuse_as_busy(
         self, request: requests.Request
     ) -> decisions_lib.Refused:
-        """Refuses a request that this router is too busy for."""
-        refused = self.find_dispatcher(request.pool).refuse(request)
+        """Refuses a request that this router is too busy for, or leaving."""
+        reason = decisions_lib.RefusalReason.ROUTER_BUSY
+        if self.is_leaving:
+            reason = decisions_lib.RefusalReason.LEAVING
+        refused = self.find_dispatcher(request.pool).refuse(request, reason)
         serving = len(self.peers.find_serving())
+        if self.is_leaving and serving:
+            # Any other router serves it, at once.
+            return dataclasses.replace(refused, retry_after_s=0.0)
         delay_s = self.overload.find_retry_delay(
             refused, serving > len(self.peers.listed) / 2
         )
@@ -499,7 +508,7 @@
         )
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop.set)
+            loop.add_signal_handler(number, self._begin_stop)
         tasks = [
             asyncio.create_task(job)
             for job in (*jobs, self._run_housekeeping(), self._send_reports())
@@ -535,25 +544,53 @@
 
         return route
 
+    def _begin_stop(self) -> None:
+        """Starts the shutdown, once."""
+        self.stop.set()
+        if self.stop_control.schedule is not None:
+            return
+        now = self.clock.monotonic()
+        self.stop_control.begin(
+            stop_schedule.plan(
+                # asyncio reads a signal in one iteration of the loop and calls
+                # its handler in the next.
+                signalled_after=min(self.poll_times.before_read_until[0], now),
+                noticed_at=now,
+                grace_s=self.settings.grace_s,
+                address_ttl_s=self.settings.address_ttl_s,
+            )
+        )
+        self.is_leaving = True
+
     async def _announce_leaving(self) -> None:
         """Announces the shutdown and keeps serving for a while.
 
-        Callers may still use this router's address, see `ADDRESS_TTL_FACTOR`.
+        Callers may still use this router's address, see
+        `stop_schedule.ADDRESS_TTL_FACTOR`.
         """
-        self.is_leaving = True
-        self.log.write_event("leaving", active=self.request_handler.active)
+        self._begin_stop()
+        schedule = self.stop_control.schedule
+        now = self.clock.monotonic()
+        self.log.write_event(
+            "leaving",
+            active=self.request_handler.active,
+            begins_for_s=round(schedule.begins_until - now, 2),
+            ends_in_s=round(schedule.ends_at - now, 2),
+        )
         # Datagrams may be lost, so the announcement is sent twice.
         self.report_exchange.announce(self._build_status())
         await asyncio.sleep(report_exchange_lib.MIN_REPORT_INTERVAL_S)
         self.report_exchange.announce(self._build_status())
-        await asyncio.sleep(self.settings.address_ttl_s * ADDRESS_TTL_FACTOR)
+        begins_s = schedule.begins_until - self.clock.monotonic()
+        await asyncio.sleep(max(begins_s, 0.0))
 
     async def _stop_server(
         self, server: signal_free_server.WebServer, serving: asyncio.Task
     ) -> None:
         """Stops the server, giving open requests time to complete."""
-        address_kept_s = self.settings.address_ttl_s * ADDRESS_TTL_FACTOR
-        limit_s = self.settings.grace_s - address_kept_s - SHUTDOWN_MARGIN_S
+        self._begin_stop()
+        left_s = self.stop_control.schedule.closes_at - self.clock.monotonic()
+        limit_s = left_s - SERVER_CLOSE_S
         self.log.write_event("closing", active=self.request_handler.active)
         server.config.timeout_graceful_shutdown = max(limit_s, 0.0)
         server.should_exit = True
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -153,14 +153,17 @@
     def is_refused(
         self, request_head: wire_lib.RequestHead, request: requests.Request
     ) -> bool:
-        """Whether this router is too busy for a request.
+        """Whether this router is too busy for a request, or is leaving.
 
         What is left of a stream that is resumed takes less time than a whole
         response, so how long others took does not count for it.
         """
+        is_resumed = request_head.resume_after is not None
+        stop_control = self.gateway.forwarder.stop_control
+        if not stop_control.can_begin(request, is_resumed):
+            return True
         if self.gateway.is_too_late_for(request):
             return True
-        is_resumed = request_head.resume_after is not None
         return not is_resumed and not self.gateway.overload.can_finish(request)
 
     async def _wait_for_turn(self, handled_at: float) -> None:
--- a/tests/forwarding/in_process_router.py
+++ b/tests/forwarding/in_process_router.py
@@ -33,6 +33,7 @@
 from lentilbeam_router.forwarding import overload
 from lentilbeam_router.forwarding import peers
 from lentilbeam_router.forwarding import request_handler
+from lentilbeam_router.forwarding import stop_control
 from tests.forwarding import makers
 
 API_KEY = "key-1"
@@ -175,6 +176,7 @@
                 ),
                 router_metrics,
                 log,
+                stop_control.StopControl(clock, lambda route, now: None),
             ),
         )
         self.request_handler = request_handler.RequestHandler(
