--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/send_checks.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/send_checks.py
@@ -30,7 +30,7 @@
     if not targets.is_listed(target):
         return "not_listed"
     if not targets.is_ready(target.name):
-        return "leaving"
+        return "target_leaving"
     if targets.is_quiet(target.name, now):
         return "quiet"
     if targets.is_evacuated(target.data_centre):
