--- a/tests/forwarding/test_removed_targets.py
+++ b/tests/forwarding/test_removed_targets.py
@@ -4,10 +4,15 @@
 """
 
 import asyncio
+import random
 
+import httpcore
 import pytest
 
+from lentilbeam_platform import store as store_lib
+from lentilbeam_router.forwarding import gateway as gateway_lib
 from tests.forwarding import makers
+from tests.forwarding import stored_fleet
 from tests.forwarding import test_store_calls
 
 CUT_S = 6.0
@@ -16,6 +21,8 @@
 """Time after a router reached the store again, in seconds, when it knows what
 was removed meanwhile. Routers that were cut off are bound by the list again 3 s
 later, of which the delay of a retry takes up to 1.6 s and a call 0.5 s."""
+STABLE_WINDOW_S = 3.0
+"""Time after the end of a cut when a router is bound by the list again."""
 RETURN_S = 0.6
 """Time within which the router of a small fleet calls the store again."""
 LOAD_PER_S = 100.0
@@ -42,6 +49,14 @@
         self.unlisted.add(name)
         self._unlist_target(name)
 
+    def count_others(self, name: str) -> int:
+        """Returns the number of requests that reached other targets."""
+        return sum(
+            len(target.arrivals)
+            for other, target in self.targets.items()
+            if other != name
+        )
+
     def find_return(self, router: str, since: float) -> float:
         """Returns when a router first asked for the target list again."""
         return min(
@@ -89,7 +104,44 @@
         if arrival.at > fleet.returned_at + SETTLE_S
     ]
     assert late == []
-    assert fleet.targets["t1"].arrivals
+    assert fleet.count_others("t0") > 0
+
+
+# Guards against DRAIN: a call from before the end of a cut gets no answer, and
+# the list is read only after its time limit and another delay.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_call_that_hangs_does_not_delay_what_was_removed(monkeypatch, seed):
+    monkeypatch.setattr(gateway_lib, "ROUTERS_AT_MIN_PACE", 5)
+    random.seed(seed)
+    request = stored_fleet._StorePool.request
+
+    async def request_or_hang(pool, method, url, content, extensions):
+        is_short = extensions["timeout"]["read"] <= store_lib.CALL_TIMEOUT_S
+        if is_short and pool.router in pool.fleet.without_store:
+            await asyncio.sleep(extensions["timeout"]["read"])
+            raise httpcore.ReadTimeout("cut off")
+        return await request(pool, method, url, content, extensions)
+
+    async def scenario(fleet):
+        monkeypatch.setattr(stored_fleet._StorePool, "request", request_or_hang)
+        fleet.without_store.add("r0")
+        fleet.part(["r0"])
+        await asyncio.sleep(CUT_S)
+        fleet.unlist("t0")
+        await asyncio.sleep(CUT_S + 0.4 * seed)
+        fleet.without_store.discard("r0")
+        fleet.heal()
+        fleet.healed_at = fleet.clock.monotonic()
+        await fleet.load(LOAD_PER_S, 8.0, routers=["r0"])
+
+    fleet = run(20, scenario)
+    late = [
+        arrival.at - fleet.healed_at
+        for arrival in fleet.targets["t0"].arrivals
+        if arrival.at > fleet.healed_at + STABLE_WINDOW_S
+    ]
+    assert late == []
+    assert fleet.count_others("t0") > 0
 
 
 # Guards against DRAIN: a target is removed right after the cut has ended, when
