--- a/tests/forwarding/test_list_age.py
+++ b/tests/forwarding/test_list_age.py
@@ -4,10 +4,13 @@
 import json
 import os
 
+from lentilbeam_platform import shared_retries
 from tests.forwarding import test_store_calls
 
 AWAY_S = 4.0
 """Time for which a router reaches neither the store nor its peers."""
+MAX_FAILURES = AWAY_S / shared_retries.DELAY_RANGE_S[0]
+"""Most failed reads in this time: one job at a time, after 0.2 s or more."""
 
 
 def read_events(path, router, event):
@@ -52,6 +55,10 @@
     assert fleet.age_s > AWAY_S - 1.0
     returns = read_events(path, "r0", "store_returned")
     assert max(line["away_s"] for line in returns) > AWAY_S - 1.0
+    failures = read_events(path, "r0", "store_call_failed")
+    assert {line["what"] for line in failures} >= {"keyed.servers"}
+    assert all(line["took_s"] < 1.0 for line in failures)
+    assert len(failures) < MAX_FAILURES
     (kept,) = read_events(path, "r0", "target_unlisted")
     (dropped,) = read_events(path, "r1", "target_unlisted")
     assert dropped["kept_s"] == 0.0
