Send callers to routers that are not much busier than the others

FAIR: all callers of a workspace used one router, 0.9 busy, while 84 others were 0.07 busy. A router was left out of the addresses only while its timers were late, which was for less than 0.2 s at a time.

Reports tell how busy their sender was in the last seconds. A peak is told for two seconds at least, so that callers are not sent to and fro.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
@@ -49,6 +49,10 @@
         planned_fraction: fraction of the time that requests are begun for; the
             rest makes up for errors of the estimate.
         recent_s: time constant of what counts as recent, in seconds.
+        mean_s: time constant of the mean of which other routers are told, in
+            seconds. It outlasts single bursts.
+        hold_s: shortest time for which they are told a peak of it, in seconds.
+            Callers would otherwise come back as soon as they have left.
         cost_decay_s: time constant of the estimated cost of a request, in
             seconds; longer than most streams.
         min_requests: number of requests within `cost_decay_s` from which their
@@ -61,6 +65,8 @@
     busy_fraction: float = 0.9
     planned_fraction: float = 1.0
     recent_s: float = 0.2
+    mean_s: float = 0.5
+    hold_s: float = 2.0
     cost_decay_s: float = 4.0
     min_requests: float = 4.0
     late_backlog_s: float = 2.0
@@ -73,6 +79,7 @@
     Attributes:
         settings: settings of the limit.
         busy_fraction: fraction of the recent time that was busy.
+        mean_busy_fraction: the same over a longer time, see `Settings.mean_s`.
         promised_until: when the last of the refused callers that were told to
             return does so, monotonic seconds.
     """
@@ -80,6 +87,9 @@
     def __init__(self, settings: Settings):
         self.settings = settings
         self.busy_fraction = 0.0
+        self.mean_busy_fraction = 0.0
+        self._peaks = (0.0, 0.0)
+        self._peak_since = -math.inf
         self.promised_until = -math.inf
         self._busy = decayed.DecayingSum()
         self._requests = decayed.DecayingSum()
@@ -109,12 +119,32 @@
         self._total_busy_s = total_busy_s
         if self._noted_at is not None and now > self._noted_at:
             elapsed_s = now - self._noted_at
+            fraction = min(busy_s / elapsed_s, 1.0)
             kept = math.exp(-elapsed_s / self.settings.recent_s)
-            self.busy_fraction *= kept
-            self.busy_fraction += (1 - kept) * min(busy_s / elapsed_s, 1.0)
+            self.busy_fraction += (1 - kept) * (fraction - self.busy_fraction)
+            kept = math.exp(-elapsed_s / self.settings.mean_s)
+            self.mean_busy_fraction += (1 - kept) * (
+                fraction - self.mean_busy_fraction
+            )
+            self._note_peak(now)
             self._learn(busy_s, elapsed_s, now)
         self._noted_at = now
 
+    @property
+    def told_busy_fraction(self) -> float:
+        """The highest `mean_busy_fraction` of the last seconds.
+
+        It covers once to twice `Settings.hold_s`.
+        """
+        return max(self._peaks)
+
+    def _note_peak(self, now: float) -> None:
+        before, current = self._peaks
+        if now - self._peak_since >= self.settings.hold_s:
+            self._peak_since = now
+            before, current = current, 0.0
+        self._peaks = (before, max(current, self.mean_busy_fraction))
+
     def note_begun(self, now: float) -> None:
         """Records that a request is forwarded."""
         self._new_requests += BEGIN_WEIGHT
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -436,6 +436,8 @@
             lacks them since it came back from an older copy.
         targets_change: offset after the last record of the target list that
             changed anything for the sender; 0 if it does not tell.
+        busy_percent: share of the recent time in which the sender's processor
+            was busy, in percent, at least 1; 0 if it does not tell.
     """
 
     incarnation: ids.Incarnation
@@ -455,6 +457,7 @@
     demands: tuple[PoolDemand, ...] = ()
     evacuations: tuple[KeptEvacuation, ...] = ()
     targets_change: int = 0
+    busy_percent: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -11,6 +11,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core import messages
 from lentilbeam_core import poll_times as poll_times_lib
+from lentilbeam_core.forwarding import caller_balance
 from lentilbeam_core.forwarding import configuration as configuration_lib
 from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import memory_budget
@@ -235,11 +236,22 @@
         return not self.report_exchange.is_direct
 
     def list_addresses(self) -> list[addresses.Address]:
-        """Returns the addresses of all routers that take requests."""
-        found = [entry.front for entry in self.peers.find_serving()]
+        """Returns the addresses of the routers that callers are sent to.
+
+        These are all that take requests, but for those that are much busier
+        than the others.
+        """
+        peers = self.peers
+        found = {entry.name: entry.front for entry in peers.find_serving()}
+        busy = {name: peers.read_busy_fraction(name) for name in found}
         if self.is_ready and (self.takes_callers or not found):
-            found.append(self.settings.front)
-        return found
+            own_name = self.settings.instance
+            found[own_name] = self.settings.front
+            busy[own_name] = self.overload.load.told_busy_fraction
+        left_out = caller_balance.find_busiest(busy)
+        return [
+            address for name, address in found.items() if name not in left_out
+        ]
 
     @property
     def takes_callers(self) -> bool:
@@ -677,6 +689,9 @@
             leaving=self.is_leaving,
             evacuations=self.evacuations.list_kept(),
             targets_change=self.shared_reads.pauses.own_change,
+            busy_percent=max(
+                round(self.overload.load.told_busy_fraction * 100), 1
+            ),
         )
 
     def _collect_work(self) -> report_exchange_lib.OwnWork:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -40,6 +40,8 @@
         takes_requests: whether the peer was ready and not leaving.
         heard_since: since when this process of the peer has been heard without
             a break, monotonic seconds.
+        busy_fraction: share of the recent time in which its processor was
+            busy; None if it does not tell.
     """
 
     received_at: float
@@ -47,6 +49,7 @@
     sequence: int
     takes_requests: bool
     heard_since: float
+    busy_fraction: float | None = None
 
 
 class Peers:
@@ -110,8 +113,11 @@
             and now - previous.received_at < self.max_heard_gap_s
         ):
             heard_since = previous.heard_since
+        busy_fraction = None
+        if report.busy_percent > 0:
+            busy_fraction = report.busy_percent / 100
         self.last_reports[peer] = LastReport(
-            now, *order, takes_requests, heard_since
+            now, *order, takes_requests, heard_since, busy_fraction
         )
         return True
 
@@ -128,6 +134,11 @@
             if self.is_serving(entry.name, now)
         ]
 
+    def read_busy_fraction(self, name: ids.InstanceId) -> float | None:
+        """Returns how busy a peer's processor is; None if it does not tell."""
+        last_report = self.last_reports.get(name)
+        return None if last_report is None else last_report.busy_fraction
+
     @property
     def min_interval_s(self) -> float:
         """Shortest time between two reports to all peers, in seconds."""
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/report_exchange.py
@@ -72,6 +72,8 @@
         evacuations: evacuations that the store lacks.
         targets_change: offset after the last record of the target list that
             changed anything.
+        busy_percent: share of the recent time in which its processor was busy,
+            in percent, at least 1; 0 if that is unknown.
     """
 
     version: int
@@ -80,6 +82,7 @@
     leaving: bool
     evacuations: tuple[messages.KeptEvacuation, ...] = ()
     targets_change: int = 0
+    busy_percent: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -590,6 +593,7 @@
             demands=work.demands,
             evacuations=status.evacuations,
             targets_change=status.targets_change,
+            busy_percent=status.busy_percent,
         )
         self.link.broadcast(receivers, report)
         return report
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -185,6 +185,7 @@
   demands @15 :List(PoolDemand);
   evacuations @16 :List(KeptEvacuation);
   targetsChange @17 :UInt64;
+  busyPercent @18 :UInt8;
 }
 
 struct StreamOrigin {
--- a/tests/unit/test_peer_codec.py
+++ b/tests/unit/test_peer_codec.py
@@ -25,6 +25,7 @@
     "removed_start_ms": 64,
     "removed_at": 64,
     "level": 8,
+    "busy_percent": 8,
     "routers": 16,
 }
 """Size of the integer fields that don't have 32 bits."""
