Write only events of the same stream into a response that has begun

What callers saw: after a stream had broken off, the body of the next target's 200 of another type (JSON, none) in the middle of it; its end as if it were complete after an empty 200, a 204 or a 206, or after a comment and a close; and an error as an event without an id. A 3xx, 4xx or 5xx above 64 KiB was kept out only by the server, which refuses a second head (RuntimeError, logged as a fault): the connection was cut though an attempt was left. After a large plain answer or error that broke off, a request with Last-Event-Id was sent again, and the next answer's events followed the first one's body, ended as complete.

Cause: whether an answer may be passed on was decided by its own head alone, and whether to send again by the id of the last event, which the caller's header sets as well.

Change: once a stream has begun, an answer counts only if status and media type are those of the head that began it; its first event must have an id (comments and retry times may come before). Else the attempt has failed, and another is made or the response is aborted. A response that is no stream is never gone on with. CallerChannel.start refuses a second start. An event stream that has only its end left still ends the response.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
@@ -23,6 +23,10 @@
     """
 
 
+class AlreadyStartedError(Exception):
+    """A second response was about to begin where one has begun."""
+
+
 class CallerChannel:
     """Sends one response to a caller.
 
@@ -59,7 +63,13 @@
         return 0 < self.status < FIRST_FAILURE and not self.is_aborted
 
     async def start(self, status: int, headers: wire_lib.RawHeaders) -> None:
-        """Sends the response head."""
+        """Sends the response head.
+
+        Raises:
+            AlreadyStartedError: it was sent before.
+        """
+        if self.is_started:
+            raise AlreadyStartedError(f"{status} after {self.status}")
         self.is_started = True
         self.status = status
         listed = list(headers)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -482,6 +482,10 @@
         invalid = response_checks.check_head(
             response, self.request_head.request_id
         )
+        if invalid is None and self.progress.begun is not None:
+            invalid = response_checks.check_continuation(
+                self.progress.begun, response
+            )
         if invalid is not None:
             return invalid
         is_stream = self.route.kind is configuration.RouteKind.STREAMING
@@ -508,6 +512,7 @@
         """Passes on an event stream, each event once it is complete."""
         events = self.progress.events
         events.discard_partial_event()
+        events.expects_number = self.channel.is_started
         events_before = events.numbered_event_count
         answered_at = events_before + ANSWERED_AFTER_EVENTS
         is_first = True
@@ -530,11 +535,11 @@
             if events.numbered_event_count >= answered_at:
                 self._note_answered()
             if not self.channel.is_started:
+                self.progress.begun = response
                 await self.channel.start(response.status, response.headers)
             await self.channel.write(data)
-        broken = response_checks.check_stream_end(
-            events, item, has_events=not is_first
-        )
+        has_events = not is_first and not events.expects_number
+        broken = response_checks.check_stream_end(events, item, has_events)
         if broken is not None:
             return broken
         if not is_first:
@@ -616,9 +621,9 @@
             and not self.route.is_retryable
         ):
             return False
-        if (
-            self.channel.is_started
-            and self.progress.events.last_event_id is None
+        if self.channel.is_started and (
+            self.progress.begun is None
+            or self.progress.events.last_event_id is None
         ):
             return False
         if self.progress.send_count == 0:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/progress.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/progress.py
@@ -47,6 +47,8 @@
     Attributes:
         events: parser of the forwarded event stream; knows the last complete
             event.
+        begun: head of the stream that has begun to be passed on; None before,
+            and if the response to the caller isn't a stream.
         tried: targets to which a connection was tried or opened.
         may_have_run: whether a target may have run the request.
         send_count: number of targets that the request was written to.
@@ -57,6 +59,7 @@
     """
 
     events: event_stream.EventStreamParser
+    begun: wire_lib.Response | None = None
     tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     send_count: int = 0
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
@@ -40,6 +40,27 @@
     return None
 
 
+def check_continuation(
+    begun: wire_lib.Response, response: wire_lib.Response
+) -> progress_lib.SendOutcome | None:
+    """Returns the outcome if an answer can't go on with a stream, else None.
+
+    The caller would take the body of any other answer for a part of the stream
+    and its end for the end of the stream.
+
+    Args:
+        begun: head of the stream that was passed on to the caller.
+        response: head of the answer of another attempt.
+    """
+    kind = (response.status, response.media_type)
+    if kind == (begun.status, begun.media_type):
+        return None
+    return progress_lib.SendOutcome(
+        progress_lib.SendResult.FAILED,
+        f"status {response.status} {response.media_type!r} within a stream",
+    )
+
+
 def check_stream_end(
     events: event_stream.EventStreamParser,
     end: connection_lib.End,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/wire.py
@@ -90,6 +90,8 @@
         is_other_instance: whether another instance than the expected one
             responded.
         is_encoded: whether the body has a content encoding.
+        media_type: media type of the body in lower case, without parameters;
+            empty if there is none.
         is_leaving: whether the target states that it is leaving.
         quiet_s: time for which the target wants no requests from this router,
             in seconds; None if it names none.
@@ -105,6 +107,7 @@
     is_not_run: bool
     is_other_instance: bool
     is_encoded: bool
+    media_type: bytes = b""
     is_leaving: bool = False
     quiet_s: float | None = None
     limit_per_s: float | None = None
--- a/tests/forwarding/test_cut_answers.py
+++ b/tests/forwarding/test_cut_answers.py
@@ -90,6 +90,17 @@
     assert b'"event":"fault"' not in log
 
 
+# Guards against ORDER: a target that had only opened its answer, by a comment,
+# when it closed is taken for one that has only the end of the stream left.
+def test_stream_that_began_is_not_ended_by_a_comment_and_a_close():
+    answer = STREAM + b"\r\n: hello\n\n"
+    response, _, _ = raw_caller.exchange(
+        make_broken_stream(), fake_target.make_script(answer, then="end")
+    )
+    assert response.status == 200
+    assert not response.is_whole
+
+
 # Guards against LOST: a stream is given up though an attempt is left after an
 # answer that does not go on with it.
 @pytest.mark.parametrize("name", ["404", "421", "500-large", "200-json", "204"])
