Ask again for events that came beside an invalid one

What callers saw: a stream that lacks events. A target's event that was out of order or too long came in one read with valid ones before it. None of them was passed on, but the next target was asked for what follows the valid ones.

Cause: EventStreamParser.feed raised after it had counted events that it did not return.

Change: if feed raises, the events of that call don't count.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/event_stream.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/event_stream.py
@@ -53,11 +53,26 @@
     def feed(self, data: bytes) -> bytes:
         """Adds received bytes and returns the bytes of all complete events.
 
+        If it raises, none of the events that `data` completes were returned,
+        and none of them count.
+
         Raises:
             OutOfOrderError: an event id isn't the previous one plus 1.
             UnnumberedError: an event has no numeric id but must have one.
             EventTooLongError: an event that isn't complete yet is too long.
         """
+        counted = self.last_event_id, self.numbered_event_count
+        try:
+            return self._split(data)
+        except InvalidStreamError:
+            self.last_event_id, self.numbered_event_count = counted
+            raise
+
+    def discard_partial_event(self) -> None:
+        """Discards the partial event, before the stream is resumed."""
+        self.partial_event = b""
+
+    def _split(self, data: bytes) -> bytes:
         self.partial_event += data
         start = 0
         for match in _EVENT_END.finditer(self.partial_event):
@@ -71,10 +86,6 @@
             raise EventTooLongError(f"event over {MAX_EVENT_BYTES} bytes")
         return complete
 
-    def discard_partial_event(self) -> None:
-        """Discards the partial event, before the stream is resumed."""
-        self.partial_event = b""
-
     def _check(self, event: bytes) -> None:
         found = _EVENT_ID.search(event)
         if found is None:
