Take an empty success that only a close ends for broken

What callers saw: a whole 200 with an empty body from a target that had stopped after its head, which names no length, and closed.

Cause: forwarder, plain answers: the close alone ended the body. Streams without events were already taken for broken then.

Change: a success whose body is empty and ends only by the close is broken: a request that may run twice is sent again, others get 502. A body that has begun still ends by the close, as the users' pages say (a close in the middle of it can't be told from its end), and so does an empty failure.

Both cases of test_head_without_a_length_and_a_close_is_no_whole_success failed before (200) and pass. test_cut_answers.py, test_forwarding.py, test_endless_answers.py, test_deadly_requests.py and test_platform.py pass (167 tests).

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -571,6 +571,9 @@
         while size <= MAX_BUFFERED_BYTES:
             item = await connection.receive()
             if isinstance(item, connection_lib.End):
+                broken = response_checks.check_end(item, is_empty=size == 0)
+                if broken is not None and response.status < 300:
+                    return broken
                 return await self._pass_on_buffered(
                     response, b"".join(buffered)
                 )
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
@@ -73,11 +73,23 @@
             "stream ended within an event",
             is_broken_off=end.is_by_close,
         )
-    if end.is_by_close and not has_events:
+    return check_end(end, is_empty=not has_events)
+
+
+def check_end(
+    end: connection_lib.End, is_empty: bool
+) -> progress_lib.SendOutcome | None:
+    """Returns the outcome if a success may have been broken off, else None.
+
+    Args:
+        end: end of the response.
+        is_empty: whether nothing of its body was received.
+    """
+    if end.is_by_close and is_empty:
         # The target may as well have ended before it began to answer.
         return progress_lib.SendOutcome(
             progress_lib.SendResult.BROKEN,
-            "stream ended without events",
+            "closed after the head",
             is_broken_off=True,
         )
     return None
--- a/tests/forwarding/test_cut_answers.py
+++ b/tests/forwarding/test_cut_answers.py
@@ -252,6 +252,16 @@
         assert sent == 1 if path == "/book/1" else sent <= 2, cut
 
 
+# Guards against MIXED: a target that stopped after its head, which names no
+# length, and closed is taken for one whose answer has an empty body.
+@pytest.mark.parametrize(("path", "sent"), [("/book/1", 1), ("/look/1", 2)])
+def test_head_without_a_length_and_a_close_is_no_whole_success(path, sent):
+    script = fake_target.make_script(HEAD + b"\r\n", then="end")
+    response, heads, _ = raw_caller.exchange(script, script, path=path)
+    assert (response.status, len(heads)) == (502, sent)
+    assert b"seal" not in response.raw.lower()
+
+
 # Guards against MIXED on a kept connection.
 @pytest.mark.parametrize("then", ["end", "reset"])
 def test_answer_cut_on_a_kept_connection_is_no_whole_success(then):
