--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/response_checks.py
@@ -40,6 +40,27 @@
     return None
 
 
+def check_continuation(
+    begun: wire_lib.Response, response: wire_lib.Response
+) -> progress_lib.SendOutcome | None:
+    """Returns the outcome if an answer can't go on with a stream, else None.
+
+    The caller would take the body of any other answer for a part of the stream
+    and its end for the end of the stream.
+
+    Args:
+        begun: head of the stream that was passed on to the caller.
+        response: head of the answer of another attempt.
+    """
+    kind = (response.status, response.media_type)
+    if kind == (begun.status, begun.media_type):
+        return None
+    return progress_lib.SendOutcome(
+        progress_lib.SendResult.FAILED,
+        f"status {response.status} {response.media_type!r} within a stream",
+    )
+
+
 def check_stream_end(
     events: event_stream.EventStreamParser,
     end: connection_lib.End,
@@ -52,11 +73,23 @@
             "stream ended within an event",
             is_broken_off=end.is_by_close,
         )
-    if end.is_by_close and not has_events:
+    return check_end(end, is_empty=not has_events)
+
+
+def check_end(
+    end: connection_lib.End, is_empty: bool
+) -> progress_lib.SendOutcome | None:
+    """Returns the outcome if a success may have been broken off, else None.
+
+    Args:
+        end: end of the response.
+        is_empty: whether nothing of its body was received.
+    """
+    if end.is_by_close and is_empty:
         # The target may as well have ended before it began to answer.
         return progress_lib.SendOutcome(
             progress_lib.SendResult.BROKEN,
-            "stream ended without events",
+            "closed after the head",
             is_broken_off=True,
         )
     return None
