Show by tests where reports of removals do harm or come too late

One router that did not notice an outage, or whose grace period ended in a second outage, makes the whole fleet stop using targets that run: 1 and 0 of 12 are left (4 and 20 routers). A router that was cut off for 24 s after a removal sends to the target more than 0.9 s after it is back. An older copy of the store does not bring a removed target back (passes).

--- a/tests/forwarding/test_removed_targets.py
+++ b/tests/forwarding/test_removed_targets.py
@@ -25,6 +25,9 @@
 """Time after the end of a cut when a router is bound by the list again."""
 RETURN_S = 0.6
 """Time within which the router of a small fleet calls the store again."""
+LONG_CUT_S = 24.0
+"""Time, in seconds, from a removal to the return of a router that was cut off
+for long; longer than peers report a removal."""
 LOAD_PER_S = 100.0
 
 
@@ -220,3 +223,146 @@
 
     fleet = run(routers, scenario)
     assert min(fleet.ready) == test_store_calls.TARGETS
+
+
+# Guards against a pool without targets: one router's call hangs through an
+# outage of the store, so it notices none, and what lapsed counts as removed for
+# good at all routers that did notice it.
+@pytest.mark.parametrize("routers", [4, 20])
+def test_outage_that_one_router_missed_ends_no_grace_period(
+    monkeypatch, routers
+):
+    request = stored_fleet._StorePool.request
+    missing = set()
+    ready = []
+
+    async def request_or_wait(pool, *args, **options):
+        store = pool.fleet.store
+        while pool.router in missing:
+            while store.faults.get("is_down"):
+                await asyncio.sleep(0.01)
+            result = await request(pool, *args, **options)
+            if not store.faults.get("is_down"):
+                return result
+        return await request(pool, *args, **options)
+
+    async def scenario(fleet):
+        readers = [
+            name
+            for name, gateway in fleet.gateways.items()
+            if gateway.shared_reads.is_reader(gateway.clock.monotonic())
+        ]
+        missing.add(readers[0])
+        others = set(fleet.gateways) - missing
+        lapsing = [name for name in fleet.targets if name != "t11"]
+        monkeypatch.setattr(stored_fleet._StorePool, "request", request_or_wait)
+        await fleet.load(LOAD_PER_S, 1.0)
+        fleet.unlisted |= set(fleet.targets)
+        fleet.fail_store(True)
+        await asyncio.sleep(CUT_S)
+        fleet.fail_store(False)
+        fleet.unlisted.discard("t11")
+        fleet.write_entry(fleet.targets["t11"])
+        for step in range(19):
+            await asyncio.sleep(0.1)
+            if step == 9:
+                for name in lapsing:
+                    fleet.unlist(name)
+            ready.extend(
+                len(fleet.gateways[name].targets.find_ready(makers.POOL))
+                for name in others
+            )
+
+    run(routers, scenario)
+    assert min(ready) == test_store_calls.TARGETS
+
+
+# Guards against DRAIN: a router is cut off for longer than its peers report a
+# removal, and keeps the target for a grace period when it returns.
+@pytest.mark.parametrize("routers", [4, 20])
+def test_router_that_was_cut_off_for_long_drops_what_was_removed(routers):
+    async def scenario(fleet):
+        fleet.without_store.add("r0")
+        fleet.part(["r0"])
+        await asyncio.sleep(CUT_S / 2)
+        fleet.unlist("t0")
+        await asyncio.sleep(LONG_CUT_S)
+        fleet.without_store.discard("r0")
+        fleet.heal()
+        healed_at = fleet.clock.monotonic()
+        await fleet.load(LOAD_PER_S, 5.0, routers=["r0"])
+        fleet.returned_at = fleet.find_return("r0", healed_at)
+
+    fleet = run(routers, scenario)
+    late = [
+        arrival.at - fleet.returned_at
+        for arrival in fleet.targets["t0"].arrivals
+        if arrival.at > fleet.returned_at + SETTLE_S
+    ]
+    assert late == []
+    assert fleet.count_others("t0") > 0
+
+
+# Guards against DRAIN: peers have told a router that a target was removed, and
+# it believes an older copy of the store, from which the target comes back.
+@pytest.mark.parametrize("routers", [4, 20])
+def test_older_copy_does_not_bring_back_what_peers_saw_removed(routers):
+    async def scenario(fleet):
+        fleet.without_store.add("r0")
+        await asyncio.sleep(CUT_S / 2)
+        kept = len(fleet.store.topics["keyed.servers"].records)
+        fleet.unlist("t0")
+        await asyncio.sleep(CUT_S / 2)
+        fleet.aware = "r0" not in fleet.list_unaware("t0")
+        records = fleet.store.topics["keyed.servers"].records
+        fleet.store.set_faults({"lose": len(records) - kept})
+        fleet.without_store.discard("r0")
+        fleet.removed_at = fleet.clock.monotonic()
+        await fleet.load(LOAD_PER_S, 5.0)
+
+    fleet = run(routers, scenario)
+    assert fleet.aware
+    late = [
+        (round(arrival.at - fleet.removed_at, 3), arrival.router)
+        for arrival in fleet.targets["t0"].arrivals
+        if arrival.at > fleet.removed_at + SETTLE_S
+    ]
+    assert late == []
+
+
+# Guards against a pool without targets: the store goes away again in the grace
+# period of the one router that had reached it, so that no target could write
+# its entry, and the end of that period counts as a removal for good at all.
+@pytest.mark.parametrize("routers", [4, 20])
+def test_second_outage_in_a_grace_period_removes_nothing_for_good(routers):
+    ready = []
+
+    async def scenario(fleet):
+        first = next(
+            name
+            for name, gateway in fleet.gateways.items()
+            if gateway.shared_reads.is_reader(gateway.clock.monotonic())
+        )
+        others = set(fleet.gateways) - {first}
+        await fleet.load(LOAD_PER_S, 1.0)
+        fleet.unlisted |= set(fleet.targets)
+        fleet.fail_store(True)
+        await asyncio.sleep(CUT_S)
+        for name in fleet.targets:
+            fleet.unlist(name)
+        fleet.without_store |= others
+        fleet.fail_store(False)
+        await asyncio.sleep(1.7)
+        fleet.fail_store(True)
+        await asyncio.sleep(3.0)
+        fleet.without_store -= others
+        fleet.fail_store(False)
+        for _ in range(19):
+            await asyncio.sleep(0.1)
+            ready.extend(
+                len(fleet.gateways[name].targets.find_ready(makers.POOL))
+                for name in others
+            )
+
+    run(routers, scenario)
+    assert min(ready) == test_store_calls.TARGETS
