--- a/tests/forwarding/test_removed_targets.py
+++ b/tests/forwarding/test_removed_targets.py
@@ -235,12 +235,13 @@
     request = stored_fleet._StorePool.request
     missing = set()
     ready = []
+    is_up = asyncio.Event()
+    is_up.set()
 
     async def request_or_wait(pool, *args, **options):
         store = pool.fleet.store
         while pool.router in missing:
-            while store.faults.get("is_down"):
-                await asyncio.sleep(0.01)
+            await is_up.wait()
             result = await request(pool, *args, **options)
             if not store.faults.get("is_down"):
                 return result
@@ -258,9 +259,11 @@
         monkeypatch.setattr(stored_fleet._StorePool, "request", request_or_wait)
         await fleet.load(LOAD_PER_S, 1.0)
         fleet.unlisted |= set(fleet.targets)
+        is_up.clear()
         fleet.fail_store(True)
         await asyncio.sleep(CUT_S)
         fleet.fail_store(False)
+        is_up.set()
         fleet.unlisted.discard("t11")
         fleet.write_entry(fleet.targets["t11"])
         for step in range(19):
