--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
@@ -45,5 +45,5 @@
 AT_FAIR_SHARE_BOUNDS = Bounds(0.7, 0.6, 0.8, 0.0, 0.05)
 """For workspaces that received about their fair share of service. The capacity
 above these bounds is reserved for workspaces that received less."""
-ABOVE_FAIR_SHARE_BOUNDS = Bounds(0.4, 0.4, 0.55, 0.0, 0.01, False)
+ABOVE_FAIR_SHARE_BOUNDS = Bounds(0.4, 0.4, 0.55, 0.0, 0.01, is_exhaustive=False)
 """For workspaces that received more service than their fair share."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -90,7 +90,7 @@
             to have left, in seconds, see `work_left`.
         removed_start_ms: start of the process that was removed, see
             `messages.TargetLoad`.
-        removed_at: see `messages.TargetLoad`.
+        removed_position: see `messages.TargetLoad`.
     """
 
     unread: float = 0.0
@@ -108,7 +108,7 @@
     expected_s: float = 0.0
     decode_s: float = 0.0
     removed_start_ms: int = 0
-    removed_at: int = 0
+    removed_position: int = 0
 
     def add(self, other: "Load", sign: int = 1) -> None:
         """Adds another load, or subtracts it if `sign` is -1."""
@@ -148,9 +148,9 @@
             self.leaving_start_ms = item.leaving_start_ms
         if item.cold_start_ms > self.cold_start_ms:
             self.cold_start_ms = item.cold_start_ms
-        if item.removed_at > self.removed_at:
+        if item.removed_position > self.removed_position:
             self.removed_start_ms = item.removed_start_ms
-            self.removed_at = item.removed_at
+            self.removed_position = item.removed_position
         if item.limit_start_ms:
             limit_age_s = item.limit_age_ms / 1000 + aging.age_s
             if limit_age_s < self.limit_age_s:
@@ -202,7 +202,7 @@
             self.expected_s if is_timed else 0.0,
             max(self.decode_s, 0.0),
             self.removed_start_ms,
-            self.removed_at,
+            self.removed_position,
         )
 
 
@@ -459,7 +459,7 @@
         limits: Mapping[ids.TargetId, target_limits.Limit],
         cold: Mapping[ids.TargetId, int] | None = None,
         removed: Mapping[ids.TargetId, int] | None = None,
-        removed_at: int = 0,
+        removed_position: int = 0,
     ) -> list[messages.TargetLoad]:
         """Returns this router's own loads as messages to its peers.
 
@@ -473,7 +473,8 @@
                 turned cold a moment ago; None if there is none.
             removed: start of the process of each target of the pool that was
                 removed for good lately; None if there is none.
-            removed_at: position in the target list up to which this was read.
+            removed_position: position in the target list up to which this was
+                read.
         """
         cold = cold or {}
         removed = removed or {}
@@ -487,7 +488,7 @@
             load.cold_start_ms = cold.get(target, 0)
             if target in removed:
                 load.removed_start_ms = removed[target]
-                load.removed_at = removed_at
+                load.removed_position = removed_position
             if target in limits:
                 load.set_limit(limits[target], now)
             reports.append(load.report(target))
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -349,7 +349,9 @@
             and not target_memory.is_bounded(self.pool)
         ):
             rest = set(range(len(targets))).difference(indexes)
-            best = _find_best(map(evaluate, sorted(rest)))
+            # Equally good targets must not be chosen by all routers.
+            order = self.rng.sample(sorted(rest), len(rest))
+            best = _find_best(map(evaluate, order))
         if best is None:
             return None
         if not best.needs_fetch:
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/read_pauses.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/read_pauses.py
@@ -40,6 +40,10 @@
 """Longest time between two reads of a router that has read without a break, in
 seconds. It is shorter than three heartbeats of a target, after which an entry
 lapses while the store is away."""
+MIN_UNBROKEN_S = 6.0
+"""Time, in seconds, for which a router must have read without a break to know
+that nothing has lapsed because the store was away: entries lapse after three
+heartbeats, and running targets are back within two seconds."""
 MAX_PAUSE_S = 10.0
 """Longest pause between two reads. The store keeps records for 20 s on the
 known deployments."""
@@ -66,6 +70,8 @@
         own_change: position after the last record that changed anything.
         rng: random numbers for pauses.
         read_at: time of this router's last read, monotonic seconds.
+        unbroken_since: since when there was no break between two reads,
+            monotonic seconds.
         reader_pause_s: pause after it if this router is a reader, in seconds.
         furthest_change: highest position after a change that a peer reported.
         complete_at: latest time up to which a peer's read has shown that this
@@ -79,6 +85,7 @@
         self.own_position = 0
         self.own_change = 0
         self.read_at = -math.inf
+        self.unbroken_since = math.inf
         self.furthest_change = 0
         self.complete_at = -math.inf
         self.peers: dict[ids.InstanceId, PeerRead] = {}
@@ -94,12 +101,17 @@
         self.own_position = max(self.own_position, position)
         if is_changed:
             self.own_change = self.own_position
+        if now - self.read_at > MAX_BREAK_S:
+            self.unbroken_since = now
         self.read_at = now
         self.reader_pause_s = PAUSE_S * self.rng.uniform(MIN_PAUSE_PART, 1.0)
 
     def is_read_without_break(self, now: float) -> bool:
-        """Whether this router's last read was a moment ago."""
-        return now - self.read_at <= MAX_BREAK_S
+        """Whether nothing has lapsed unnoticed while the store was away."""
+        return (
+            now - self.read_at <= MAX_BREAK_S
+            and now - self.unbroken_since >= MIN_UNBROKEN_S
+        )
 
     def note_report(
         self, peer: ids.InstanceId, position: int, change: int, now: float
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/target_list.py
@@ -36,12 +36,11 @@
 """Longest time, in seconds, for which a target can ask for no requests. What it
 asks beyond that is taken for a mistake."""
 REPORT_REMOVED_S = 20.0
-"""Time, in seconds, for which peers are told of a removed target. Routers that
-are cut off from the store and from all others for longer keep what was removed
-for the grace period."""
+"""Time, in seconds, for which peers are told of a removed target."""
 REMEMBER_REMOVED_S = 60.0
-"""Time, in seconds, for which removed targets are remembered. The copy from
-which the store comes back is some seconds old."""
+"""Time, in seconds, for which removed targets are remembered, and for which
+peers are told of them that were not heard in the meantime. The copy from which
+the store comes back is some seconds old."""
 UNKNOWN_START_MS = 1
 """Stands for the start of a target whose entry doesn't tell it."""
 
@@ -343,10 +342,18 @@
         }
 
     def find_removed(
-        self, pool: ids.PoolId, now: float
+        self,
+        pool: ids.PoolId,
+        now: float,
+        max_age_s: float = REPORT_REMOVED_S,
     ) -> dict[ids.TargetId, int]:
         """Returns the targets of a pool that were removed for good lately.
 
+        Args:
+            pool: the pool.
+            now: monotonic seconds.
+            max_age_s: longest time since the removal, in seconds.
+
         Returns:
             Start of the process (`Entry.start_ms`) by name of the target.
         """
@@ -355,7 +362,7 @@
             for name, removed in self.removed.items()
             if removed.pool == pool
             and removed.is_final
-            and now - removed.removed_at < REPORT_REMOVED_S
+            and now - removed.removed_at < max_age_s
         }
 
     def remove(
@@ -368,8 +375,7 @@
             now: monotonic seconds.
             is_final: whether the list was read without a break until now, so
                 that the target can't have lost its entry because the store was
-                away. Entries removed at the end of a grace period count as
-                such, too.
+                away.
 
         Returns:
             Whether the entry existed and was removed at once.
@@ -395,7 +401,8 @@
         ]
         for name in expired:
             del self.pending_removals[name]
-            self._drop(name, now, is_final=True)
+            # The store may have been away for a part of the grace period.
+            self._drop(name, now, is_final=False)
         return expired
 
     def _is_listed(self, name: ids.TargetId, start_ms: int) -> bool:
--- a/packages/lentilbeam-core/src/lentilbeam_core/messages.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/messages.py
@@ -253,7 +253,7 @@
             to have left, in seconds; 0 where `work_left` is not counted.
         removed_start_ms: start of the target's process, if that process is
             known to be removed from the list for good, likewise; else 0.
-        removed_at: position in the target list up to which this was read.
+        removed_position: position in the target list up to which this was read.
     """
 
     target: ids.TargetId
@@ -272,7 +272,7 @@
     expected_s: float = 0.0
     decode_s: float = 0.0
     removed_start_ms: int = 0
-    removed_at: int = 0
+    removed_position: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -711,9 +711,7 @@
             leaving = self.targets.find_leaving(name)
             limits = self.targets.find_own_limits(name, now)
             cold = self.cold.find_turned_cold(name, now)
-            removed = {}
-            if not self.shares_reads or self.shared_reads.is_reader(now):
-                removed = self.targets.find_removed(name, now)
+            removed = self._find_removed(name, now)
             dispatcher.placer.plain_work.refresh(now)
             loads.extend(
                 dispatcher.loads.export(
@@ -730,6 +728,20 @@
         crashes, blocks = self.prompt_blocks.export()
         return report_exchange_lib.OwnWork(work, tuple(placed), crashes, blocks)
 
+    def _find_removed(
+        self, pool: ids.PoolId, now: float
+    ) -> dict[ids.TargetId, int]:
+        """Returns the removed targets of a pool that peers are told of.
+
+        In a large fleet, only routers that read the list often tell them.
+        """
+        if self.shares_reads and not self.shared_reads.is_reader(now):
+            return {}
+        max_age_s = target_list.REPORT_REMOVED_S
+        if self.peers.has_regained(now):
+            max_age_s = target_list.REMEMBER_REMOVED_S
+        return self.targets.find_removed(pool, now, max_age_s)
+
     def _receive(
         self, sender: ids.InstanceId, message: messages.PeerMessage
     ) -> None:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -24,6 +24,8 @@
 MAX_HEARD_GAP_S = 1.0
 """Longest time, in seconds, between two reports of a router that is heard
 without a break. In a large fleet it is `PEER_TIMEOUT_REPORTS` intervals."""
+REGAINED_S = 5.0
+"""Time, in seconds, for which a peer counts as regained, or as new."""
 PROBE_INTERVAL_S = 1.0
 """Time between two reports to routers that count as down, so that they notice
 this router when they return."""
@@ -134,6 +136,13 @@
             if self.is_serving(entry.name, now)
         ]
 
+    def has_regained(self, now: float) -> bool:
+        """Whether a peer was heard again, or at all, only a moment ago."""
+        return any(
+            now - report.heard_since < REGAINED_S
+            for report in self.last_reports.values()
+        )
+
     def read_busy_fraction(self, name: ids.InstanceId) -> float | None:
         """Returns how busy a peer's processor is; None if it does not tell."""
         last_report = self.last_reports.get(name)
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/target_notices.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/target_notices.py
@@ -82,7 +82,7 @@
         now: monotonic seconds.
     """
     if item.removed_start_ms and targets.note_removed_elsewhere(
-        item.target, item.removed_start_ms, item.removed_at > own_position
+        item.target, item.removed_start_ms, item.removed_position > own_position
     ):
         log.write_event("target_removed", target=item.target, source=peer)
     if item.leaving_start_ms and targets.note_leaving(
--- a/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
+++ b/packages/lentilbeam-router/src/lentilbeam_router/peer.capnp
@@ -112,7 +112,7 @@
   expectedS @13 :Float32;
   decodeS @14 :Float32;
   removedStartMs @15 :UInt64;
-  removedAt @16 :UInt64;
+  removedPosition @16 :UInt64;
 }
 
 struct PoolDemand {
