Tell callers how requests ended that outlast the drain limit

In the product's own interface, a router that is drained waits up to drain_limit_s (300 s) for its requests, then the web server closes, within 30 s more. A request with a longer deadline was then cut: its caller got no outcome, though drain_limit_s is to be the end of all requests.

Cause: at the limit the router counted what still ran, and ended nothing. Requests are now ended at the limit, while the server still serves: as outcome_unknown (router_left) if a target may have run them, else as refused_not_run. Requests that come late can't be affected: they are refused from address_ttl_s on, and the rest of the limit is left to the others.

test_drain.py: on the code before, none of the three requests that reached the engine had an answer 1 s after the drain had ended; now all have one. The branch for requests that were not handed over is not reached by it. tests/golden, test_router_faults, test_leaving and test_process_failures pass (49 tests).

--- a/packages/lentilbeam-router/src/lentilbeam_router/drain.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/drain.py
@@ -37,6 +37,9 @@
     async def run(self) -> bool:
         """Announces the shutdown and waits until all requests have ended.
 
+        Requests that still run at the limit are ended, while their callers can
+        still be told.
+
         Callers may cache the list of addresses for `address_ttl_s`, so the
         router accepts new requests for that long and refuses them afterwards.
 
@@ -51,4 +54,6 @@
         limit_s = self.limits.drain_limit_s - self.limits.address_ttl_s
         still_running = await self.pipeline.wait_until_idle(limit_s)
         self.log.info("drained", left=still_running)
+        if still_running:
+            await self.pipeline.end_all()
         return still_running == 0
--- a/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/pipeline.py
@@ -44,6 +44,7 @@
         metrics: counters and histograms of the process.
         timeline: records changes of state.
         tasks: tasks of the requests that have not ended.
+        is_ending: whether those that still run are ended.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.metrics = node.metrics
         self.timeline = node.timeline
         self.tasks: set[asyncio.Task] = set()
+        self.is_ending = False
 
     def start(
         self, request: requests.CallerRequest, arrived_at: float
@@ -103,6 +105,14 @@
             await asyncio.wait(self.tasks, timeout=limit_s)
         return len(self.tasks)
 
+    async def end_all(self) -> None:
+        """Ends all requests that are running; their callers are told how."""
+        tasks = list(self.tasks)
+        self.is_ending = True
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _finish_task(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -200,12 +210,7 @@
         if end is None:
             self.node.post(events.RequestWithdrawn(run.scoped_id))
             self.relay.release_slot(run, events.RunEnd.CANCELLED)
-            end = problems.build_failure(
-                outcome.Outcome.OUTCOME_UNKNOWN,
-                "router_fault",
-                "the router failed while it was processing the request",
-                run.request.request_id,
-            )
+            end = self._build_early_end(run)
             run.feed.finish(end)
         self.store.close(run.request, run.feed)
         request_outcome = outcome.Outcome.COMPLETED
@@ -218,3 +223,29 @@
         self.timeline.record(
             "request.ended", run.scoped_id, request_outcome.value
         )
+
+    def _build_early_end(self, run: runs.Run) -> problems.Problem:
+        """Returns how a request ended that this router did not complete."""
+        if not self.is_ending:
+            return problems.build_failure(
+                outcome.Outcome.OUTCOME_UNKNOWN,
+                "router_fault",
+                "the router failed while it was processing the request",
+                run.request.request_id,
+            )
+        is_own = run.request.is_idempotent or run.won_claim is not None
+        if not run.hand_over.byte_handed_over and (
+            is_own or not self.is_claimed(run.request)
+        ):
+            return problems.build_refusal(
+                outcome.RefusalReason.DRAINING,
+                "this router was shut down before it could run the request",
+                run.request.request_id,
+                retry_after_s=0.0,
+            )
+        return problems.build_failure(
+            outcome.Outcome.OUTCOME_UNKNOWN,
+            "router_left",
+            "this router was shut down while the request was running",
+            run.request.request_id,
+        )
