Soak: long requests, and answers of the web server

The soak stopped routers as operators do, but its requests took a second at most, so that none was still running at the end of a grace period. One in 17 now takes 3 to 3.5 s, which ends in time if a router begins it as early as it should. A 500 without a request's id, with which the web server ends what its router left over, counts as a violation.

The soak was not run on the code before the fix.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,10 @@
 """Timeout of the HTTP client, slightly longer than `DEADLINE_MS`."""
 PATHS = ("/chat/x", "/book/x", "/look/x")
 """One path for each kind of route: streaming, non-idempotent, idempotent."""
+LONG_PATHS = ("/chat/for-3.0", "/book/for-3.5", "/look/for-3.5")
+"""The same, for requests that take long. They end in the grace period of a
+router that is stopped, if it begins them as early as it should."""
+LONG_FRACTION = 0.06
 MAX_TAKE_UPS = 2
 """How often a caller takes up a stream that was cut."""
 NAMED_FRACTION = 0.7
@@ -133,6 +137,8 @@
             while True:
                 router = self.rng.choice(sorted(self.world.routers))
                 path = self.rng.choice((*PATHS, self.newest_path))
+                if self.rng.random() < LONG_FRACTION:
+                    path = self.rng.choice(LONG_PATHS)
                 record = await self.call(http, router, path)
                 self.records.append(record)
                 await self._take_up(http, record)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,7 @@
 
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 """HTTP statuses that tell the caller that its request was not run."""
+SERVER_ERROR = 500
 CONFIGURATION_LIMIT_S = 3.0
 """Routers apply a published configuration within this time."""
 DRAINING_LIMIT_S = 3.0
@@ -71,6 +72,7 @@
         check_not_run,
         check_at_most_once,
         check_planned_changes,
+        check_own_answers,
         check_draining_targets,
         check_leaving_targets,
         check_evacuations,
@@ -168,6 +170,29 @@
             )
 
 
+def check_own_answers(observations: Observations) -> Iterator[str]:
+    """Checks that no request is left to the web server of its router.
+
+    It answers 500 to what it ends when the router stops, which tells the caller
+    nothing.
+    """
+    for record in observations.records:
+        if (
+            record.status == SERVER_ERROR
+            and "request-id" not in record.headers
+            and observations.disturbance_log.is_undisturbed(
+                (record.router,),
+                record.sent_at,
+                record.ended_at,
+                frozenset(disturbances.PLANNED),
+            )
+        ):
+            yield (
+                "answered by the web server:"
+                f" {record.request_id} {record.path} {record.router}"
+            )
+
+
 def check_draining_targets(observations: Observations) -> Iterator[str]:
     """Checks that a draining target gets no new requests after the limit.
 
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -193,6 +193,14 @@
     )
 
 
+# Guards against LOST: a stopped router leaves its requests to its web server.
+def test_answer_of_the_web_server_is_a_violation():
+    answer = make_record(status=500, headers={}, body=b"")
+    assert len(find_violations(answer)) == 1
+    passed_on = make_record(status=500, body=b"")
+    assert not find_violations(passed_on)
+
+
 def test_new_request_at_a_draining_target_is_a_violation():
     runs = [("t1", "r", 100.1)]
     assert (
