--- a/tests/forwarding/test_shares.py
+++ b/tests/forwarding/test_shares.py
@@ -101,3 +101,18 @@
     usage.note_served("second", 500_000.0, 0.2)
     status = usage.find_share_status("second", guaranteed_per_s, 0.2)
     assert status is shares.ShareStatus.AT_FAIR_SHARE
+
+
+# Guards against FAIR: a workspace that received less than half of what it asked
+# for and of what the best served one received, but over 0.6 of the fair level.
+def test_workspace_far_below_the_best_served_one_is_below_its_share():
+    usage = shares.Usage(4.0)
+    for workspace, asked, served in (
+        ("flood", 20_000.0, 10_000.0),
+        ("one_router", 9_000.0, 4_400.0),
+    ):
+        usage.note_asked(workspace, asked, 0.0)
+        usage.note_served(workspace, served, 0.0)
+    status = usage.find_share_status("one_router", 50.0, 0.0)
+    assert usage.fair_level * shares.BELOW_FAIR_SHARE_FRACTION < 4_400.0
+    assert status is shares.ShareStatus.BELOW_FAIR_SHARE
