--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/caller_balance.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/caller_balance.py
@@ -1,8 +1,7 @@
 """Chooses the routers that callers are sent to by how busy these are.
 
-Some callers keep to one address for as long as it is given out. All of a
-workspace may then meet one router, whose processor limits what the workspace
-gets, while others have time. Callers leave a router that isn't given out any
+A router whose processor is full serves its callers late, while others have
+time. Callers that follow the addresses leave a router that isn't given out any
 more, and are served by others until it has time again.
 """
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/read_pauses.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/read_pauses.py
@@ -107,7 +107,11 @@
         self.reader_pause_s = PAUSE_S * self.rng.uniform(MIN_PAUSE_PART, 1.0)
 
     def is_read_without_break(self, now: float) -> bool:
-        """Whether nothing has lapsed unnoticed while the store was away."""
+        """Whether this router has read often enough, for `MIN_UNBROKEN_S`.
+
+        Nothing that it sees removed can then have lapsed because the store was
+        away.
+        """
         return (
             now - self.read_at <= MAX_BREAK_S
             and now - self.unbroken_since >= MIN_UNBROKEN_S
