--- a/tests/forwarding/test_busy_router.py
+++ b/tests/forwarding/test_busy_router.py
@@ -4,6 +4,9 @@
 of requests whose workspace has had its fair share.
 """
 
+import dataclasses
+import types
+
 import pytest
 
 from lentilbeam_core import messages
@@ -11,6 +14,7 @@
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import shares
 from tests.forwarding import makers
+from tests.forwarding import test_overload
 
 PASS_INTERVAL_S = 0.1
 """Time between two passes, in seconds: twice the short wait."""
@@ -156,3 +160,47 @@
     assert len(decisions) == 120
     assert queue.count_waiting() == 0
     assert list_placed(decisions) == set()
+
+
+# Guards against FAIR: a router that refuses the workspaces that are owed by an
+# estimate of what it has begun, while little runs.
+@pytest.mark.parametrize("late_s", [0.06, 0.2])
+def test_ended_requests_do_not_let_a_router_refuse_an_owed_workspace(late_s):
+    found, clock = test_overload.make_overload(0.0)
+    # Busy all the time.
+    found.poll_times = types.SimpleNamespace(busy_s=clock.monotonic())
+    load = found.load = test_overload.make_loaded(0, 1.0)
+    found.note_lateness(clock.monotonic(), 0)
+    for _ in range(60):
+        load.note_begun(clock.monotonic())
+        load.note_ended(clock.monotonic())
+    clock.advance(0.01)
+    now = found.poll_times.busy_s = clock.monotonic()
+    found.note_lateness(now - late_s, 0)
+    assert load.busy_fraction >= load.settings.busy_fraction
+    request = makers.make_request("r", ("p", 10), now=now)
+    assert not found.is_too_late_for(request, lambda: False)
+    assert found.can_finish(request)
+
+
+# Guards against FAIR: a busy router that spends its time on looks at full
+# engines, one by one for each request of its queue.
+def test_pass_over_a_long_queue_looks_at_each_full_engine_few_times():
+    queue = make_queue("ashby", "birch")
+    full = tuple(
+        dataclasses.replace(BUSY_ENGINES[0], target=target.name, recent=1e6)
+        for target in LARGE_POOL
+    )
+    for number in range(40):
+        name = "ashby" if number % 2 else "birch"
+        enqueue(queue, f"r{number}", SHORT, name)
+    looks = []
+    total = queue.placer.loads.total
+
+    def count_look(target, now):
+        looks.append(target)
+        return total(target, now)
+
+    queue.placer.loads.total = count_look
+    assert run_pass(queue, 0.01, LARGE_POOL, full) == {}
+    assert len(looks) <= 2 * len(LARGE_POOL)
--- a/tests/forwarding/test_shares.py
+++ b/tests/forwarding/test_shares.py
@@ -116,3 +116,27 @@
     status = usage.find_share_status("one_router", 50.0, 0.0)
     assert usage.fair_level * shares.BELOW_FAIR_SHARE_FRACTION < 4_400.0
     assert status is shares.ShareStatus.BELOW_FAIR_SHARE
+
+
+# Guards against FAIR: a workspace that is preferred only until it has little
+# more than the half that is guaranteed, so that chance decides whether it gets
+# it.
+def test_workspace_is_preferred_until_it_has_most_of_what_it_asked_for():
+    usage = shares.Usage(4.0)
+    for workspace, asked, served in (
+        ("flood", 20_000.0, 10_000.0),
+        ("one_router", 9_000.0, 7_000.0),
+        ("served", 9_000.0, 8_500.0),
+    ):
+        usage.note_asked(workspace, asked, 0.0)
+        usage.note_served(workspace, served, 0.0)
+    preferred = {
+        workspace
+        for workspace in ("flood", "one_router", "served")
+        if usage.find_share_status(workspace, 50.0, 0.0)
+        not in (
+            shares.ShareStatus.AT_FAIR_SHARE,
+            shares.ShareStatus.ABOVE_FAIR_SHARE,
+        )
+    }
+    assert preferred == {"one_router"}
