Bound what is read from targets, the store and peers

A server that sends a body without end filled the memory of the process that called it: the answer to the question for a target's process for 0.5 s (over 12 MB in the test, quadratic copies of it besides), and every response of the store and of the HTTP clients of the own interface for as long as it lasted.

Answers to callers' requests were bounded already (test_endless_answers), and messages of peers are datagrams.

All eight cases of test_endless_reads failed on; they pass now.

--- a/packages/lentilbeam-cli/src/lentilbeam_cli/environment.py
+++ b/packages/lentilbeam-cli/src/lentilbeam_cli/environment.py
@@ -14,6 +14,7 @@
 import httpx
 
 from lentilbeam_core import clock as clock_lib
+from lentilbeam_router import bounded_http
 
 HTTP_TIMEOUT_S = 2.0
 """Time limit of each phase of a call, such as connecting or reading."""
@@ -21,7 +22,7 @@
 
 def open_http() -> httpx.AsyncClient:
     """Returns an HTTP client that ignores proxies set in the environment."""
-    return httpx.AsyncClient(timeout=HTTP_TIMEOUT_S, trust_env=False)
+    return bounded_http.open_client(HTTP_TIMEOUT_S)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/lentilbeam-router/src/lentilbeam_router/environment.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/environment.py
@@ -8,17 +8,11 @@
 import httpx
 
 from lentilbeam_core import clock as clock_lib
+from lentilbeam_router import bounded_http
 
 OpenHttp = Callable[[httpx.Timeout, httpx.Limits], httpx.AsyncClient]
 
 
-def open_http(
-    timeout: httpx.Timeout, limits: httpx.Limits
-) -> httpx.AsyncClient:
-    """Returns an HTTP client that ignores proxy environment variables."""
-    return httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False)
-
-
 @dataclasses.dataclass(slots=True)
 class Environment:
     """Clock, standard streams and HTTP clients. Tests substitute their own.
@@ -35,4 +29,4 @@
     )
     stdout: TextIO = dataclasses.field(default_factory=lambda: sys.stdout)
     stderr: TextIO = dataclasses.field(default_factory=lambda: sys.stderr)
-    open_http: OpenHttp = open_http
+    open_http: OpenHttp = bounded_http.open_client
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/process_check.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/process_check.py
@@ -16,6 +16,8 @@
 MAX_CONNECTIONS = 2
 """Number of connections on which a target is asked. It closes some after an
 answer."""
+MAX_ANSWER_BYTES = 65_536
+"""Longest answer of a target."""
 
 
 class UnconfirmedError(connection_lib.ConnectFailedError):
@@ -88,6 +90,8 @@
             head = await connection.receive()
             while isinstance(item := await connection.receive(), bytes):
                 body += item
+                if len(body) > MAX_ANSWER_BYTES:
+                    return False
     except (
         TimeoutError,
         connection_lib.BrokenError,
