Look for full engines once in a pass

A busy router with a long queue spent its time on passes over it. Since a request for which a sample of engines has no room looks at all others, and up to six of a workspace and sixteen in all do so in a pass, though what excludes an engine is mostly the same for each of them: slots or prefill.

Passes may take a quarter of a router's time, so on half a core one came every 15 ms. Engines that are full for any request are now found once in a pass (room.py), after the first sample without room, and not looked at again until a load may be smaller.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -22,6 +22,7 @@
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import placement as placement_lib
 from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import room as room_lib
 from lentilbeam_core.forwarding import shares
 from lentilbeam_core.forwarding import target_list
 
@@ -102,12 +103,12 @@
     excluded: frozenset[ids.TargetId]
     version: str | None = None
     tries: int = 0
-    exclusions: dict[placement_lib.Exclusion, int] = dataclasses.field(
+    exclusions: dict[room_lib.Exclusion, int] = dataclasses.field(
         default_factory=dict
     )
 
     def note_failed_try(
-        self, exclusions: dict[placement_lib.Exclusion, int]
+        self, exclusions: dict[room_lib.Exclusion, int]
     ) -> None:
         """Records that no target was found."""
         self.tries += 1
@@ -256,7 +257,9 @@
         self.placer.loads.refresh(now)
         placements = self._place_resumed(targets, now)
         targets = self._drop_spent(targets)
-        full_bounds: set[load_bounds.Bounds] = set()
+        full_bounds: dict[
+            load_bounds.Bounds, dict[room_lib.Exclusion, int]
+        ] = {}
         order = [
             (
                 name not in self.left_out,
@@ -273,12 +276,13 @@
                 self._find_share_status(workspace, now)
             ]
             # A placement takes room, so full bounds stay full in this pass.
+            if bounds not in full_bounds and not self.placer.has_room(
+                targets, bounds, now
+            ):
+                full_bounds[bounds] = dict(self.placer.exclusions)
             if bounds in full_bounds:
-                self._note_no_room(workspace, len(targets))
-                continue
-            if not self.placer.has_room(targets, bounds, now):
-                full_bounds.add(bounds)
-                self._note_no_room(workspace, len(targets))
+                for queued in self.queues[workspace]:
+                    queued.note_failed_try(full_bounds[bounds])
                 continue
             placed = self._place_one(workspace, targets, bounds, now)
             if placed is None:
@@ -349,11 +353,6 @@
             return None
         return self._start(workspace, queued, placement, now)
 
-    def _note_no_room(self, workspace: ids.WorkspaceId, targets: int) -> None:
-        """Records that all targets have too many slots in use."""
-        for queued in _list_candidates(self.queues[workspace]):
-            queued.note_failed_try({placement_lib.Exclusion.SLOTS: targets})
-
     def _start(
         self,
         workspace: ids.WorkspaceId,
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -6,6 +6,7 @@
 
 from lentilbeam_core.forwarding import placement as placement_lib
 from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import room as room_lib
 
 
 class RefusalReason(enum.Enum):
@@ -54,7 +55,7 @@
     reason: RefusalReason
     retry_after_s: float
     tries: int = 0
-    exclusions: Mapping[placement_lib.Exclusion, int] = dataclasses.field(
+    exclusions: Mapping[room_lib.Exclusion, int] = dataclasses.field(
         default_factory=dict
     )
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/loads.py
@@ -255,6 +255,7 @@
             pass asks for the same ones many times.
         totals_at: monotonic seconds.
         sums_aging: decay of `peer_sums` as of `totals_at`.
+        freed: counts the changes since which a load may be smaller.
     """
 
     def __init__(self):
@@ -271,6 +272,7 @@
         self.totals: dict[ids.TargetId, Load] = {}
         self.totals_at = -math.inf
         self.sums_aging = compute_aging(0.0)
+        self.freed = 0
 
     def start_request(
         self,
@@ -305,7 +307,7 @@
         if placed is not None:
             self.own_loads[placed.target].unread -= placed.load.unread
             placed.load.unread = 0.0
-            self.totals.pop(placed.target, None)
+            self._note_freed(placed.target)
 
     def set_decode_left(self, request_id: str, decode_s: float) -> None:
         """Sets the time for what a request has left to produce, in seconds."""
@@ -321,7 +323,7 @@
         placed = self.placed_requests.pop(request_id, None)
         if placed is not None:
             self.own_loads[placed.target].add(placed.load, -1)
-            self.totals.pop(placed.target, None)
+            self._note_freed(placed.target)
 
     def note_outcome(
         self, target: ids.TargetId, is_failure: bool, now: float
@@ -359,7 +361,7 @@
         ):
             times = sums.setdefault(target, decayed.DecayingSum())
             times.add(amount, now, OUTCOME_DECAY_S)
-        self.totals.pop(target, None)
+        self._note_freed(target)
 
     def apply_report(
         self,
@@ -507,7 +509,12 @@
                 self.expected_s,
             ):
                 table.pop(target, None)
-            self.totals.pop(target, None)
+            self._note_freed(target)
+
+    def _note_freed(self, target: ids.TargetId) -> None:
+        """Records that the load of a target may be smaller than before."""
+        self.freed += 1
+        self.totals.pop(target, None)
 
     def _read_own(self, target: ids.TargetId, now: float) -> Load:
         own = self.own_loads.get(target)
@@ -535,6 +542,7 @@
         """
         self.summed_at = now
         self.peer_sums = {}
+        self.freed += 1
         self.totals_at = -math.inf
         for report in self.peers.values():
             age_s = now - report.received_at
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/placement.py
@@ -13,7 +13,6 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
-import enum
 import random
 
 from lentilbeam_core import ids
@@ -30,6 +29,7 @@
 from lentilbeam_core.forwarding import prefill_rates
 from lentilbeam_core.forwarding import prompt_cache
 from lentilbeam_core.forwarding import requests
+from lentilbeam_core.forwarding import room as room_lib
 from lentilbeam_core.forwarding import target_list
 from lentilbeam_core.forwarding import target_memory
 from lentilbeam_core.forwarding import work_left as work_left_lib
@@ -102,16 +102,6 @@
     plain_remote_penalty: float = 0.3
 
 
-class Exclusion(enum.Enum):
-    """Why a target can't get a request now."""
-
-    SLOTS = "slots"  # Too many of its slots are in use.
-    PREFILL = "prefill"  # Too much of its time goes into prefill.
-    GOAL = "goal"  # Its first event would come too late.
-    PAUSE = "pause"  # It would pause its running streams for too long.
-    COLD = "cold"  # It is cold and has a backlog.
-
-
 # Not frozen, as `_Candidate`: one is created for each target that a request is
 # compared at, and creating a frozen object takes up to eight times as long.
 @dataclasses.dataclass(slots=True)
@@ -206,6 +196,7 @@
         work_left: output that running streams have left.
         memory: tells which engines have memory for a request.
         cold_speed: tells how slow the cold engines are.
+        room: tells which engines have room for any request.
         plain_work: expected times of requests to plain targets.
         pool_size: number of targets of the last placement.
         list_sources: returns targets that hand out prompt parts, whether or
@@ -253,6 +244,7 @@
             rng,
         )
         self.cold_speed = cold_speed_lib.ColdSpeed()
+        self.room = room_lib.Room(loads, self._estimate_rate)
         self.pool_size = 0
         self.list_sources: Callable[[], Iterable[target_list.Entry]] = tuple
         self.homes: dict[str, ids.TargetId] = {}
@@ -260,7 +252,9 @@
         self.select_recorded: Callable[
             [list[target_list.Entry]], list[target_list.Entry]
         ] = lambda targets: targets
-        self.exclusions: collections.Counter[Exclusion] = collections.Counter()
+        self.exclusions: collections.Counter[room_lib.Exclusion] = (
+            collections.Counter()
+        )
 
     def update_pool(self, pool: configuration.Pool) -> None:
         """Applies a new configuration of the pool."""
@@ -280,9 +274,10 @@
         bounds: load_bounds.Bounds,
         now: float,
     ) -> bool:
-        """Returns whether any target has a free slot within the bounds.
+        """Returns whether any target has room within the bounds.
 
-        If not, `choose` finds no placement for any request.
+        If not, `choose` finds no placement for any request, and `exclusions`
+        tells why.
 
         Args:
             targets: targets that may get a request.
@@ -293,11 +288,31 @@
             return bool(targets)
         fraction = self.settings.plain_overcommit
         if self.pool.engine is not None:
+            if self._is_known_full(targets, bounds, now):
+                return False
             fraction = bounds.slots_fraction
-        return any(
+        if any(
             self.loads.count_running(entry.name) < entry.slots * fraction
             for entry in targets
+        ):
+            return True
+        self.exclusions = collections.Counter(
+            {room_lib.Exclusion.SLOTS: len(targets)}
         )
+        return False
+
+    def _is_known_full(
+        self,
+        targets: list[target_list.Entry],
+        bounds: load_bounds.Bounds,
+        now: float,
+    ) -> bool:
+        """Whether no engine has room; `exclusions` then tells why."""
+        known = self.room.find_known(targets, bounds, now)
+        if known is None:
+            return False
+        self.exclusions = known
+        return True
 
     def choose(
         self,
@@ -325,6 +340,8 @@
             return None
         if request.prompt is None or self.pool.engine is None:
             return self._choose_plain(request, targets, now)
+        if self._is_known_full(targets, bounds, now):
+            return None
         prefix = self._find_cached(request.prompt, targets)
         self.pool_size = self.work_left.pool_size = len(targets)
         plan = self.long_prompts.plan(
@@ -343,15 +360,13 @@
             request, targets, prefix, plan, bounds, now
         )
         best = _find_best(map(evaluate, indexes))
-        if (
-            best is None
-            and bounds.is_exhaustive
-            and not target_memory.is_bounded(self.pool)
-        ):
-            rest = set(range(len(targets))).difference(indexes)
-            # Equally good targets must not be chosen by all routers.
-            order = self.rng.sample(sorted(rest), len(rest))
-            best = _find_best(map(evaluate, order))
+        if best is None:
+            rest = self.room.find_open(targets, bounds, now)
+            if bounds.is_exhaustive and not target_memory.is_bounded(self.pool):
+                rest.difference_update(indexes)
+                # Equally good targets must not be chosen by all routers.
+                order = self.rng.sample(sorted(rest), len(rest))
+                best = _find_best(map(evaluate, order))
         if best is None:
             return None
         if not best.needs_fetch:
@@ -519,7 +534,7 @@
         for entry in targets:
             running = self.loads.total(entry.name, now).running
             if running >= entry.slots * self.settings.plain_overcommit:
-                self._exclude(Exclusion.SLOTS)
+                self._exclude(room_lib.Exclusion.SLOTS)
                 continue
             # The random penalty of up to 0.1 requests spreads the choices of
             # routers with the same information.
@@ -598,7 +613,7 @@
         settings = self.settings
         load = self.loads.total(entry.name, now)
         if load.running >= entry.slots * bounds.slots_fraction:
-            return self._exclude(Exclusion.SLOTS)
+            return self._exclude(room_lib.Exclusion.SLOTS)
         cached_tokens = prefix.cached_tokens[index]
         missing_tokens = prefix.max_cached_tokens - cached_tokens
         off_home_tokens = max(
@@ -630,11 +645,9 @@
             and cold_speed_lib.is_long(prefill_s, request.route.goal_s)
         )
         if is_last_resort and backlog_s > cold_speed_lib.MAX_BACKLOG_S:
-            return self._exclude(Exclusion.COLD)
-        recent = load.recent + unread
-        max_recent = bounds.prefill_fraction * rate * loads_lib.RECENT_DECAY_S
-        if recent > max_recent and backlog_s > bounds.free_backlog_s:
-            return self._exclude(Exclusion.PREFILL)
+            return self._exclude(room_lib.Exclusion.COLD)
+        if room_lib.is_beyond_prefill(load, unread, rate, bounds):
+            return self._exclude(room_lib.Exclusion.PREFILL)
         first_event_delay_s = (
             backlog_s + prefill_s + settings.first_event_overhead_s
         )
@@ -648,7 +661,7 @@
                 prefill_s,
                 waited_s < bounds.max_hold_fraction * request.route.goal_s,
             ):
-                return self._exclude(Exclusion.PAUSE)
+                return self._exclude(room_lib.Exclusion.PAUSE)
             penalty_s += self.long_prompts.find_penalty(
                 plan, entry, load, backlog_s + prefill_s
             )
@@ -657,7 +670,7 @@
             settings.goal_exempt_backlog_s, bounds.free_backlog_s
         )
         if first_event_delay_s > goal_s and backlog_s > goal_exempt_s:
-            return self._exclude(Exclusion.GOAL)
+            return self._exclude(room_lib.Exclusion.GOAL)
         if entry.data_centre != self.data_centre:
             penalty_s += (
                 settings.remote_penalty_s
@@ -684,7 +697,7 @@
             is_last_resort,
         )
 
-    def _exclude(self, exclusion: Exclusion) -> None:
+    def _exclude(self, exclusion: room_lib.Exclusion) -> None:
         """Counts a target that can't get a request now."""
         self.exclusions[exclusion] += 1
 
