Refuse by the processor's load only while timers are late

The estimate adds the cost of each request as it begins and falls with the clock. Nothing corrected it, so whatever was learned too high stayed in it while the router was busy.

The backlog is now at most what the running requests cost, and the load counts only while timers are 0.15 s late, as the lateness itself does, instead of 0.05 s. Both values are gauges.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/processor_load.py
@@ -80,6 +80,7 @@
         settings: settings of the limit.
         busy_fraction: fraction of the recent time that was busy.
         mean_busy_fraction: the same over a longer time, see `Settings.mean_s`.
+        running: number of requests that were begun and have not ended.
         promised_until: when the last of the refused callers that were told to
             return does so, monotonic seconds.
     """
@@ -90,6 +91,7 @@
         self.mean_busy_fraction = 0.0
         self._peaks = (0.0, 0.0)
         self._peak_since = -math.inf
+        self.running = 0
         self.promised_until = -math.inf
         self._busy = decayed.DecayingSum()
         self._requests = decayed.DecayingSum()
@@ -147,6 +149,7 @@
 
     def note_begun(self, now: float) -> None:
         """Records that a request is forwarded."""
+        self.running += 1
         self._new_requests += BEGIN_WEIGHT
         self._add_backlog(self.estimate_cost(), now)
 
@@ -167,6 +170,7 @@
     def note_ended(self, now: float) -> None:
         """Records that a forwarded request has ended in any way."""
         del now
+        self.running -= 1
         self._new_requests += 1 - BEGIN_WEIGHT
 
     def note_served(self, route: str, took_s: float, now: float) -> None:
@@ -228,7 +232,21 @@
         return min(busy_s / self._requests.value, MAX_COST_S)
 
     def read_backlog(self, now: float) -> float:
-        """Returns the work that was begun and is left, in seconds."""
+        """Returns the work that was begun and is left, in seconds.
+
+        It is a sum of estimates: an error of the cost stays in it for as long
+        as the router is busy. So no more counts than what the requests cost
+        that still run.
+        """
+        running_s = self.running * self.estimate_cost()
+        return min(self.estimate_backlog(now), running_s)
+
+    def estimate_backlog(self, now: float) -> float:
+        """Returns the estimates of what was begun, less the time since, in s.
+
+        Unlike `read_backlog`, it includes the time of refusals. It is what a
+        router goes by that is late, and may be late because of them.
+        """
         done_s = (now - self._drained_at) * self.settings.planned_fraction
         return max(self._backlog_s - done_s, 0.0)
 
@@ -253,14 +271,14 @@
         self._requests.add(requests, self._learned_s, decay_s)
 
     def _add_backlog(self, added_s: float, now: float) -> None:
-        self._backlog_s = self.read_backlog(now) + added_s
+        self._backlog_s = self.estimate_backlog(now) + added_s
         self._drained_at = now
 
     def find_level(self, now: float) -> lateness.Level:
         """Returns what the router should do about its load."""
         if self.busy_fraction < self.settings.busy_fraction:
             return lateness.Level.ON_TIME
-        backlog_s = self.read_backlog(now)
+        backlog_s = self.estimate_backlog(now)
         if backlog_s >= self.settings.stalled_backlog_s:
             return lateness.Level.STALLED
         if backlog_s >= self.settings.late_backlog_s:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -465,6 +465,9 @@
             "busy_fraction": self.overload.load.busy_fraction,
             "request_processor_s": self.overload.load.estimate_cost(),
             "processor_backlog_s": self.overload.load.read_backlog(now),
+            "processor_backlog_estimate_s": (
+                self.overload.load.estimate_backlog(now)
+            ),
             "requests_active": self.request_handler.active,
             "requests_refused_early": self.accept_control.early.refused,
             "connections_left_unread": self.accept_control.left,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
@@ -16,9 +16,6 @@
 """While this router is late, a request that has used up this fraction of its
 goal before it is handled is refused: its answer would be late, too. The same
 fraction limits the time in the queue (`admission.Settings.wait_fraction`)."""
-MIN_LATE_S = 0.05
-"""Lateness of timers, in seconds, from which the load counts: a third of that
-from which a router refuses by its lateness alone."""
 LEVELS = tuple(lateness_lib.Level)
 
 
@@ -56,8 +53,8 @@
 
     @property
     def _is_behind(self) -> bool:
-        """Whether timers fire late enough for the load to count."""
-        return self.lateness.late_s >= MIN_LATE_S
+        """Whether timers fire late, so that the load counts."""
+        return self.lateness.level is not lateness_lib.Level.ON_TIME
 
     @property
     def is_overloaded(self) -> bool:
@@ -67,9 +64,8 @@
     def find_level(self) -> lateness_lib.Level:
         """Returns the higher of the levels of lateness and load.
 
-        The load counts only while timers fire late as well: its estimate of
-        what a request costs includes the reports of a relay, which took most of
-        the time of routers with few requests.
+        The load counts only while timers fire late as well. It is an estimate,
+        and a router whose timers are on time does its work in time.
         """
         if not self._is_behind:
             return self.lateness.level
