--- a/tests/forwarding/stored_fleet.py
+++ b/tests/forwarding/stored_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import contextlib
 import json
 
 import httpcore
@@ -152,6 +153,11 @@
         self.router = router
         self.pool = pool
 
+    @contextlib.asynccontextmanager
+    async def stream(self, method, url, content, extensions):
+        """Opens the response of the store; see `request`."""
+        yield await self.request(method, url, content, extensions)
+
     async def request(self, method, url, content, extensions):
         """Returns the response of the store.
 
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 
@@ -40,17 +41,20 @@
     def __init__(self, transport: httpx.AsyncBaseTransport):
         self.http = httpx.AsyncClient(transport=transport)
 
+    @contextlib.asynccontextmanager
+    async def stream(self, method, url, content, extensions):
+        """Opens the response of the transport."""
+        yield await self.request(method, url, content, extensions)
+
     async def request(self, method, url, content, extensions):
         """Returns the response of the transport."""
         del extensions
         response = await self.http.request(method, url, content=content)
-        result = httpcore.Response(
+        return httpcore.Response(
             response.status_code,
             headers=response.headers.raw,
             content=response.content,
         )
-        await result.aread()
-        return result
 
 
 def make_client(respond):
