--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -383,6 +383,7 @@
             "target_unlisted",
             target=name,
             at_once=is_removed,
+            is_final=is_final,
             kept_s=round(self.targets.find_time_kept(name, now), 3),
         )
         if is_removed:
--- a/tests/forwarding/test_followers.py
+++ b/tests/forwarding/test_followers.py
@@ -151,7 +151,7 @@
 def test_return_of_the_store_is_noticed_without_a_long_poll():
     store = ScriptedStore(make_page(1, a=SERVER), DOWN, DOWN, make_page(1))
     calls = follow(store)
-    long_poll = followers.LONG_POLL_S
+    long_poll = followers.TARGETS_POLL_S
     assert store.reads == [
         "newest",
         (1, long_poll),
@@ -206,7 +206,7 @@
         return store.reads, gateway
 
     reads, gateway = asyncio.run(run_follower())
-    assert reads[:3] == ["newest", (1, followers.LONG_POLL_S), "newest"]
+    assert reads[:3] == ["newest", (1, followers.TARGETS_POLL_S), "newest"]
     assert gateway.targets_watch.lag.own_position == 5
     assert not gateway.targets_watch.note_peer_position(5, 20.0)
 
--- a/tests/forwarding/test_removed_targets.py
+++ b/tests/forwarding/test_removed_targets.py
@@ -69,7 +69,25 @@
         )
 
 
-def run(routers: int, scenario) -> RemovingFleet:
+class QuietFleet(RemovingFleet):
+    """A fleet whose targets write their entries once: nothing in them changes.
+
+    A long poll of the target list then gets no response until one is removed.
+    """
+
+    async def _keep_entry(self, name: str) -> None:
+        self.write_entry(self.targets[name])
+
+    def end_polls(self) -> None:
+        """Ends the open reads of all routers with empty responses."""
+        for topic in self.store.topics.values():
+            topic.changed.set()
+            topic.changed = asyncio.Event()
+
+
+def run(
+    routers: int, scenario, fleet_class: type[RemovingFleet] = RemovingFleet
+) -> RemovingFleet:
     """Runs a scenario with a fleet whose start is over."""
 
     async def play(fleet: RemovingFleet) -> None:
@@ -79,7 +97,7 @@
         for writer in fleet.writers:
             writer.cancel()
 
-    return RemovingFleet(routers=routers).run(play)
+    return fleet_class(routers=routers).run(play)
 
 
 # Guards against DRAIN: a router that was cut off from the store takes the
@@ -110,6 +128,32 @@
     assert fleet.count_others("t0") > 0
 
 
+# Guards against DRAIN: routers whose reads of the list were open for seconds,
+# since nothing changed, don't know that a removed target is gone for good, and
+# the one that was cut off keeps it.
+@pytest.mark.parametrize("routers", [4, 7, 20])
+def test_removal_from_a_quiet_list_binds_a_router_that_was_cut_off(routers):
+    async def scenario(fleet):
+        fleet.without_store.add("r0")
+        fleet.end_polls()
+        await asyncio.sleep(CUT_S / 2)
+        fleet.unlist("t0")
+        await asyncio.sleep(CUT_S / 2)
+        fleet.without_store.discard("r0")
+        healed_at = fleet.clock.monotonic()
+        await fleet.load(LOAD_PER_S, 4.0, routers=["r0"])
+        fleet.returned_at = fleet.find_return("r0", healed_at)
+
+    fleet = run(routers, scenario, QuietFleet)
+    late = [
+        arrival.at - fleet.returned_at
+        for arrival in fleet.targets["t0"].arrivals
+        if arrival.at > fleet.returned_at + SETTLE_S
+    ]
+    assert late == []
+    assert fleet.count_others("t0") > 0
+
+
 # Guards against DRAIN: a call from before the end of a cut gets no answer, and
 # the list is read only after its time limit and another delay.
 @pytest.mark.parametrize("seed", [1, 2, 3])
