Prefer a workspace until it has most of what it asked for

A workspace counted as behind below 0.6 of what it was due, and half is what is guaranteed: so its service settled where chance decided whether the bound was kept.

A workspace that received less than 0.9 of what it asked for, and of what the one received that received most, now has a status of its own, short, with bounds between behind and even.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -29,10 +29,17 @@
 BOUNDS_BY_SHARE_STATUS = {
     shares.ShareStatus.BELOW_GUARANTEE: load_bounds.BELOW_GUARANTEE_BOUNDS,
     shares.ShareStatus.BELOW_FAIR_SHARE: load_bounds.BELOW_FAIR_SHARE_BOUNDS,
+    shares.ShareStatus.BELOW_OTHERS: load_bounds.BELOW_OTHERS_BOUNDS,
     shares.ShareStatus.AT_FAIR_SHARE: load_bounds.AT_FAIR_SHARE_BOUNDS,
     shares.ShareStatus.ABOVE_FAIR_SHARE: load_bounds.ABOVE_FAIR_SHARE_BOUNDS,
 }
 
+TRIED_ONCE_STATUSES = frozenset(
+    {shares.ShareStatus.BELOW_OTHERS, shares.ShareStatus.AT_FAIR_SHARE}
+)
+"""Statuses with which a request waits until it was tried, and for the short
+wait. On a router with little processor time, a long queue of requests that are
+tried in vain takes the time of those that could begin."""
 MAX_FAILED_CHOICES = 16
 """Number of requests that a pass tries in vain before it ends.
 
@@ -61,9 +68,9 @@
         wait_fraction: maximum time in the queue, as a fraction of the
             response-time goal; the rest is left for the target.
         at_fair_share_wait_s: maximum time in the queue for a request whose
-            workspace has the status `AT_FAIR_SHARE` or `ABOVE_FAIR_SHARE`, in
-            seconds. In the first case it ends no sooner than the request was
-            tried: on a busy router, few are tried in this time.
+            workspace has one of `TRIED_ONCE_STATUSES` or `ABOVE_FAIR_SHARE`,
+            in seconds. In the first case it ends no sooner than the request
+            was tried: on a busy router, few are tried in this time.
         resumed_wait_s: minimum of that limit for a request that goes on with a
             stream, in seconds. Few targets can serve it, and an answer that
             has begun is lost if it is refused.
@@ -401,7 +408,7 @@
             ):
                 return False
             status = statuses[queued.request.workspace]
-            if status is shares.ShareStatus.AT_FAIR_SHARE:
+            if status in TRIED_ONCE_STATUSES:
                 return queued.tries > 0
             return status is shares.ShareStatus.ABOVE_FAIR_SHARE
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/load_bounds.py
@@ -42,6 +42,9 @@
 BELOW_FAIR_SHARE_BOUNDS = Bounds(0.8, 0.72, 0.9, 0.4, 0.1)
 """For workspaces above their guarantee that received much less service than
 their fair share of the actual throughput."""
+BELOW_OTHERS_BOUNDS = Bounds(0.75, 0.66, 0.85, 0.2, 0.075)
+"""For workspaces that received less than they asked for and less than others,
+but not much less than their fair share."""
 AT_FAIR_SHARE_BOUNDS = Bounds(0.7, 0.6, 0.8, 0.0, 0.05)
 """For workspaces that received about their fair share of service. The capacity
 above these bounds is reserved for workspaces that received less."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -36,12 +36,19 @@
 than this fraction of it. The operators guarantee half of the fair share; the
 margin allows for the delay of decayed sums."""
 
+BELOW_OTHERS_FRACTION = 0.9
+"""A workspace counts as below others if the service received is less than this
+fraction of what it asked for, and of what the workspace received that received
+most. Without this status, a workspace would be preferred until it has little
+more than the half that is guaranteed, and no longer."""
+
 
 class ShareStatus(enum.Enum):
     """Service that a workspace has received, compared with its shares."""
 
     BELOW_GUARANTEE = "owed"  # Below its guaranteed share.
     BELOW_FAIR_SHARE = "behind"  # Above its guarantee, far below fair.
+    BELOW_OTHERS = "short"  # Short of what it asked for, while others got more.
     AT_FAIR_SHARE = "even"  # About its fair share.
     ABOVE_FAIR_SHARE = "ahead"  # More than its fair share.
 
@@ -157,9 +164,11 @@
         # Its fair share, or the service of the workspace that received most:
         # that is more where demand changes faster than the sums decay.
         asked = self.asked_totals.get(workspace, 0.0)
-        due = max(self.fair_level, min(asked, self.most_served))
-        if received < due * BELOW_FAIR_SHARE_FRACTION:
+        other = min(asked, self.most_served)
+        if received < max(self.fair_level, other) * BELOW_FAIR_SHARE_FRACTION:
             return ShareStatus.BELOW_FAIR_SHARE
+        if received < other * BELOW_OTHERS_FRACTION:
+            return ShareStatus.BELOW_OTHERS
         if received <= self.fair_level * FAIR_SHARE_TOLERANCE:
             return ShareStatus.AT_FAIR_SHARE
         return ShareStatus.ABOVE_FAIR_SHARE
