--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/connection_preference.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/connection_preference.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+import itertools
 import math
 import random
 
@@ -138,14 +139,12 @@
         )
         chosen.add(rng.choice(indexes))
         idle_s = self.find_longest_idle(request.route.is_retryable)
-        connected = [
+        connected = (
             index
-            for index in indexes
+            for index in rng.sample(indexes, len(indexes))
             if self.has_idle(targets[index].name, idle_s)
-        ]
-        chosen.update(
-            rng.sample(connected, min(len(connected), SAMPLED_CONNECTED))
         )
+        chosen.update(itertools.islice(connected, SAMPLED_CONNECTED))
         return chosen
 
     def _find_preferred(self, targets: list[target_list.Entry]) -> list[int]:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -129,11 +129,15 @@
 
     def find_serving(self) -> list[feeds.RouterEntry]:
         """Returns the peers that are up and take requests."""
-        now = self.clock.monotonic()
+        # Called for each refusal, so what is the same for all is found once.
+        heard_after = self.clock.monotonic() - self.peer_timeout_s
+        reports = self.last_reports
         return [
             entry
-            for entry in self.listed.values()
-            if self.is_serving(entry.name, now)
+            for name, entry in self.listed.items()
+            if name in reports
+            and reports[name].takes_requests
+            and reports[name].received_at > heard_after
         ]
 
     def has_regained(self, now: float) -> bool:
