Let callers in while a router is on time, so that their waiting shows

A router on time accepted as many connections as it can refuse in 0.1 s, by an estimate that is made for a tenth of a core until refusals were measured: 22. The others waited in the accept queue, where their waiting made nobody late, so nobody was refused.

Until refusals are measured, their cost follows from that of requests, and what waits inside does not end accepting while the router is on time: then it becomes late, and refuses. The age of the oldest connection, where TCP tells it, counts as lateness too.

test_time_in_the_accept_queue_is_measured and test_router_that_leaves_requests_unread_is_late are new; the test double of the overload decisions has the new call.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/overload_budget.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/overload_budget.py
@@ -94,7 +94,12 @@
         self._begun.add(1.0, now, RATE_DECAY_S)
 
     def count_acceptable(
-        self, waiting: int, waited_s: float, is_limited: bool, now: float
+        self,
+        waiting: int,
+        waited_s: float,
+        is_limited: bool,
+        now: float,
+        request_s: float = 0.0,
     ) -> int:
         """Returns how many connections may be accepted now.
 
@@ -103,12 +108,19 @@
             waited_s: for how long the first of these has waited, in seconds.
             is_limited: whether this router was late recently.
             now: monotonic seconds.
+            request_s: cost of a request, in seconds; 0 if it is unknown. Until
+                refusals were measured, theirs follows from it.
         """
-        if waited_s >= self.settings.inside_s:
-            return 0
         cost_s = self.estimate_refusal_cost()
         if not is_limited:
+            # What waits inside makes the router late, which limits it. What
+            # waits in the accept queue does not show.
+            if request_s > 0:
+                weight = UNMEASURED_FACTOR * processor_load.REFUSAL_WEIGHT
+                cost_s = min(cost_s, weight * request_s)
             return max(int(self.settings.inside_s / cost_s) - waiting, 1)
+        if waited_s >= self.settings.inside_s:
+            return 0
         self._refill(now)
         return max(int(self._left_s / cost_s), 0)
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
@@ -147,12 +147,16 @@
             self._pause(PAUSE_S)
             return
         until = self.clock.monotonic() + turns_lib.MAX_TURN_S
+        has_measured = False
         while min(acceptable, openable + reserve) > 0:
             connection = self._accept_one()
             if connection is None:
                 return
             acceptable -= 1
             if not is_limited:
+                if not has_measured:
+                    has_measured = True
+                    self._measure_unread(connection)
                 self._open(connection, None, b"")
                 continue
             outcome = self._read_early(connection, openable <= 0)
@@ -177,6 +181,21 @@
         connection.setblocking(False)
         return connection
 
+    def _measure_unread(self, connection: socket.socket) -> None:
+        """Records for how long the oldest connection has waited.
+
+        The event loop doesn't tell: its timers may be on time while it leaves
+        connections in the accept queue.
+        """
+        try:
+            has_data = bool(connection.recv(1, socket.MSG_PEEK))
+            state = read_state(connection)
+        except OSError:
+            # Nothing was sent yet, or the caller has left.
+            return
+        if has_data and not state.has_left:
+            self.overload.note_unread(state.age_s)
+
     def _read_early(self, connection: socket.socket, is_full: bool) -> Outcome:
         """Opens a connection, unless its request is refused at once.
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -235,6 +235,16 @@
         """Whether the fleet is so large that routers share reads."""
         return not self.report_exchange.is_direct
 
+    @property
+    def reads_targets_often(self) -> bool:
+        """Whether this router tells peers which targets were removed.
+
+        In a large fleet, only routers that read the list often tell them.
+        """
+        return not self.shares_reads or self.shared_reads.is_reader(
+            self.clock.monotonic()
+        )
+
     def list_addresses(self) -> list[addresses.Address]:
         """Returns the addresses of the routers that callers are sent to.
 
@@ -735,11 +745,8 @@
     def _find_removed(
         self, pool: ids.PoolId, now: float
     ) -> dict[ids.TargetId, int]:
-        """Returns the removed targets of a pool that peers are told of.
-
-        In a large fleet, only routers that read the list often tell them.
-        """
-        if self.shares_reads and not self.shared_reads.is_reader(now):
+        """Returns the removed targets of a pool that peers are told of."""
+        if not self.reads_targets_often:
             return {}
         max_age_s = target_list.REPORT_REMOVED_S
         if self.peers.has_regained(now):
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/overload.py
@@ -155,9 +155,23 @@
             waited_s: for how long the first of these has waited, in seconds.
         """
         return self.budget.count_acceptable(
-            waiting, waited_s, not self.takes_callers, self.clock.monotonic()
+            waiting,
+            waited_s,
+            not self.takes_callers,
+            self.clock.monotonic(),
+            self.load.estimate_cost(),
         )
 
+    def note_unread(self, age_s: float) -> None:
+        """Records for how long a request has waited in the accept queue.
+
+        Args:
+            age_s: time since it arrived, in seconds.
+        """
+        now = self.clock.monotonic()
+        if age_s >= self.lateness.settings.late_s:
+            self.lateness.note_timer(now - age_s, now)
+
     def note_unaccepted(self) -> None:
         """Records that connections were left in the accept queue.
 
--- a/tests/forwarding/test_accept_control.py
+++ b/tests/forwarding/test_accept_control.py
@@ -36,6 +36,7 @@
         count_openable=lambda waiting: acceptable,
         note_accepted=lambda: accepted.append(True),
         note_unaccepted=lambda: None,
+        note_unread=lambda age_s: None,
         note_refused=lambda took_s, is_whole: None,
         takes_callers=takes_callers,
     )
@@ -110,6 +111,17 @@
     return asyncio.run(scenario())
 
 
+# Guards against FAIR: callers of a router whose timers are on time, who wait
+# unread until their deadline, since nothing tells that they wait.
+def test_time_in_the_accept_queue_is_measured():
+    found = make_overload(100, takes_callers=True)
+    ages = []
+    found.note_unread = ages.append
+    run_callers(found, 3)
+    assert ages
+    assert max(ages) >= WAITED_S * 0.9
+
+
 # Guards against connections that are accepted although their requests can't be
 # handled in time.
 def test_only_acceptable_connections_are_accepted():
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -140,6 +140,22 @@
     assert found.is_too_late_for(stale, lambda: False)
 
 
+# Guards against FAIR: callers who wait unread until their deadline at a router
+# whose timers are on time, instead of being refused.
+def test_router_that_leaves_requests_unread_is_late():
+    found, clock = make_overload(late_s=0.0)
+    found.note_unread(0.05)
+    assert found.takes_callers
+    found.note_unread(0.3)
+    assert not found.takes_callers
+    now = clock.monotonic()
+    goal_s = makers.make_request("any", ("p", 10), now=now).route.goal_s
+    waited = makers.make_request("r", ("p", 10), now=now - 0.7 * goal_s)
+    assert found.is_too_late_for(waited, lambda: False)
+    fresh = makers.make_request("fresh", ("p", 10), now=now)
+    assert not found.is_too_late_for(fresh, lambda: False)
+
+
 # Guards against callers of one busy router that are kept from the others.
 def test_callers_return_soon_if_other_routers_keep_up():
     found, clock = make_overload(late_s=0.5)
