--- a/packages/lentilbeam-router/src/lentilbeam_router/environment.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/environment.py
@@ -13,6 +13,13 @@
 OpenHttp = Callable[[httpx.Timeout, httpx.Limits], httpx.AsyncClient]
 
 
+def open_http(
+    timeout: httpx.Timeout, limits: httpx.Limits
+) -> httpx.AsyncClient:
+    """Returns an HTTP client that reads responses of a bounded size only."""
+    return bounded_http.open_client(timeout, limits)
+
+
 @dataclasses.dataclass(slots=True)
 class Environment:
     """Clock, standard streams and HTTP clients. Tests substitute their own.
@@ -29,4 +36,4 @@
     )
     stdout: TextIO = dataclasses.field(default_factory=lambda: sys.stdout)
     stderr: TextIO = dataclasses.field(default_factory=lambda: sys.stderr)
-    open_http: OpenHttp = bounded_http.open_client
+    open_http: OpenHttp = open_http
