Share what tests of removals and the state of peers had twice

find_late in place of the same list in three tests, end_polls beside fail_store, and one rule for whether a peer takes requests.

--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/peers.py
@@ -131,13 +131,10 @@
         """Returns the peers that are up and take requests."""
         # Called for each refusal, so what is the same for all is found once.
         heard_after = self.clock.monotonic() - self.peer_timeout_s
-        reports = self.last_reports
         return [
             entry
             for name, entry in self.listed.items()
-            if name in reports
-            and reports[name].takes_requests
-            and reports[name].received_at > heard_after
+            if self._takes_requests(name, heard_after)
         ]
 
     def has_regained(self, now: float) -> bool:
@@ -177,10 +174,16 @@
 
     def is_serving(self, name: ids.InstanceId, now: float) -> bool:
         """Whether a peer is up and takes requests."""
+        return self._takes_requests(name, now - self.peer_timeout_s)
+
+    def _takes_requests(self, name: ids.InstanceId, heard_after: float) -> bool:
+        """Whether a peer was heard after a time and takes requests."""
         last_report = self.last_reports.get(name)
-        if last_report is None or not last_report.takes_requests:
-            return False
-        return self.is_alive(name, now)
+        return (
+            last_report is not None
+            and last_report.takes_requests
+            and last_report.received_at > heard_after
+        )
 
     def list_receivers(self, now: float) -> list[addresses.Address]:
         """Returns the addresses for a report to all peers.
--- a/tests/forwarding/test_removed_targets.py
+++ b/tests/forwarding/test_removed_targets.py
@@ -60,6 +60,18 @@
             if other != name
         )
 
+    def find_late(self, name: str) -> list[float]:
+        """Returns when requests reached a target too late.
+
+        Returns:
+            Seconds from `returned_at`, each beyond `SETTLE_S`.
+        """
+        return [
+            arrival.at - self.returned_at
+            for arrival in self.targets[name].arrivals
+            if arrival.at > self.returned_at + SETTLE_S
+        ]
+
     def find_return(self, router: str, since: float) -> float:
         """Returns when a router first asked for the target list again."""
         return min(
@@ -78,12 +90,6 @@
     async def _keep_entry(self, name: str) -> None:
         self.write_entry(self.targets[name])
 
-    def end_polls(self) -> None:
-        """Ends the open reads of all routers with empty responses."""
-        for topic in self.store.topics.values():
-            topic.changed.set()
-            topic.changed = asyncio.Event()
-
 
 def run(
     routers: int, scenario, fleet_class: type[RemovingFleet] = RemovingFleet
@@ -119,12 +125,7 @@
         fleet.returned_at = fleet.find_return("r0", healed_at)
 
     fleet = run(routers, scenario)
-    late = [
-        arrival.at - fleet.returned_at
-        for arrival in fleet.targets["t0"].arrivals
-        if arrival.at > fleet.returned_at + SETTLE_S
-    ]
-    assert late == []
+    assert fleet.find_late("t0") == []
     assert fleet.count_others("t0") > 0
 
 
@@ -145,12 +146,7 @@
         fleet.returned_at = fleet.find_return("r0", healed_at)
 
     fleet = run(routers, scenario, QuietFleet)
-    late = [
-        arrival.at - fleet.returned_at
-        for arrival in fleet.targets["t0"].arrivals
-        if arrival.at > fleet.returned_at + SETTLE_S
-    ]
-    assert late == []
+    assert fleet.find_late("t0") == []
     assert fleet.count_others("t0") > 0
 
 
@@ -341,12 +337,7 @@
         fleet.returned_at = fleet.find_return("r0", healed_at)
 
     fleet = run(routers, scenario)
-    late = [
-        arrival.at - fleet.returned_at
-        for arrival in fleet.targets["t0"].arrivals
-        if arrival.at > fleet.returned_at + SETTLE_S
-    ]
-    assert late == []
+    assert fleet.find_late("t0") == []
     assert fleet.count_others("t0") > 0
 
 
--- a/tests/forwarding/test_store_calls.py
+++ b/tests/forwarding/test_store_calls.py
@@ -65,6 +65,10 @@
     def fail_store(self, is_down: bool) -> None:
         """Ends or resumes the answers of the store; open reads end, too."""
         self.store.set_faults({"is_down": is_down})
+        self.end_polls()
+
+    def end_polls(self) -> None:
+        """Ends the open reads of all routers."""
         for topic in self.store.topics.values():
             topic.changed.set()
             topic.changed = asyncio.Event()
