--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -21,8 +21,7 @@
 DECISION_INTERVAL_S = 0.02
 """Time between two periodic admission decisions of a router."""
 REPORT_INTERVAL_S = 0.1
-"""Time between two load reports of a router; suits a fleet of seven routers and
-is used for all fleet sizes."""
+"""Time between two load reports of a router in a fleet of seven, in seconds."""
 GUARANTEED_FRACTION = 0.5
 """The users guarantee about half of their engines' prefill capacity."""
 
@@ -37,12 +36,15 @@
         engines: number of engines, all in one pool.
         slots: slots of each engine.
         load: load relative to the users' initial deployments.
+        report_interval_s: time between two load reports of a router, in
+            seconds.
     """
 
     routers: int = 7
     engines: int = 6
     slots: int = 64
     load: float = 1.0
+    report_interval_s: float = REPORT_INTERVAL_S
 
 
 @dataclasses.dataclass(slots=True)
@@ -184,7 +186,9 @@
             )
         for index in range(len(self.routers)):
             self._schedule(
-                self.rng.uniform(0, REPORT_INTERVAL_S), self._send_report, index
+                self.rng.uniform(0, self.size.report_interval_s),
+                self._send_report,
+                index,
             )
             self._schedule(
                 self.rng.uniform(0, DECISION_INTERVAL_S),
@@ -210,13 +214,17 @@
         heapq.heappush(self.events, event)
 
     def _arrive(self, request: requests.Request, now: float) -> None:
+        index = self._choose_router(request)
+        self.router_by_request[request.request_id] = index
+        self.routers[index].enqueue(request, now)
+        self._decide(index, now)
+
+    def _choose_router(self, request: requests.Request) -> int:
         index = self.rng.randrange(len(self.routers))
         for rank in self.pattern.one_router:
             if request.workspace == f"w{rank}":
                 index = rank % len(self.routers)
-        self.router_by_request[request.request_id] = index
-        self.routers[index].enqueue(request, now)
-        self._decide(index, now)
+        return index
 
     def _decide(self, index: int, now: float) -> None:
         usable = [t for t in self.targets if t.name not in self.failed_engines]
@@ -355,22 +363,25 @@
         report = (index, loads, uses, placed, demand)
         self._schedule(now + NETWORK_DELAY_S, self._apply_report, report)
         if now < self.end:
-            self._schedule(now + REPORT_INTERVAL_S, self._send_report, index)
+            next_at = now + self.size.report_interval_s
+            self._schedule(next_at, self._send_report, index)
 
     def _apply_report(self, report, now: float) -> None:
-        sender, loads, uses, placed, demand = report
-        for index, router in enumerate(self.routers):
-            if index == sender:
-                continue
-            router.placer.loads.apply_report(f"router-{sender}", loads, now)
-            router.usage.apply_report(f"router-{sender}", uses, now)
-            router.placer.long_prompts.apply_report(
-                f"router-{sender}", demand, now
-            )
-            for part in placed:
-                sent_part = requests.Part(part.prefix, part.tokens)
-                router.placer.note_prompt_placed(part.target, (sent_part,), now)
-            self._decide(index, now)
+        sender = report[0]
+        for index in range(len(self.routers)):
+            if index != sender:
+                self._receive_report((index, report), now)
+
+    def _receive_report(self, item, now: float) -> None:
+        index, (sender, loads, uses, placed, demand) = item
+        router = self.routers[index]
+        router.placer.loads.apply_report(f"router-{sender}", loads, now)
+        router.usage.apply_report(f"router-{sender}", uses, now)
+        router.placer.long_prompts.apply_report(f"router-{sender}", demand, now)
+        for part in placed:
+            sent_part = requests.Part(part.prefix, part.tokens)
+            router.placer.note_prompt_placed(part.target, (sent_part,), now)
+        self._decide(index, now)
 
     def _decide_periodically(self, index: int, now: float) -> None:
         self._decide(index, now)
--- a/bench/overload/report.py
+++ b/bench/overload/report.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import dataclasses
 from typing import Any
 
 from hdrh import histogram as hdr
@@ -103,6 +104,61 @@
     return min_fraction
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """What a workspace and the best served one received in some seconds.
+
+    Attributes:
+        start_s: beginning of the window, in seconds.
+        asked: cost that the workspace asked for, without retries.
+        served: cost of its requests that were sent to an engine.
+        best_served: the same of the workspace that received most.
+    """
+
+    start_s: int
+    asked: float
+    served: float
+    best_served: float
+
+
+def list_windows(
+    outcomes: list[fleet_lib.Outcome], workspace: str, from_s: int
+) -> list[Window]:
+    """Returns each window of `FAIR_WINDOW_S` in which requests arrive.
+
+    Args:
+        outcomes: results of the requests.
+        workspace: the workspace that is compared with the best served one.
+        from_s: beginning of the first window, in seconds.
+    """
+    asked = collections.Counter()
+    served = collections.defaultdict(collections.Counter)
+    for outcome in outcomes:
+        request = outcome.arrival.request
+        cost = requests.estimate_cost(request)
+        if request.workspace == workspace:
+            asked[int(request.arrived_at)] += cost
+        if outcome.sent_at is not None:
+            served[request.workspace][int(outcome.sent_at)] += cost
+    last_second = max(int(o.arrival.request.arrived_at) for o in outcomes)
+    windows = []
+    for start in range(from_s, last_second - FAIR_WINDOW_S + 2):
+        seconds = range(start, start + FAIR_WINDOW_S)
+        sums = {
+            name: sum(costs[second] for second in seconds)
+            for name, costs in served.items()
+        }
+        windows.append(
+            Window(
+                start,
+                sum(asked[second] for second in seconds),
+                sums.get(workspace, 0.0),
+                max(sums.values()),
+            )
+        )
+    return windows
+
+
 def count_pauses(
     outcomes: list[fleet_lib.Outcome], bounds: tuple[int, ...]
 ) -> list[tuple[int, int]]:
