Take back the service of sends that nobody received anything from

Cause: what a router places counts as service, also if the send fails, and again when the request is sent anew. With 3,021 failed sends the sums exceeded what was asked for, the fair level became infinite, and no workspace was at or above its share for three seconds. Class: service is counted when it is planned and never compared with what happened.

The cost of a placed request is now taken back, decayed alike, if no event came.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -115,6 +115,24 @@
         served = self.served.setdefault(workspace, decayed.DecayingSum())
         served.add(cost, now, self.decay_s)
 
+    def note_unserved(
+        self,
+        workspace: ids.WorkspaceId,
+        cost: float,
+        placed_at: float,
+        now: float,
+    ) -> None:
+        """Takes back the service of a placed request that got no answer.
+
+        Args:
+            workspace: the workspace of the request.
+            cost: estimated cost of the request, in cost units.
+            placed_at: when it was added, monotonic seconds.
+            now: monotonic seconds.
+        """
+        decay = math.exp((placed_at - now) / self.decay_s)
+        self.note_served(workspace, -cost * decay, now)
+
     def apply_report(
         self,
         peer: ids.InstanceId,
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -206,6 +206,22 @@
             request_id, True, self.clock.monotonic()
         )
 
+    def note_unserved(
+        self, request: requests.Request, placed_at: float
+    ) -> None:
+        """Records that a target sent nothing for a request.
+
+        Args:
+            request: the request.
+            placed_at: when it was placed at the target, monotonic seconds.
+        """
+        self.usage.note_unserved(
+            request.workspace,
+            requests.estimate_cost(request),
+            placed_at,
+            self.clock.monotonic(),
+        )
+
     def note_end(self, request_id: str) -> None:
         """Records that a request has left its target, given by its ID."""
         now = self.clock.monotonic()
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/forwarder.py
@@ -199,9 +199,12 @@
                 await self._end_refused(decision)
                 return
             self.is_paced = decision.is_paced
+            placed_at = self.clock.monotonic()
             outcome = await self._send(decision.placement)
             if outcome.result is progress_lib.SendResult.DONE:
                 return
+            if self.progress.first_event_s is None:
+                self.dispatcher.note_unserved(self.request, placed_at)
             if not self._may_retry(outcome):
                 await self._end_failed(outcome)
                 return
