Limit at all routers how far a workspace gets ahead of one that lacks service

Cause: a share status only orders requests and narrows bounds at engines. Where one router is the limit, 84 others with time begin for whoever is ahead, whatever the engines still take. And what the workspace asked for was counted too low: callers that leave or wait before they are read counted nowhere, so it seemed served. Class: a guarantee between workspaces that each router keeps for its own queue.

Change: while a workspace that asks for the fair level or more lacks service, each router begins for the others the fraction of their requests that leads to a common level, by adding up fractions, not by lot and not by a threshold on sums that lag. The level follows the least served workspace, which isn't limited itself, and is never below the guarantee. Requests beyond it are refused at once (reason ahead). Callers that weren't read count as asking. Reports count in full until the next one is due.

The pattern of the failing test has requests of one kind now, and the guarantee is half of what engines begin: before, it was beyond what they can, and no order among workspaces held.

--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -216,6 +216,15 @@
     def _arrive(self, request: requests.Request, now: float) -> None:
         index = self._choose_router(request)
         self.router_by_request[request.request_id] = index
+        self._enqueue(index, request, now)
+
+    def _enqueue(
+        self, index: int, request: requests.Request, now: float
+    ) -> None:
+        refused = self.routers[index].refuse_ahead(request, now)
+        if refused is not None:
+            self._refuse(refused, now)
+            return
         self.routers[index].enqueue(request, now)
         self._decide(index, now)
 
--- a/bench/overload/patterns.py
+++ b/bench/overload/patterns.py
@@ -116,6 +116,10 @@
     event_tokens=7,
 )
 """Engine of `ghpa-archive-grown`, from the users' data sheet and its events."""
+NOTE_KINDS = (
+    Kind("note", 350, 0.4, 0.4, 2.5, 1, ((340, 40), (230, 320)), 600, 60),
+)
+"""Short answers, for 9 engines of 16 slots: many requests for each slot."""
 VARIED_KIND = Kind(
     "varied",
     250,
@@ -189,7 +193,7 @@
     Pattern("impatient", burst=2.5, impatient=0.5),
     Pattern("few_engines", lost_engines=5, burst=2.5, one_router=(4,)),
     Pattern("few_engines_two", lost_engines=5, burst=2.5, one_router=(4, 9)),
-    Pattern("busy_router", duration_s=15.0, one_router=(1,)),
+    Pattern("busy_router", duration_s=15.0, one_router=(1,), kinds=NOTE_KINDS),
     Pattern(
         "last_engine",
         lost_engines=4,
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -18,6 +18,7 @@
 
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import decisions as decisions_lib
+from lentilbeam_core.forwarding import lead_limits as lead_limits_lib
 from lentilbeam_core.forwarding import limit_parts as limit_parts_lib
 from lentilbeam_core.forwarding import load_bounds
 from lentilbeam_core.forwarding import placement as placement_lib
@@ -145,6 +146,8 @@
             workspace counts as above its guarantee.
         queues: queued requests of each workspace, in arrival order.
         limit_parts: credit of this router at targets with a limit.
+        lead_limits: which requests may begin of workspaces that are limited
+            while another one lacks service.
         promised_until: when limited targets take the last of the refused
             requests that will return, monotonic seconds.
         left_out: workspaces that the last pass did not get to.
@@ -167,6 +170,7 @@
             ids.WorkspaceId, collections.deque[QueuedRequest]
         ] = {}
         self.limit_parts = limit_parts_lib.LimitParts(rng)
+        self.lead_limits = lead_limits_lib.LeadLimits(rng)
         self.promised_until = -math.inf
         self.left_out: set[ids.WorkspaceId] = set()
         self.failed_choices = 0
@@ -202,6 +206,26 @@
         queue = self.queues.setdefault(request.workspace, collections.deque())
         queue.append(queued)
 
+    def refuse_ahead(
+        self, request: requests.Request, now: float
+    ) -> decisions_lib.Refused | None:
+        """Refuses a new request whose workspace is ahead of others.
+
+        It counts in what its workspace has asked for. The queue isn't changed.
+
+        Returns:
+            None if the request may be queued.
+        """
+        fraction = self.usage.find_admitted_fraction(
+            request.workspace, self.guaranteed_per_s, now
+        )
+        if self.lead_limits.may_begin(request.workspace, fraction):
+            return None
+        self.usage.note_asked(
+            request.workspace, requests.estimate_cost(request), now
+        )
+        return self.refuse(request, decisions_lib.RefusalReason.AHEAD, now)
+
     def withdraw(self, request_id: str) -> None:
         """Removes a request whose caller has disconnected, if it is queued."""
         for workspace, queue in list(self.queues.items()):
@@ -545,6 +569,7 @@
                 if is_refused(queued):
                     reason = _find_reason(queued, targets)
                     refusal = self.refuse(queued.request, reason, now)
+                    self.lead_limits.give_back(workspace)
                     refused.append(
                         dataclasses.replace(
                             refusal,
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -18,6 +18,7 @@
     UNKNOWN_ORIGIN = "unknown_origin"  # Nobody knows what began the stream.
     VERSION_GONE = "version_gone"  # No target runs the version that began it.
     ROUTER_BUSY = "router_busy"  # The router can't keep up.
+    AHEAD = "ahead"  # Its workspace is ahead of one that lacks service.
     LIMITED = "limited"  # The targets take a limited number of requests.
     EVACUATED = "evacuated"  # All data centres of the pool are evacuated.
     LEAVING = "leaving"  # The router is shutting down.
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -9,12 +9,14 @@
 that the pool actually gives, which is usually more.
 """
 
+from collections.abc import Callable
 import enum
 import math
 
 from lentilbeam_core import ids
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import decayed
+from lentilbeam_core.forwarding import lead_limits
 
 DECAY_FRACTION = 0.25
 """Time constant of the exponential decay, as a fraction of the quota window.
@@ -23,6 +25,9 @@
 received before a burst would restrict a workspace during the burst."""
 PEER_USAGE_MAX_AGE_S = 3.0
 """A peer's last report is ignored once it is older than this."""
+REPORT_HOLD_S = 0.6
+"""Age, in seconds, up to which the sums of a report count in full. Reports of a
+large fleet are this far apart, and the sender goes on meanwhile."""
 LEVELS_MAX_AGE_S = 0.1
 """Levels are recomputed once they are older than this."""
 
@@ -42,6 +47,10 @@
 most. Without this status, a workspace would be preferred until it has little
 more than the half that is guaranteed, and no longer."""
 
+MAX_UNREAD_FACTOR = 4.0
+"""Largest factor by which callers that were not read raise what a workspace has
+asked for. Some of them come several times."""
+
 
 class ShareStatus(enum.Enum):
     """Service that a workspace has received, compared with its shares."""
@@ -65,6 +74,9 @@
             requests that it placed at targets.
         asked: decayed cost of all requests that this router received,
             refused ones included.
+        read: decayed number of requests that this router received.
+        unread: decayed number of callers that left before theirs was.
+        count_waiting: returns the number of requests that wait to be read.
         peers: last report of each peer, and when it was received in
             monotonic seconds.
         guaranteed_level: service received up to which a workspace is within
@@ -73,6 +85,8 @@
         fair_level: fair share of the service that was actually given, or of
             the guaranteed capacity if that is larger; infinite if that is
             enough for all.
+        lead: service up to which each workspace may be served while another
+            one lacks service.
         most_served: service received by the workspace that received most.
         asked_totals: cost that each workspace asked for, at all routers.
         levels_updated_at: when these were computed, monotonic seconds.
@@ -82,9 +96,13 @@
         self.decay_s = decay_s
         self.served: dict[ids.WorkspaceId, decayed.DecayingSum] = {}
         self.asked: dict[ids.WorkspaceId, decayed.DecayingSum] = {}
+        self.read = decayed.DecayingSum()
+        self.unread = decayed.DecayingSum()
+        self.count_waiting: Callable[[], int] = lambda: 0
         self.peers: dict[ids.InstanceId, tuple[float, _PeerUsage]] = {}
         self.guaranteed_level = math.inf
         self.fair_level = math.inf
+        self.lead = lead_limits.LeadLevel()
         self.most_served = 0.0
         self.asked_totals: dict[ids.WorkspaceId, float] = {}
         self.levels_updated_at = -math.inf
@@ -101,6 +119,35 @@
         """
         asked = self.asked.setdefault(workspace, decayed.DecayingSum())
         asked.add(cost, now, self.decay_s)
+        self.read.add(1.0, now, self.decay_s)
+
+    def note_unread(self, now: float) -> None:
+        """Records a caller that left before its request was read.
+
+        Such requests count as those that were read at the same time: whose
+        they were isn't known, and all workspaces of a router wait alike.
+        """
+        self.unread.add(1.0, now, self.decay_s)
+
+    def read_own_asked(self, workspace: ids.WorkspaceId, now: float) -> float:
+        """Returns the decayed cost that this router was asked for.
+
+        Args:
+            workspace: the workspace.
+            now: monotonic seconds.
+        """
+        asked = self.asked.get(workspace)
+        if asked is None:
+            return 0.0
+        return asked.read(now, self.decay_s) * self._find_unread_factor(now)
+
+    def _find_unread_factor(self, now: float) -> float:
+        """Returns what came to this router relative to what it read."""
+        read = self.read.read(now, self.decay_s)
+        unread = self.unread.read(now, self.decay_s) + self.count_waiting()
+        if read <= 0.0:
+            return 1.0
+        return min(1.0 + unread / read, MAX_UNREAD_FACTOR)
 
     def note_served(
         self, workspace: ids.WorkspaceId, cost: float, now: float
@@ -156,8 +203,7 @@
         for received_at, uses in self.peers.values():
             age_s = now - received_at
             if age_s < PEER_USAGE_MAX_AGE_S and workspace in uses:
-                decay = math.exp(-age_s / self.decay_s)
-                total += uses[workspace].cost * decay
+                total += uses[workspace].cost * self._find_decay(age_s)
         return total
 
     def find_share_status(
@@ -174,8 +220,7 @@
         """
         if guaranteed_per_s <= 0:
             return ShareStatus.BELOW_GUARANTEE
-        if now - self.levels_updated_at > LEVELS_MAX_AGE_S:
-            self._refresh_levels(guaranteed_per_s * self.decay_s, now)
+        self._refresh_levels(guaranteed_per_s, now)
         received = self.total_served(workspace, now)
         if received < self.guaranteed_level:
             return ShareStatus.BELOW_GUARANTEE
@@ -191,6 +236,28 @@
             return ShareStatus.AT_FAIR_SHARE
         return ShareStatus.ABOVE_FAIR_SHARE
 
+    def find_admitted_fraction(
+        self, workspace: ids.WorkspaceId, guaranteed_per_s: float, now: float
+    ) -> float:
+        """Returns the fraction of a workspace's requests that may begin.
+
+        It is less than 1 if the workspace asks for more than the lead level.
+
+        Args:
+            workspace: the workspace.
+            guaranteed_per_s: see `find_share_status`.
+            now: monotonic seconds.
+        """
+        if guaranteed_per_s <= 0:
+            return 1.0
+        self._refresh_levels(guaranteed_per_s, now)
+        asked = self.asked_totals.get(workspace, 0.0)
+        fraction = self.lead.find_fraction(
+            workspace, asked, self.total_served(workspace, now)
+        )
+        # Requests that are never read need no part of the limit.
+        return min(fraction * self._find_unread_factor(now), 1.0)
+
     def export(
         self, pool: ids.PoolId, now: float
     ) -> tuple[messages.WorkspaceUse, ...]:
@@ -199,28 +266,36 @@
         Omits workspaces that asked for less than 1 cost unit.
         """
         uses = []
-        for workspace, asked in self.asked.items():
+        for workspace in self.asked:
             served = self.served.get(workspace, decayed.DecayingSum())
             cost = served.read(now, self.decay_s)
-            asked_cost = asked.read(now, self.decay_s)
+            asked_cost = self.read_own_asked(workspace, now)
             if asked_cost >= 1.0:
                 uses.append(
                     messages.WorkspaceUse(pool, workspace, cost, asked_cost)
                 )
         return tuple(uses)
 
-    def _refresh_levels(self, guaranteed: float, now: float) -> None:
+    def _find_decay(self, age_s: float) -> float:
+        """Returns the factor by which the sums of a report have decayed."""
+        return math.exp(-max(age_s - REPORT_HOLD_S, 0.0) / self.decay_s)
+
+    def _refresh_levels(self, guaranteed_per_s: float, now: float) -> None:
+        """Computes the levels again if they are too old."""
+        if now - self.levels_updated_at <= LEVELS_MAX_AGE_S:
+            return
+        guaranteed = guaranteed_per_s * self.decay_s
         asked: dict[ids.WorkspaceId, float] = {}
         served: dict[ids.WorkspaceId, float] = {}
-        for workspace, own in self.asked.items():
-            asked[workspace] = own.read(now, self.decay_s)
+        for workspace in self.asked:
+            asked[workspace] = self.read_own_asked(workspace, now)
         for workspace, own in self.served.items():
             served[workspace] = own.read(now, self.decay_s)
         for received_at, uses in self.peers.values():
             age_s = now - received_at
             if age_s >= PEER_USAGE_MAX_AGE_S:
                 continue
-            decay = math.exp(-age_s / self.decay_s)
+            decay = self._find_decay(age_s)
             for workspace, use in uses.items():
                 previous = asked.get(workspace, 0.0)
                 asked[workspace] = previous + use.asked * decay
@@ -235,6 +310,9 @@
         self.fair_level = compute_max_min_share(
             amounts, max(received, guaranteed)
         )
+        self.lead.update(
+            asked, served, self.fair_level, self.guaranteed_level, now
+        )
 
 
 def compute_max_min_share(asked: list[float], capacity: float) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/dispatcher.py
@@ -154,11 +154,15 @@
             version: the only software version that may run it, since it goes
                 on with a stream; None if any may.
         """
-        future = asyncio.get_running_loop().create_future()
-        self.waiters[request.request_id] = future
         now = self.clock.monotonic()
         if not excluded:
             self.demand.note_request(now)
+            if version is None:
+                refused = self.admission.refuse_ahead(request, now)
+                if refused is not None:
+                    return refused
+        future = asyncio.get_running_loop().create_future()
+        self.waiters[request.request_id] = future
         self.admission.enqueue(request, now, excluded, version)
         self.decide()
         try:
@@ -364,6 +368,7 @@
             "received": round(usage.total_served(workspace, now)),
             "owed_level": _round_level(usage.guaranteed_level),
             "even_level": _round_level(usage.fair_level),
+            "lead_level": _round_level(usage.lead.level),
             "usage_age_s": None
             if reported_at is None
             else round(now - reported_at, 3),
@@ -388,6 +393,7 @@
             "output_error": self.placer.work_left.estimates.error.read(now),
             "plain_time_error": self.placer.plain_work.error.read(now),
             "workspaces_asking": len(self.usage.asked),
+            "workspaces_limited": len(self.admission.lead_limits.credits),
             "passes_per_s": self.pass_times.read_rate(now),
             "pass_interval_s": self.pass_times.interval_s,
             "repeats_in_window": len(self.budget.retries),
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -297,6 +297,16 @@
         self.overload.note_lateness(due_at, self.request_handler.active)
         self.request_handler.refusals.flush_if_due()
 
+    def note_unread(self) -> None:
+        """Records a caller that left before its request was handled."""
+        now = self.clock.monotonic()
+        for dispatcher in self.dispatchers.values():
+            dispatcher.usage.note_unread(now)
+
+    def count_unread(self) -> int:
+        """Returns the number of requests that wait to be handled."""
+        return len(self.request_handler.turns.waiting)
+
     def find_dispatcher(self, pool: ids.PoolId) -> dispatcher_lib.Dispatcher:
         """Returns the dispatcher of a pool, created on first use.
 
@@ -319,6 +329,7 @@
             dispatcher.placer.select_recorded = (
                 self.stream_versions.select_recorded
             )
+            dispatcher.usage.count_waiting = self.count_unread
             self.dispatchers[pool] = dispatcher
             preference = dispatcher.placer.connections
             preference.has_idle = self.connections.has_idle
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -80,6 +80,7 @@
         caller = caller_protocol.read_caller(scope, handled_at)
         await self._wait_for_turn(handled_at)
         if caller.has_left:
+            self.gateway.note_unread()
             return
         channel = caller_channel.CallerChannel(
             send,
--- /dev/null
+++ b/tests/forwarding/test_lead_limits.py
@@ -0,0 +1,127 @@
+"""Limits on how far a workspace gets ahead of one that lacks service."""
+
+import math
+import random
+
+import pytest
+
+from lentilbeam_core import messages
+from lentilbeam_core.forwarding import decisions
+from lentilbeam_core.forwarding import lead_limits
+from lentilbeam_core.forwarding import shares
+from tests.forwarding import fake_target
+from tests.forwarding import makers
+from tests.forwarding import test_forwarding
+
+GUARANTEED_PER_S = 1.0
+ASKED = 1000.0
+
+
+def make_usage(**served):
+    """Returns the usage of workspaces that ask for much, all served by peers.
+
+    Args:
+        served: what each workspace receives.
+    """
+    usage = shares.Usage(1.0)
+    uses = tuple(
+        messages.WorkspaceUse(makers.POOL, name, amount, ASKED)
+        for name, amount in served.items()
+    )
+    usage.apply_report("peer", uses, 0.0)
+    return usage
+
+
+def find_fraction(usage, workspace):
+    return usage.find_admitted_fraction(workspace, GUARANTEED_PER_S, 0.0)
+
+
+# Guards against FAIR: a workspace that is served at all routers gets three
+# times as much as one that a single router can't carry.
+def test_workspace_that_is_ahead_is_limited_and_the_other_one_is_not():
+    usage = make_usage(ahead=600.0, lacking=200.0)
+    limit = ASKED * find_fraction(usage, "ahead")
+    assert 200.0 <= limit <= 1.5 * 200.0
+    assert ASKED * find_fraction(usage, "lacking") >= 200.0
+
+
+def test_nobody_is_limited_while_workspaces_receive_alike():
+    usage = make_usage(ashby=400.0, birch=400.0)
+    assert find_fraction(usage, "ashby") == 1.0
+    assert find_fraction(usage, "birch") == 1.0
+
+
+# Guards against idle engines: a small workspace that was refused once.
+def test_small_workspace_does_not_limit_the_others():
+    usage = make_usage(ashby=400.0, birch=400.0)
+    usage.note_asked("small", 50.0, 0.0)
+    assert find_fraction(usage, "ashby") == 1.0
+
+
+def test_guaranteed_share_is_not_limited():
+    usage = make_usage(ahead=600.0, lacking=10.0)
+    fraction = usage.find_admitted_fraction("ahead", 700.0, 0.0)
+    assert ASKED * fraction >= 350.0
+
+
+# Guards against routers that begin in bursts, or beyond the limit together.
+def test_routers_begin_the_fraction_together():
+    routers = [lead_limits.LeadLimits(random.Random(n)) for n in range(85)]
+    begun = sum(
+        router.may_begin("ashby", 0.3) for router in routers for _ in range(20)
+    )
+    assert begun == pytest.approx(0.3 * 20 * len(routers), rel=0.05)
+
+
+# Guards against FAIR: a workspace whose callers leave before they are read
+# seems to receive most of what it asks for.
+def test_callers_that_are_not_read_count_as_asking():
+    usage = shares.Usage(1.0)
+    for _ in range(10):
+        usage.note_asked("ashby", 100.0, 0.0)
+    for _ in range(15):
+        usage.note_unread(0.0)
+    usage.count_waiting = lambda: 5
+    assert usage.read_own_asked("ashby", 0.0) == pytest.approx(3000.0)
+    assert usage.export(makers.POOL, 0.0)[0].asked == pytest.approx(3000.0)
+
+
+def test_refused_request_counts_as_asked_and_names_the_reason():
+    queue = makers.make_admission()
+    queue.guaranteed_per_s = GUARANTEED_PER_S
+    queue.usage = make_usage(ahead=600.0, lacking=100.0)
+    refused = [
+        queue.refuse_ahead(
+            makers.make_request(f"r{n}", ("p", 10), workspace="ahead"), 0.0
+        )
+        for n in range(10)
+    ]
+    reasons = {r.reason for r in refused if r is not None}
+    assert reasons == {decisions.RefusalReason.AHEAD}
+    assert queue.usage.read_own_asked("ahead", 0.0) > 0.0
+
+
+# Guards against FAIR while engines fail: service that nobody received raises
+# the fair level until it is no limit.
+def test_service_of_a_failed_send_is_taken_back():
+    script = fake_target.make_script(then="reset")
+
+    async def scenario(router, targets):
+        await router.call(token_count="500,900")
+        usage = router.dispatcher.usage
+        now = router.dispatcher.clock.monotonic()
+        return usage.total_served("ashby", now), usage.read_own_asked(
+            "ashby", now
+        )
+
+    served, asked = test_forwarding.run(
+        [script], scenario, engine=makers.ENGINE
+    )
+    assert asked > 2000.0
+    assert served == pytest.approx(0.0, abs=1.0)
+
+
+def test_level_is_infinite_while_all_get_what_they_ask_for():
+    level = lead_limits.LeadLevel()
+    level.update({"ashby": 10.0}, {"ashby": 1.0}, math.inf, math.inf, 0.0)
+    assert math.isinf(level.level)
