--- a/bench/overload/busy_fleet.py
+++ b/bench/overload/busy_fleet.py
@@ -54,7 +54,6 @@
         overloads: what each router decides by its lateness and load.
         next_pass_at: earliest time of each router's next pass, in seconds.
         has_pass_timer: whether each router's next pass is scheduled.
-        refused_as_busy: number of requests that routers were too busy for.
     """
 
     def __init__(
@@ -90,7 +89,6 @@
         ]
         self.next_pass_at = [0.0] * len(self.routers)
         self.has_pass_timer = [False] * len(self.routers)
-        self.refused_as_busy = 0
 
     def run(self, seed: int) -> list[fleet_lib.Outcome]:
         """Simulates the pattern; returns the results of all requests."""
@@ -99,10 +97,6 @@
             self._schedule(at, self._tick, (index, at))
         return super().run(seed)
 
-    def count_unanswered(self, outcomes: list[fleet_lib.Outcome]) -> int:
-        """Returns how many requests were neither sent nor refused."""
-        return sum(o.sent_at is None and not o.refusals for o in outcomes)
-
     def _add_work(self, index: int, cost_s: float, action, argument, now):
         """Queues work of a router that goes before new requests."""
         work = processor_lib.Work(cost_s, action, argument)
@@ -210,7 +204,6 @@
         if overload.is_too_late_for(
             seen, has_had_share
         ) or not overload.can_finish(seen):
-            self.refused_as_busy += 1
             router.usage.note_asked(
                 request.workspace, requests.estimate_cost(request), now
             )
