--- a/bench/overload/busy_fleet.py
+++ b/bench/overload/busy_fleet.py
@@ -21,9 +21,6 @@
 from lentilbeam_router.forwarding import dispatcher
 from lentilbeam_router.forwarding import overload as overload_lib
 
-GUARANTEED_FRACTION = 0.25
-"""Guaranteed service as a fraction of the engines' prefill rate. Engines with
-few slots begin about twice as much, as on the users' deployments."""
 TICK_S = 0.04
 """Time between two timers by which a router measures its lateness."""
 MAX_UNREAD_S = 1.0
@@ -65,10 +62,6 @@
         seed: int,
     ):
         super().__init__(pattern, policy, size, seed)
-        for router in self.routers:
-            router.guaranteed_per_s *= (
-                GUARANTEED_FRACTION / fleet_lib.GUARANTEED_FRACTION
-            )
         self.clock = clock_lib.ManualClock(clock_lib.SystemClock().now())
         self.started_at = self.clock.monotonic()
         log = decision_log.DecisionLog(
--- a/bench/overload/fleet.py
+++ b/bench/overload/fleet.py
@@ -38,6 +38,8 @@
         load: load relative to the users' initial deployments.
         report_interval_s: time between two load reports of a router, in
             seconds.
+        guaranteed_fraction: guaranteed service as a fraction of the engines'
+            prefill rate.
     """
 
     routers: int = 7
@@ -45,6 +47,7 @@
     slots: int = 64
     load: float = 1.0
     report_interval_s: float = REPORT_INTERVAL_S
+    guaranteed_fraction: float = GUARANTEED_FRACTION
 
 
 @dataclasses.dataclass(slots=True)
@@ -155,7 +158,7 @@
             policies.build_admission(
                 policy,
                 self.settings,
-                prefill_tokens_per_s * GUARANTEED_FRACTION,
+                prefill_tokens_per_s * size.guaranteed_fraction,
                 min(kind.gap_s for kind in pattern.kinds),
                 self.rng,
             )
--- a/bench/overload/patterns.py
+++ b/bench/overload/patterns.py
@@ -193,7 +193,10 @@
     Pattern("impatient", burst=2.5, impatient=0.5),
     Pattern("few_engines", lost_engines=5, burst=2.5, one_router=(4,)),
     Pattern("few_engines_two", lost_engines=5, burst=2.5, one_router=(4, 9)),
-    Pattern("busy_router", duration_s=15.0, one_router=(1,), kinds=NOTE_KINDS),
+    Pattern("busy_router", duration_s=15.0, one_router=(1,)),
+    Pattern(
+        "busy_router_notes", duration_s=15.0, one_router=(1,), kinds=NOTE_KINDS
+    ),
     Pattern(
         "last_engine",
         lost_engines=4,
