Add failing tests of fair shares at routers that are short of something

The tests state the operators' promise for a workspace at a router that is short of engines, processor time or memory, and what a router counts as asked for. The emulated router gets a limit on the requests that it holds, and refuses beyond it without counting them, as the router does.

--- a/bench/overload/busy_fleet.py
+++ b/bench/overload/busy_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import os
 
 from bench.overload import fleet as fleet_lib
@@ -35,8 +36,11 @@
         size: dimensions of the fleet.
         core_share: share of a core of each router.
         seed: seed of the random number generator.
+        max_requests: number of requests that the memory of a router holds;
+            infinite if it doesn't limit them.
 
     Attributes:
+        held: requests that each router holds.
         processors: processor of each router.
         overloads: what each router decides by its lateness and load.
         next_pass_at: earliest time of each router's next pass, in seconds.
@@ -50,8 +54,11 @@
         size: fleet_lib.FleetSize,
         core_share: float,
         seed: int,
+        max_requests: float = math.inf,
     ):
         super().__init__(pattern, policy, size, seed)
+        self.max_requests = max_requests
+        self.held: list[set[str]] = [set() for _ in self.routers]
         self.clock = clock_lib.ManualClock(clock_lib.SystemClock().now())
         self.started_at = self.clock.monotonic()
         log = decision_log.DecisionLog(
@@ -171,6 +178,11 @@
         index = self.router_by_request[request.request_id]
         router = self.routers[index]
         overload = self.overloads[index]
+        if len(self.held[index]) >= self.max_requests:
+            reason = decisions_lib.RefusalReason.ROUTER_BUSY
+            self._refuse(router.refuse(request, reason, now), now)
+            return
+        self.held[index].add(request.request_id)
         # The decisions use the clock, which does not begin at 0.
         seen = dataclasses.replace(
             request,
@@ -252,8 +264,16 @@
         if refused.reason is not decisions_lib.RefusalReason.ROUTER_BUSY:
             index = self.router_by_request[refused.request.request_id]
             self.overloads[index].load.note_ended(self.clock.monotonic())
+        self._forget_held(refused.request.request_id)
         super()._refuse(refused, now)
 
+    def _release(self, name: str, now: float) -> None:
+        self._forget_held(name)
+        super()._release(name, now)
+
+    def _forget_held(self, name: str) -> None:
+        self.held[self.router_by_request[name]].discard(name)
+
     def _add_event(
         self, request: requests.Request, action, argument, now
     ) -> None:
--- a/tests/forwarding/test_accept_control.py
+++ b/tests/forwarding/test_accept_control.py
@@ -54,7 +54,7 @@
 
 
 @contextlib.asynccontextmanager
-async def listen(overload, app):
+async def listen(overload, app, note_left=lambda: None):
     """Serves callers with accept control; yields control and address."""
     clock = clock_lib.SystemClock()
     times = poll_times.PollTimes(clock.monotonic())
@@ -65,6 +65,7 @@
         None,
         types.SimpleNamespace(read=read_early),
     )
+    control.note_left = note_left
     sock = listening.open_socket(addresses.Address("127.0.0.1", 0))
     server = listening.build_server(app, times, control)
     serving = asyncio.create_task(server.serve(sockets=[sock]))
@@ -76,13 +77,14 @@
         await serving
 
 
-def run_callers(overload, callers, leaving=0):
+def run_callers(overload, callers, leaving=0, note_left=lambda: None):
     """Returns the control, the scopes, and when the requests were sent.
 
     Args:
         overload: the decisions.
         callers: number of callers that send a request.
         leaving: how many of these leave before the router reads anything.
+        note_left: called for each that the router finds to have left.
     """
     scopes = []
 
@@ -92,7 +94,7 @@
         await send({"type": "http.response.body"})
 
     async def scenario():
-        async with listen(overload, app) as (control, address):
+        async with listen(overload, app, note_left) as (control, address):
             sockets = [
                 socket.create_connection(address) for _ in range(callers)
             ]
