Count requests refused for memory, and callers left unread, as asked for

Cause: such a request was refused before its workspace was known, and callers that left the accept queue were counted in a gauge only. What the workspace asked for looked little more than what it got, so that no status or limit of the fleet saw it lacking. The head has its key and its size. A request that isn't allowed is denied, not told to come back.

--- a/bench/overload/busy_fleet.py
+++ b/bench/overload/busy_fleet.py
@@ -23,6 +23,11 @@
 
 TICK_S = 0.04
 """Time between two timers by which a router measures its lateness."""
+NOT_BEGUN_REASONS = (
+    decisions_lib.RefusalReason.ROUTER_BUSY,
+    decisions_lib.RefusalReason.MEMORY,
+)
+"""Why requests are refused that the router didn't count as begun."""
 MIN_LEFT_S = 0.1
 """Callers that have less time left do not send a request, in seconds."""
 
@@ -179,8 +184,8 @@
         router = self.routers[index]
         overload = self.overloads[index]
         if len(self.held[index]) >= self.max_requests:
-            reason = decisions_lib.RefusalReason.ROUTER_BUSY
-            self._refuse(router.refuse(request, reason, now), now)
+            reason = decisions_lib.RefusalReason.MEMORY
+            self._refuse(router.refuse_new(request, reason, now), now)
             return
         self.held[index].add(request.request_id)
         # The decisions use the clock, which does not begin at 0.
@@ -261,7 +266,7 @@
         super()._end(job, now)
 
     def _refuse(self, refused: decisions_lib.Refused, now: float) -> None:
-        if refused.reason is not decisions_lib.RefusalReason.ROUTER_BUSY:
+        if refused.reason not in NOT_BEGUN_REASONS:
             index = self.router_by_request[refused.request.request_id]
             self.overloads[index].load.note_ended(self.clock.monotonic())
         self._forget_held(refused.request.request_id)
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/decisions.py
@@ -19,6 +19,7 @@
     VERSION_GONE = "version_gone"  # No target runs the version that began it.
     UNSTARTABLE = "unstartable"  # No target runs the version to begin at.
     ROUTER_BUSY = "router_busy"  # The router can't keep up.
+    MEMORY = "memory"  # The router has no memory for its body.
     AHEAD = "ahead"  # Its workspace is ahead of one that lacks service.
     LIMITED = "limited"  # The targets take a limited number of requests.
     EVACUATED = "evacuated"  # All data centres of the pool are evacuated.
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/accept_control.py
@@ -91,6 +91,7 @@
         sock: the listening socket; None before `start` and after `stop`.
         backlog: length of its accept queue.
         left: connections that were closed because their callers had left.
+        note_left: called for each of them.
     """
 
     def __init__(
@@ -113,6 +114,7 @@
         self.sock: socket.socket | None = None
         self.backlog = BACKLOG
         self.left = 0
+        self.note_left: Callable[[], None] = lambda: None
         self._build_protocol: BuildProtocol | None = None
         self._opening: set[asyncio.Task] = set()
 
@@ -226,6 +228,7 @@
             state = Unread(has_left=False, age_s=0.0)
         if state.has_left:
             self.left += 1
+            self.note_left()
             connection.close()
             return Outcome.LEFT
         unread_since = began_at - state.age_s
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/caller_channel.py
@@ -13,6 +13,7 @@
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 BuildOwnHeaders = Callable[[str, float | None], wire_lib.RawHeaders]
+BeforeEnd = Callable[[], Awaitable[None]]
 
 
 class ResponseAbortedError(Exception):
@@ -101,7 +102,7 @@
         self,
         status: int,
         retry_after_s: float | None = None,
-        before_end: Callable[[], Awaitable[None]] | None = None,
+        before_end: BeforeEnd | None = None,
     ) -> None:
         """Sends a whole response with an empty body.
 
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway.py
@@ -215,6 +215,7 @@
             early_refusal.EarlyRefusal(codec, self),
             self.callers,
         )
+        self.accept_control.note_left = self.note_unread
 
     @property
     def is_ready(self) -> bool:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/request_handler.py
@@ -9,6 +9,7 @@
 
 from lentilbeam_core import clock as clock_lib
 from lentilbeam_core.forwarding import configuration
+from lentilbeam_core.forwarding import decisions as decisions_lib
 from lentilbeam_core.forwarding import request_identity
 from lentilbeam_core.forwarding import requests
 from lentilbeam_router import caller_protocol
@@ -21,9 +22,6 @@
 from lentilbeam_router.forwarding import turns as turns_lib
 from lentilbeam_router.forwarding import wire as wire_lib
 
-MEMORY_RETRY_RANGE_S = (0.25, 0.7)
-"""Shortest and longest `Retry-After`, in seconds, while the memory budget is
-spent; as for other refusals."""
 NO_CONFIGURATION_RETRY_S = 0.5
 """`Retry-After`, in seconds, while the router has no configuration. It has
 usually read one by then."""
@@ -99,7 +97,12 @@
         )
         try:
             body = await self._read_body(
-                scope, receive, channel, request_head, reservation
+                scope,
+                receive,
+                channel,
+                request_head,
+                reservation,
+                caller.arrived_after,
             )
             if body is not None:
                 await self._serve_body(
@@ -126,7 +129,7 @@
         arrived_at = caller.arrived_after
         request = await self._build_request(
             request_head,
-            body,
+            len(body),
             channel,
             arrived_at,
             handled_at - arrived_at,
@@ -181,10 +184,11 @@
     async def _build_request(
         self,
         request_head: wire_lib.RequestHead,
-        body: bytes,
+        body_bytes: int,
         channel: caller_channel.CallerChannel,
         arrived_at: float,
         unread_s: float,
+        before_end: caller_channel.BeforeEnd | None = None,
     ) -> requests.Request | None:
         """Returns the request to forward; None if a response was sent.
 
@@ -193,15 +197,17 @@
         """
         try:
             return request_builder.build(
-                self.gateway, request_head, len(body), arrived_at, unread_s
+                self.gateway, request_head, body_bytes, arrived_at, unread_s
             )
         except request_builder.NoConfigurationError:
             self.log.write_request_event(
                 request_head.request_id, "refused", reason="no_configuration"
             )
-            await channel.respond(503, NO_CONFIGURATION_RETRY_S)
+            await channel.respond(503, NO_CONFIGURATION_RETRY_S, before_end)
         except request_builder.DeniedError as error:
-            await self._deny(channel, error.status, error.reason, error.version)
+            await self._deny(
+                channel, error.status, error.reason, error.version, before_end
+            )
         return None
 
     async def _forward(
@@ -275,6 +281,7 @@
         channel: caller_channel.CallerChannel,
         request_head: wire_lib.RequestHead,
         reservation: body_reader.Reservation,
+        arrived_at: float,
     ) -> bytes | None:
         """Returns the whole request body; None if nothing is left to do."""
         limits = configuration.Limits()
@@ -299,32 +306,49 @@
             await self._deny(channel, 413, "body")
             return None
         except body_reader.NoMemoryError as error:
-            retry_after_s = self.gateway.rng.uniform(*MEMORY_RETRY_RANGE_S)
-            self.log.write_request_event(
-                request_head.request_id,
-                "refused",
-                reason="memory",
-                retry_after_s=round(retry_after_s, 2),
-                body=length,
-                used=reservation.budget.used_bytes,
-            )
-            self.metrics.count("request.refused")
             reservation.release()
-            await channel.respond(
-                503,
-                retry_after_s,
-                before_end=None
-                if error.is_read
-                else functools.partial(body_reader.discard_body, receive),
+            before_end = functools.partial(body_reader.discard_body, receive)
+            await self._refuse_for_memory(
+                request_head,
+                length,
+                channel,
+                arrived_at,
+                None if error.is_read else before_end,
             )
             return None
 
+    async def _refuse_for_memory(
+        self,
+        request_head: wire_lib.RequestHead,
+        body_bytes: int,
+        channel: caller_channel.CallerChannel,
+        arrived_at: float,
+        before_end: caller_channel.BeforeEnd | None,
+    ) -> None:
+        """Refuses a request whose body this router has no memory for.
+
+        Its head tells what its workspace asks for. One that is not allowed is
+        denied, as it would be later.
+        """
+        waited_s = self.clock.monotonic() - arrived_at
+        request = await self._build_request(
+            request_head, body_bytes, channel, arrived_at, waited_s, before_end
+        )
+        if request is None:
+            return
+        dispatcher = self.gateway.find_dispatcher(request.pool)
+        refused = dispatcher.refuse(request, decisions_lib.RefusalReason.MEMORY)
+        self.refusals.note(refused, is_late=not self.gateway.takes_callers)
+        self.metrics.count("request.refused")
+        await channel.respond(503, refused.retry_after_s, before_end)
+
     async def _deny(
         self,
         channel: caller_channel.CallerChannel,
         status: int,
         reason: str,
         version: int | None = None,
+        before_end: caller_channel.BeforeEnd | None = None,
     ) -> None:
         self.metrics.count(f"denied.{status}")
         self.log.write_request_event(
@@ -334,7 +358,7 @@
             why=reason,
             version=version,
         )
-        await channel.respond(status)
+        await channel.respond(status, before_end=before_end)
 
 
 def _compute_identity(
