Limit others by one law, whatever a workspace's router is short of

Whoever asked for less than 0.9 of the fair level was not compared, the limit was never below the guarantee (where that is beyond what the engines give, it never bound), and a pool whose guarantee is enough for all had none. Change: a workspace that asks for a and gets r lets the others have L with 1/r^2 = 1/a^2 + 1/L^2. So r is at least 0.7 of the smaller of a and L for any r, whatever kept it from getting more; a half is promised. The floor is half of the fair share of what the pool yields while nobody is limited, or the guarantee if the pool yields it. Replaced: test_level_is_infinite_while_all_get_what_they_ask_for asked for no limit while one workspace gets a tenth of what it asks for, if the guarantee is enough for all. It is now stated for workspaces that do get all, and test_limit_holds_where_targets_are_not_short is the opposite case.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
@@ -1,9 +1,21 @@
 """Limits on how far a workspace gets ahead of one that lacks service.
 
 What a workspace receives may be limited by the routers that its callers use,
-and not by the targets. Routers with time to spare would then fill the targets
-for other workspaces, however little it receives. So the service of each
-workspace is limited while another one lacks a part of its fair share.
+and not by the targets: by their processor time, their memory or their accept
+queues. Routers with room to spare would then fill the targets for other
+workspaces, however little it receives. So the service of the others is limited
+as well, whatever is short.
+
+A workspace that asks for `a` and receives `r` limits all others to the level
+`L` at which
+
+    1 / r^2 = 1 / a^2 + 1 / L^2
+
+so that it receives at least 1 / sqrt(2), or 0.7, of the smaller one of what it
+asks for and what any other one receives. The operators promise a half of that;
+the margin allows for the age of reports. The limit ends smoothly: it is about
+`r` for a workspace that receives little of what it asks for, and infinite for
+one that receives all.
 
 The limit applies to all routers together: each one begins the same fraction of
 the requests that come to it, so that they add up to the limit. A threshold on
@@ -16,32 +28,18 @@
 import random
 
 from lentilbeam_core import ids
-
-MAX_LEAD = 1.1
-"""Service that a workspace may receive, as a multiple of that of a workspace
-which lacks a part of its share, both relative to their fair shares."""
-LACKING_FRACTION = 0.85
-"""A workspace that receives at most this fraction of its fair share limits the
-others fully."""
-LARGEST_LEAD = 1.5
-"""The lead to which the limit rises before nobody lacks service any more."""
-MIN_FAIR_FRACTION = 0.9
-"""Workspaces that ask for less than this fraction of the largest fair share are
-not compared. They are preferred wherever they ask, and what they receive varies
-by a large part."""
-MIN_SHARE_FRACTION = 0.5
-"""The same, relative to the usual fair share."""
-SMOOTHING_S = 1.0
-"""Time constant, in seconds, of the smoothed fractions of fair shares. The sums
-of a workspace with few requests vary by a large part within a second."""
-USUAL_LEVEL_S = 10.0
-"""Time constant, in seconds, of the usual level."""
-MIN_LEVEL_FRACTION = 0.3
-"""Smallest level relative to the usual one. What the limit leaves unused lowers
-the fair level, by which the limit is computed."""
-LEAST_TOLERANCE = 1.05
-"""Workspaces lack most whose fractions of their fair shares are up to this
-multiple of the smallest one."""
+from lentilbeam_core.forwarding import max_min
+
+PROMISED_FRACTION = 0.5
+"""Fraction of its fair share that the operators promise to each workspace. The
+limit leaves every workspace this much, however little another one receives."""
+PROMISE_WINDOW_S = 6.0
+"""Time, in seconds, over which the operators compare services."""
+TOLERATED_REQUESTS = 3
+"""Number of the largest requests that a workspace may lack in that time."""
+YIELD_DECAY_S = 3.0
+"""Time constant, in seconds, with which the yield follows a pool that gives
+less than before."""
 MAX_CREDIT = 3.0
 """Largest number of requests of a workspace that a router begins in a row."""
 
@@ -52,26 +50,24 @@
     Attributes:
         level: the level, in the unit of what workspaces receive; infinite if
             no workspace lacks service.
-        fractions: for each workspace, what it receives relative to its fair
-            share, smoothed.
-        least_fraction: the smallest of them.
-        usual_level: fair level, smoothed over a longer time.
+        least_received: what the workspace receives that sets the level.
+        pool_yield: service that the targets give to all workspaces together
+            while nobody is limited.
         updated_at: when they were updated, monotonic seconds.
     """
 
     def __init__(self):
         self.level = math.inf
-        self.usual_level = 0.0
-        self.least_fraction = 1.0
-        self.fractions: dict[ids.WorkspaceId, float] = {}
+        self.least_received = 0.0
+        self.pool_yield = 0.0
         self.updated_at = -math.inf
 
     def update(
         self,
         asked: Mapping[ids.WorkspaceId, float],
         served: Mapping[ids.WorkspaceId, float],
-        fair_level: float,
-        guaranteed_level: float,
+        guaranteed: float,
+        tolerance: float,
         now: float,
     ) -> None:
         """Computes the level.
@@ -79,58 +75,37 @@
         Args:
             asked: what each workspace asks for.
             served: what each workspace receives, in the same unit, as for the
-                levels below.
-            fair_level: largest fair share; infinite if all get what they ask
-                for.
-            guaranteed_level: largest guaranteed share, which is not limited.
+                following amounts.
+            guaranteed: service that the operators guarantee to all workspaces
+                together.
+            tolerance: what a workspace may lack.
             now: monotonic seconds.
         """
-        elapsed_s = now - self.updated_at
-        weight = -math.expm1(-elapsed_s / SMOOTHING_S)
-        self.updated_at = now
-        if math.isinf(fair_level):
-            self.level = math.inf
-            return
-        self.usual_level += (fair_level - self.usual_level) * (
-            -math.expm1(-elapsed_s / USUAL_LEVEL_S)
-        )
-        least_asked = max(
-            fair_level * MIN_FAIR_FRACTION,
-            self.usual_level * MIN_SHARE_FRACTION,
-        )
-        fractions = {}
+        self._update_yield(asked, sum(served.values()), guaranteed, now)
+        floor = self._find_floor(asked, guaranteed)
+        level = math.inf
         for name, amount in asked.items():
-            if amount < least_asked:
+            if amount <= floor:
+                # What it is due does not depend on what is above the floor.
                 continue
-            share = min(amount, fair_level)
-            fraction = min(served.get(name, 0.0) / share, 1.0)
-            previous = self.fractions.get(name, fraction)
-            fractions[name] = previous + (fraction - previous) * weight
-        self.fractions = fractions
-        least = min(fractions.values(), default=1.0)
-        self.least_fraction = least
-        if least >= 1.0:
-            self.level = math.inf
-            return
-        # A limit that is there or not would be exceeded in turns.
-        satisfied = (least - LACKING_FRACTION) / (1.0 - LACKING_FRACTION)
-        lead = MAX_LEAD + (LARGEST_LEAD - MAX_LEAD) * max(satisfied, 0.0)
-        self.level = max(
-            lead * least * fair_level,
-            self.usual_level * MIN_LEVEL_FRACTION,
-            guaranteed_level,
-        )
-
-    def is_limited(self, workspace: ids.WorkspaceId, asked: float) -> bool:
-        """Whether a workspace that asks for an amount is limited.
-
-        Those that lack most aren't: as they set the level, it would fall with
-        what the limit leaves unused.
+            received = served.get(name, 0.0) + tolerance
+            found = find_level(amount, received)
+            if found < level:
+                level = found
+                self.least_received = received
+        self.level = max(level, floor)
+
+    def is_limited(self, asked: float, received: float) -> bool:
+        """Whether a workspace is limited.
+
+        One that receives no more than the one that sets the level is not: the
+        level would fall with what the limit leaves unused.
+
+        Args:
+            asked: what it asks for.
+            received: what it receives.
         """
-        if asked <= self.level:
-            return False
-        fraction = self.fractions.get(workspace, 1.0)
-        return fraction > self.least_fraction * LEAST_TOLERANCE
+        return asked > self.level and received > self.least_received
 
     def find_fraction(self, asked: float, received: float) -> float:
         """Returns which fraction of a limited workspace's requests may begin.
@@ -144,6 +119,51 @@
             fraction *= self.level / received
         return min(fraction, 1.0)
 
+    def _update_yield(
+        self,
+        asked: Mapping[ids.WorkspaceId, float],
+        received: float,
+        guaranteed: float,
+        now: float,
+    ) -> None:
+        """Follows what the targets give, which a limit leaves partly unused."""
+        if math.isinf(self.updated_at):
+            self.pool_yield = guaranteed
+        elif max(asked.values(), default=0.0) <= self.level:
+            elapsed_s = now - self.updated_at
+            weight = -math.expm1(-elapsed_s / YIELD_DECAY_S)
+            self.pool_yield += (received - self.pool_yield) * weight
+        self.pool_yield = max(self.pool_yield, received)
+        self.updated_at = now
+
+    def _find_floor(
+        self, asked: Mapping[ids.WorkspaceId, float], guaranteed: float
+    ) -> float:
+        """Returns the level below which nobody is limited.
+
+        A router that has come nearly to a halt must not stop the others.
+        """
+        amounts = list(asked.values())
+        most_asked = max(amounts, default=0.0)
+        share = max_min.compute_share(amounts, self.pool_yield)
+        floor = min(share, most_asked) * PROMISED_FRACTION
+        if guaranteed <= self.pool_yield:
+            share = max_min.compute_share(amounts, guaranteed)
+            floor = max(floor, min(share, most_asked))
+        return floor
+
+
+def find_level(asked: float, received: float) -> float:
+    """Returns the service up to which a workspace lets others be served.
+
+    Args:
+        asked: what it asks for.
+        received: what it receives, in the same unit.
+    """
+    if received >= asked:
+        return math.inf
+    return received / math.sqrt(1.0 - (received / asked) ** 2)
+
 
 class LeadLimits:
     """Decides which requests of limited workspaces a router may begin.
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -17,6 +17,8 @@
 from lentilbeam_core import messages
 from lentilbeam_core.forwarding import decayed
 from lentilbeam_core.forwarding import lead_limits
+from lentilbeam_core.forwarding import max_min
+from lentilbeam_core.forwarding import recent_max
 
 DECAY_FRACTION = 0.25
 """Time constant of the exponential decay, as a fraction of the quota window.
@@ -76,6 +78,8 @@
             refused ones included.
         read: decayed number of requests that this router received.
         unread: decayed number of callers that left before theirs was.
+        largest_cost: cost of the largest request that this router received
+            lately.
         count_waiting: returns the number of requests that wait to be read.
         peers: last report of each peer, and when it was received in
             monotonic seconds.
@@ -98,6 +102,7 @@
         self.asked: dict[ids.WorkspaceId, decayed.DecayingSum] = {}
         self.read = decayed.DecayingSum()
         self.unread = decayed.DecayingSum()
+        self.largest_cost = recent_max.RecentMax(lead_limits.PROMISE_WINDOW_S)
         self.count_waiting: Callable[[], int] = lambda: 0
         self.peers: dict[ids.InstanceId, tuple[float, _PeerUsage]] = {}
         self.guaranteed_level = math.inf
@@ -120,6 +125,7 @@
         asked = self.asked.setdefault(workspace, decayed.DecayingSum())
         asked.add(cost, now, self.decay_s)
         self.read.add(1.0, now, self.decay_s)
+        self.largest_cost.add(cost, now)
 
     def note_unread(self, now: float) -> None:
         """Records a caller that left before its request was read.
@@ -232,11 +238,10 @@
             return 1.0
         self._refresh_levels(guaranteed_per_s, now)
         asked = self.asked_totals.get(workspace, 0.0)
-        if not self.lead.is_limited(workspace, asked):
+        received = self.total_served(workspace, now)
+        if not self.lead.is_limited(asked, received):
             return 1.0
-        fraction = self.lead.find_fraction(
-            asked, self.total_served(workspace, now)
-        )
+        fraction = self.lead.find_fraction(asked, received)
         # Requests that are never read need no part of the limit.
         return min(fraction * self._find_unread_factor(now), 1.0)
 
@@ -298,31 +303,14 @@
         self.asked_totals = asked
         amounts = list(asked.values())
         self.levels_updated_at = now
-        self.guaranteed_level = compute_max_min_share(amounts, guaranteed)
-        self.fair_level = compute_max_min_share(
+        self.guaranteed_level = max_min.compute_share(amounts, guaranteed)
+        self.fair_level = max_min.compute_share(
             amounts, max(received, guaranteed)
         )
-        self.lead.update(
-            asked, served, self.fair_level, self.guaranteed_level, now
+        tolerance = (
+            lead_limits.TOLERATED_REQUESTS
+            * self.largest_cost.read(now)
+            * self.decay_s
+            / lead_limits.PROMISE_WINDOW_S
         )
-
-
-def compute_max_min_share(asked: list[float], capacity: float) -> float:
-    """Returns the max-min fair share of a capacity.
-
-    Args:
-        asked: amount that each workspace asks for.
-        capacity: amount to divide, in the same unit.
-
-    Returns:
-        The share of each workspace that asks for more than it; infinite if
-        the capacity is enough for all.
-    """
-    remaining = capacity
-    remaining_count = len(asked)
-    for amount in sorted(asked):
-        if amount * remaining_count > remaining:
-            return remaining / remaining_count
-        remaining -= amount
-        remaining_count -= 1
-    return math.inf
+        self.lead.update(asked, served, guaranteed, tolerance, now)
--- a/tests/forwarding/test_lead_limits.py
+++ b/tests/forwarding/test_lead_limits.py
@@ -1,8 +1,9 @@
 """Limits on how far a workspace gets ahead of one that lacks service."""
 
-import math
 import random
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from lentilbeam_core import messages
@@ -24,12 +25,16 @@
         served: what each workspace receives.
     """
     usage = shares.Usage(1.0)
-    uses = tuple(
+    usage.apply_report("peer", make_uses(**served), 0.0)
+    return usage
+
+
+def make_uses(**served):
+    """Returns the uses of workspaces that all ask for `ASKED`."""
+    return tuple(
         messages.WorkspaceUse(makers.POOL, name, amount, ASKED)
         for name, amount in served.items()
     )
-    usage.apply_report("peer", uses, 0.0)
-    return usage
 
 
 def find_fraction(usage, workspace):
@@ -124,7 +129,32 @@
     assert served == pytest.approx(0.0, abs=1.0)
 
 
-def test_level_is_infinite_while_all_get_what_they_ask_for():
-    level = lead_limits.LeadLevel()
-    level.update({"ashby": 10.0}, {"ashby": 1.0}, math.inf, math.inf, 0.0)
-    assert math.isinf(level.level)
+def test_nobody_is_limited_while_all_get_what_they_ask_for():
+    usage = make_usage(ashby=ASKED, birch=ASKED)
+    assert find_fraction(usage, "ashby") == 1.0
+    assert find_fraction(usage, "birch") == 1.0
+
+
+# Guards against FAIR where the targets have capacity for all: only the router
+# of one workspace is short, and the guarantee is enough for everybody.
+def test_limit_holds_where_targets_are_not_short():
+    usage = make_usage(ahead=ASKED, lacking=200.0)
+    fraction = usage.find_admitted_fraction("ahead", 10 * ASKED, 0.0)
+    assert fraction == 1.0
+    for second in range(1, 30):
+        usage.apply_report(
+            "peer", make_uses(ahead=ASKED, lacking=200.0), second
+        )
+        fraction = usage.find_admitted_fraction("ahead", 10 * ASKED, second)
+    assert ASKED * fraction <= ASKED / 2
+
+
+# Guards against FAIR: the promise, whatever a workspace receives of what it
+# asks for, must follow from the level alone.
+@hypothesis.given(strategies.floats(1.0, 1e6), strategies.floats(0.01, 0.99))
+@hypothesis.settings(derandomize=True)
+def test_level_leaves_each_workspace_what_is_promised(asked, fraction):
+    received = asked * fraction
+    level = lead_limits.find_level(asked, received)
+    promised = lead_limits.PROMISED_FRACTION * min(asked, level)
+    assert received >= promised * 1.4
--- a/tests/forwarding/test_shares.py
+++ b/tests/forwarding/test_shares.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lentilbeam_core import messages
+from lentilbeam_core.forwarding import max_min
 from lentilbeam_core.forwarding import shares
 
 BELOW_GUARANTEE = shares.ShareStatus.BELOW_GUARANTEE
@@ -14,13 +15,13 @@
 @hypothesis.given(AMOUNTS, strategies.floats(1.0, 1e6))
 @hypothesis.settings(derandomize=True)
 def test_max_min_share_uses_the_whole_capacity(asked, capacity):
-    level = shares.compute_max_min_share(asked, capacity)
+    level = max_min.compute_share(asked, capacity)
     allotted = sum(min(amount, level) for amount in asked)
     assert allotted == pytest.approx(min(capacity, sum(asked)))
 
 
 def test_max_min_share_is_unlimited_if_the_capacity_suffices():
-    assert shares.compute_max_min_share([10.0, 20.0], 30.0) == float("inf")
+    assert max_min.compute_share([10.0, 20.0], 30.0) == float("inf")
 
 
 def test_only_the_flooding_workspace_exceeds_its_guarantee():
