Share what a router is short of among those who ask there

Cause: the status in the fleet decided who may wait at one router. Where nearly all of its callers are of one workspace, sparing them only keeps each of them waiting behind the others. Change: a workspace that has its max-min share of what a router begins counts as having had its share when that router is short. Its status in the fleet still orders the engines.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -238,11 +238,15 @@
     def has_had_fair_share(
         self, workspace: ids.WorkspaceId, now: float
     ) -> bool:
-        """Whether a workspace received at least about its fair share lately."""
+        """Whether a workspace received at least about its fair share lately.
+
+        That is its share of the targets or of this router. A router that is
+        short itself gains nothing by keeping the others waiting at it.
+        """
         return self._find_share_status(workspace, now) in (
             shares.ShareStatus.AT_FAIR_SHARE,
             shares.ShareStatus.ABOVE_FAIR_SHARE,
-        )
+        ) or self.usage.has_had_router_share(workspace, now)
 
     def withdraw(self, request_id: str) -> None:
         """Removes a request whose caller has disconnected, if it is queued."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -49,6 +49,10 @@
 most. Without this status, a workspace would be preferred until it has little
 more than the half that is guaranteed, and no longer."""
 
+ROUTER_SHARE_FRACTION = 0.99
+"""A workspace counts as having received its fair share of a router if it
+received this fraction of it; less than 1 for errors of rounding only."""
+
 MAX_UNREAD_FACTOR = 4.0
 """Largest factor by which callers that were not read raise what a workspace has
 asked for. Some of them come several times."""
@@ -222,6 +226,27 @@
             return ShareStatus.AT_FAIR_SHARE
         return ShareStatus.ABOVE_FAIR_SHARE
 
+    def has_had_router_share(
+        self, workspace: ids.WorkspaceId, now: float
+    ) -> bool:
+        """Whether a workspace received its fair share of this router lately.
+
+        What this router begins is divided among those who ask here, so one that
+        has most of it has its share, however little it is of the fleet's.
+
+        Args:
+            workspace: the workspace.
+            now: monotonic seconds.
+        """
+        served = {
+            name: own.read(now, self.decay_s)
+            for name, own in self.served.items()
+        }
+        asked = [own.read(now, self.decay_s) for own in self.asked.values()]
+        share = max_min.compute_share(asked, sum(served.values()))
+        received = served.get(workspace, 0.0)
+        return 0.0 < received >= share * ROUTER_SHARE_FRACTION
+
     def find_admitted_fraction(
         self, workspace: ids.WorkspaceId, guaranteed_per_s: float, now: float
     ) -> float:
--- a/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway_gauges.py
+++ b/packages/lentilbeam-router/src/lentilbeam_router/forwarding/gateway_gauges.py
@@ -1,7 +1,10 @@
 """Gauges of a forwarding router."""
 
+import math
 from typing import Any
 
+from lentilbeam_router.forwarding import dispatcher as dispatcher_lib
+
 
 def read(gateway: Any) -> dict[str, float]:
     """Returns the current gauge values by name.
@@ -53,6 +56,17 @@
         **gateway.evacuations.read_gauges(),
     }
     for name, dispatcher in gateway.dispatchers.items():
-        for key, value in dispatcher.read_gauges(now).items():
+        pool_gauges = dispatcher.read_gauges(now) | _read_shares(dispatcher)
+        for key, value in pool_gauges.items():
             gauges[f"pool_{name}_{key}"] = value
     return gauges
+
+
+def _read_shares(dispatcher: dispatcher_lib.Dispatcher) -> dict[str, float]:
+    """Returns what limits workspaces; a level of 0 stands for no limit."""
+    lead = dispatcher.usage.lead
+    return {
+        "lead_level": 0.0 if math.isinf(lead.level) else lead.level,
+        "yield": lead.pool_yield,
+        "most_served": dispatcher.usage.most_served,
+    }
--- a/tests/forwarding/test_shares.py
+++ b/tests/forwarding/test_shares.py
@@ -141,3 +141,23 @@
         )
     }
     assert preferred == {"one_router"}
+
+
+# Guards against callers that wait for a busy router until their deadline: their
+# workspace has most of the router, and counts as owed since others have more.
+def test_router_share_is_of_what_the_router_itself_begins():
+    usage = shares.Usage(1.0)
+    usage.note_asked("large", 1000.0, 0.0)
+    usage.note_served("large", 500.0, 0.0)
+    usage.note_asked("small", 100.0, 0.0)
+    usage.note_served("small", 20.0, 0.0)
+    other = messages.WorkspaceUse("pool", "other", 5000.0, 9000.0)
+    usage.apply_report("peer", (other,), 0.0)
+    assert usage.has_had_router_share("large", 0.0)
+    assert not usage.has_had_router_share("small", 0.0)
+
+
+def test_nobody_has_had_a_share_of_a_router_that_begins_nothing():
+    usage = shares.Usage(1.0)
+    usage.note_asked("large", 1000.0, 0.0)
+    assert not usage.has_had_router_share("large", 0.0)
