Leave others more where a workspace lacks service: exponent 1.5

Change: n = 1.5, which leaves each workspace 0.63 of the smaller of what it asks for and what any other one gets (0.71 with 2); a half is promised.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
@@ -7,11 +7,11 @@
 as well, whatever is short.
 
 A workspace that asks for `a` and receives `r` limits all others to the level
-`L` at which
+`L` at which, with n = 1.5,
 
-    1 / r^2 = 1 / a^2 + 1 / L^2
+    1 / r^n = 1 / a^n + 1 / L^n
 
-so that it receives at least 1 / sqrt(2), or 0.7, of the smaller one of what it
+so that it receives at least 2^(-1/n), or 0.63, of the smaller one of what it
 asks for and what any other one receives. The operators promise a half of that;
 the margin allows for the age of reports. The limit ends smoothly: it is about
 `r` for a workspace that receives little of what it asks for, and infinite for
@@ -30,6 +30,8 @@
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import max_min
 
+LEVEL_EXPONENT = 1.5
+"""The exponent n above. With 1 the promise would have no margin."""
 PROMISED_FRACTION = 0.5
 """Fraction of its fair share that the operators promise to each workspace. The
 limit leaves every workspace this much, however little another one receives."""
@@ -162,7 +164,8 @@
     """
     if received >= asked:
         return math.inf
-    return received / math.sqrt(1.0 - (received / asked) ** 2)
+    lacking = 1.0 - (received / asked) ** LEVEL_EXPONENT
+    return received * lacking ** (-1.0 / LEVEL_EXPONENT)
 
 
 class LeadLimits:
