Compute a router's share with the other levels

Cause: a busy router added up what all workspaces asked for at each refusal, which grows with their number. Pools without a guarantee have none, as before the router shares.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/admission.py
@@ -246,7 +246,9 @@
         return self._find_share_status(workspace, now) in (
             shares.ShareStatus.AT_FAIR_SHARE,
             shares.ShareStatus.ABOVE_FAIR_SHARE,
-        ) or self.usage.has_had_router_share(workspace, now)
+        ) or self.usage.has_had_router_share(
+            workspace, self.guaranteed_per_s, now
+        )
 
     def withdraw(self, request_id: str) -> None:
         """Removes a request whose caller has disconnected, if it is queued."""
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
@@ -12,10 +12,10 @@
     1 / r^n = 1 / a^n + 1 / L^n
 
 so that it receives at least 2^(-1/n), or 0.63, of the smaller one of what it
-asks for and what any other one receives. The operators promise a half of that;
-the margin allows for the age of reports. The limit ends smoothly: it is about
-`r` for a workspace that receives little of what it asks for, and infinite for
-one that receives all.
+asks for and what any other one receives. The operators promise a half; the
+margin allows for the age of reports. The limit ends smoothly: it is about `r`
+for a workspace that receives little of what it asks for, and infinite for one
+that receives all.
 
 The limit applies to all routers together: each one begins the same fraction of
 the requests that come to it, so that they add up to the limit. A threshold on
@@ -130,6 +130,7 @@
     ) -> None:
         """Follows what the targets give, which a limit leaves partly unused."""
         if math.isinf(self.updated_at):
+            # Until it was seen, the pool is taken to give what is guaranteed.
             self.pool_yield = guaranteed
         elif max(asked.values(), default=0.0) <= self.level:
             elapsed_s = now - self.updated_at
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -93,6 +93,8 @@
         fair_level: fair share of the service that was actually given, or of
             the guaranteed capacity if that is larger; infinite if that is
             enough for all.
+        router_level: fair share of the service from this router; infinite if
+            all get what they ask for here.
         lead: service up to which each workspace may be served while another
             one lacks service.
         most_served: service received by the workspace that received most.
@@ -111,6 +113,7 @@
         self.peers: dict[ids.InstanceId, tuple[float, _PeerUsage]] = {}
         self.guaranteed_level = math.inf
         self.fair_level = math.inf
+        self.router_level = math.inf
         self.lead = lead_limits.LeadLevel()
         self.most_served = 0.0
         self.asked_totals: dict[ids.WorkspaceId, float] = {}
@@ -227,7 +230,7 @@
         return ShareStatus.ABOVE_FAIR_SHARE
 
     def has_had_router_share(
-        self, workspace: ids.WorkspaceId, now: float
+        self, workspace: ids.WorkspaceId, guaranteed_per_s: float, now: float
     ) -> bool:
         """Whether a workspace received its fair share of this router lately.
 
@@ -236,16 +239,16 @@
 
         Args:
             workspace: the workspace.
+            guaranteed_per_s: see `find_share_status`. If it is unknown, nobody
+                counts as having received a share.
             now: monotonic seconds.
         """
-        served = {
-            name: own.read(now, self.decay_s)
-            for name, own in self.served.items()
-        }
-        asked = [own.read(now, self.decay_s) for own in self.asked.values()]
-        share = max_min.compute_share(asked, sum(served.values()))
-        received = served.get(workspace, 0.0)
-        return 0.0 < received >= share * ROUTER_SHARE_FRACTION
+        own = self.served.get(workspace)
+        if guaranteed_per_s <= 0 or own is None:
+            return False
+        self._refresh_levels(guaranteed_per_s, now)
+        received = own.read(now, self.decay_s)
+        return 0.0 < received >= self.router_level * ROUTER_SHARE_FRACTION
 
     def find_admitted_fraction(
         self, workspace: ids.WorkspaceId, guaranteed_per_s: float, now: float
@@ -313,6 +316,9 @@
             asked[workspace] = own.read(now, self.decay_s) * unread_factor
         for workspace, own in self.served.items():
             served[workspace] = own.read(now, self.decay_s)
+        self.router_level = max_min.compute_share(
+            list(asked.values()), sum(served.values())
+        )
         for received_at, uses in self.peers.values():
             age_s = now - received_at
             if age_s >= PEER_USAGE_MAX_AGE_S:
--- a/tests/forwarding/test_shares.py
+++ b/tests/forwarding/test_shares.py
@@ -153,11 +153,11 @@
     usage.note_served("small", 20.0, 0.0)
     other = messages.WorkspaceUse("pool", "other", 5000.0, 9000.0)
     usage.apply_report("peer", (other,), 0.0)
-    assert usage.has_had_router_share("large", 0.0)
-    assert not usage.has_had_router_share("small", 0.0)
+    assert usage.has_had_router_share("large", 1.0, 0.0)
+    assert not usage.has_had_router_share("small", 1.0, 0.0)
 
 
 def test_nobody_has_had_a_share_of_a_router_that_begins_nothing():
     usage = shares.Usage(1.0)
     usage.note_asked("large", 1000.0, 0.0)
-    assert not usage.has_had_router_share("large", 0.0)
+    assert not usage.has_had_router_share("large", 1.0, 0.0)
