Return to the exponent 2 of the limit on others

Change: n = 2 again, which leaves each workspace 0.71 of the smaller of what it asks for and what any other one gets.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
@@ -7,11 +7,11 @@
 as well, whatever is short.
 
 A workspace that asks for `a` and receives `r` limits all others to the level
-`L` at which, with n = 1.5,
+`L` at which, with n = 2,
 
     1 / r^n = 1 / a^n + 1 / L^n
 
-so that it receives at least 2^(-1/n), or 0.63, of the smaller one of what it
+so that it receives at least 2^(-1/n), or 0.71, of the smaller one of what it
 asks for and what any other one receives. The operators promise a half; the
 margin allows for the age of reports. The limit ends smoothly: it is about `r`
 for a workspace that receives little of what it asks for, and infinite for one
@@ -30,7 +30,7 @@
 from lentilbeam_core import ids
 from lentilbeam_core.forwarding import max_min
 
-LEVEL_EXPONENT = 1.5
+LEVEL_EXPONENT = 2.0
 """The exponent n above. With 1 the promise would have no margin."""
 PROMISED_FRACTION = 0.5
 """Fraction of its fair share that the operators promise to each workspace. The
