Compute the guaranteed level once

The floor of the limit on others divided the guarantee among the workspaces again, ten times a second, although Usage had just done so. It gets that level. Behaviour is the same: test_promised_share, test_busy_fleet, test_lead_limits, test_shares, test_admission as before. The whole suite was not run again.

--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/lead_limits.py
@@ -69,6 +69,7 @@
         asked: Mapping[ids.WorkspaceId, float],
         served: Mapping[ids.WorkspaceId, float],
         guaranteed: float,
+        guaranteed_level: float,
         tolerance: float,
         now: float,
     ) -> None:
@@ -80,11 +81,13 @@
                 following amounts.
             guaranteed: service that the operators guarantee to all workspaces
                 together.
+            guaranteed_level: max-min fair share of it; infinite if it is
+                enough for all.
             tolerance: what a workspace may lack.
             now: monotonic seconds.
         """
         self._update_yield(asked, sum(served.values()), guaranteed, now)
-        floor = self._find_floor(asked, guaranteed)
+        floor = self._find_floor(asked, guaranteed, guaranteed_level)
         level = math.inf
         for name, amount in asked.items():
             if amount <= floor:
@@ -140,7 +143,10 @@
         self.updated_at = now
 
     def _find_floor(
-        self, asked: Mapping[ids.WorkspaceId, float], guaranteed: float
+        self,
+        asked: Mapping[ids.WorkspaceId, float],
+        guaranteed: float,
+        guaranteed_level: float,
     ) -> float:
         """Returns the level below which nobody is limited.
 
@@ -151,8 +157,7 @@
         share = max_min.compute_share(amounts, self.pool_yield)
         floor = min(share, most_asked) * PROMISED_FRACTION
         if guaranteed <= self.pool_yield:
-            share = max_min.compute_share(amounts, guaranteed)
-            floor = max(floor, min(share, most_asked))
+            floor = max(floor, min(guaranteed_level, most_asked))
         return floor
 
 
--- a/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
+++ b/packages/lentilbeam-core/src/lentilbeam_core/forwarding/shares.py
@@ -344,4 +344,6 @@
             * self.decay_s
             / lead_limits.PROMISE_WINDOW_S
         )
-        self.lead.update(asked, served, guaranteed, tolerance, now)
+        self.lead.update(
+            asked, served, guaranteed, self.guaranteed_level, tolerance, now
+        )
