Tests: use what the suite already has

test_counted_demand takes the spent budget of test_memory, test_promised_share the fleet of test_busy_fleet, and the peak memory of a process is read in one place.

--- a/tests/forwarding/platform_world.py
+++ b/tests/forwarding/platform_world.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -29,6 +30,13 @@
 TARGET_SLOTS = 30
 NS_PER_MS = 1_000_000
 _REQUEST_NUMBERS = itertools.count(1)
+_PEAK_MEMORY = re.compile(r"VmHWM:\s+(\d+) kB")
+
+
+def read_peak_memory(pid: int) -> int:
+    """Returns the largest resident size of a process so far, in bytes."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(_PEAK_MEMORY.search(status)[1]) * 1024
 
 
 def _compute_loopback_ip(number: int) -> str:
--- a/tests/forwarding/test_counted_demand.py
+++ b/tests/forwarding/test_counted_demand.py
@@ -7,11 +7,11 @@
 
 import json
 
-from lentilbeam_core.forwarding import memory_budget
 from tests.forwarding import fake_target
 from tests.forwarding import makers
 from tests.forwarding import test_accept_control
 from tests.forwarding import test_forwarding
+from tests.forwarding import test_memory
 
 TOKENS = "500,900"
 COST = 500 + 2 * 900
@@ -22,9 +22,7 @@
     """Returns what was asked for after a refusal for memory, and the log."""
 
     async def scenario(router, targets):
-        budget = memory_budget.MemoryBudget(200_000_000)
-        budget.add(budget.limit_bytes - 1_000_000)
-        router.gateway.memory = budget
+        router.gateway.memory = test_memory.make_spent_budget()
         response = await router.call(body=BODY, token_count=TOKENS, **headers)
         assert response.status == 503
         now = router.dispatcher.clock.monotonic()
@@ -54,9 +52,7 @@
 # Guards against a request that is not allowed and told to come back.
 def test_denied_request_is_not_refused_for_memory():
     async def scenario(router, targets):
-        budget = memory_budget.MemoryBudget(200_000_000)
-        budget.add(budget.limit_bytes - 1_000_000)
-        router.gateway.memory = budget
+        router.gateway.memory = test_memory.make_spent_budget()
         return await router.call(body=BODY, api_key="unknown")
 
     script = fake_target.make_script()
--- a/tests/forwarding/test_process_memory.py
+++ b/tests/forwarding/test_process_memory.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import pathlib
-import re
 
 from tests.forwarding import platform_world
 
@@ -15,7 +14,6 @@
 BODY_BYTES = 12_000
 """Usual size of the longest kind of request."""
 RUN_S = 4.0
-_PEAK_MEMORY = re.compile(r"VmHWM:\s+(\d+) kB")
 
 
 async def send(address: str, number: int) -> bytes:
@@ -33,12 +31,6 @@
     return status
 
 
-def read_peak_memory(pid: int) -> int:
-    """Returns the largest resident size of a process so far, in bytes."""
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    return int(_PEAK_MEMORY.search(status)[1]) * 1024
-
-
 # Guards against FAIR: a router refuses most requests of a workspace for memory
 # of which its process takes less than a half.
 def test_router_holds_what_its_memory_allows(tmp_path):
@@ -50,7 +42,9 @@
             front = world.routers["router-1"]["front"]
             calls = [send(front, number) for number in range(CALLERS)]
             await asyncio.gather(*calls)
-            peak_bytes = read_peak_memory(world.processes["router-1"].pid)
+            peak_bytes = platform_world.read_peak_memory(
+                world.processes["router-1"].pid
+            )
             return world.read_log("router-1"), peak_bytes
         finally:
             await world.stop()
--- a/tests/forwarding/test_promised_share.py
+++ b/tests/forwarding/test_promised_share.py
@@ -13,12 +13,9 @@
 
 from bench.overload import busy_fleet
 from bench.overload import fleet as fleet_lib
-from bench.overload import patterns
-from bench.overload import policies
 from bench.overload import report
+from tests.forwarding import test_busy_fleet
 
-PATTERNS = {pattern.name: pattern for pattern in patterns.PATTERNS}
-POLICIES = {policy.name: policy for policy in policies.POLICIES}
 PROMISED_FRACTION = 0.5
 WHOLE_CORE = 1.0
 HALF_CORE = 0.5
@@ -58,17 +55,14 @@
 @functools.cache
 def simulate(name: str, seed: int) -> list[fleet_lib.Outcome]:
     shortage = SHORTAGES[name]
-    size = fleet_lib.FleetSize(
-        routers=34,
-        engines=9,
-        slots=16,
+    size = dataclasses.replace(
+        test_busy_fleet.SIZE,
         load=shortage.load,
-        report_interval_s=0.3,
         guaranteed_fraction=shortage.guaranteed_fraction,
     )
     fleet = busy_fleet.BusyFleet(
-        PATTERNS[shortage.pattern],
-        POLICIES["shipped"],
+        test_busy_fleet.PATTERNS[shortage.pattern],
+        test_busy_fleet.POLICIES["shipped"],
         size,
         shortage.core_share,
         seed,
--- a/tests/forwarding/test_unlimited_callers.py
+++ b/tests/forwarding/test_unlimited_callers.py
@@ -12,7 +12,6 @@
 import itertools
 import os
 import pathlib
-import re
 import resource
 import socket
 
@@ -37,7 +36,6 @@
     f"api-key: {platform_world.API_KEY}\r\n"
 )
 GET = HEAD.replace("POST", "GET")
-_PEAK_MEMORY = re.compile(r"VmHWM:\s+(\d+) kB")
 
 
 def repeat(begin: str, rest: str) -> Iterator[bytes]:
@@ -153,8 +151,8 @@
 def check_process(router) -> None:
     """Checks that the process lives within its limits."""
     assert router.poll() is None
-    status = pathlib.Path(f"/proc/{router.pid}/status").read_text()
-    assert int(_PEAK_MEMORY.search(status)[1]) * 1024 < MEMORY_MB * 1_000_000
+    peak_bytes = platform_world.read_peak_memory(router.pid)
+    assert peak_bytes < MEMORY_MB * 1_000_000
     assert len(os.listdir(f"/proc/{router.pid}/fd")) <= MAX_FDS
 
 
