--- a/review/standins-2/memory.py
+++ b/review/standins-2/memory.py
@@ -37,6 +37,7 @@
         world: the routers.
         limit_mb: memory of a machine.
         ends: how often the process of each router has ended.
+        broken: set once the rule is broken.
         peaks_mb: largest memory of each router that was seen.
         tasks: one for each router.
     """
@@ -45,6 +46,7 @@
         self.world = world
         self.limit_mb = limit_mb
         self.ends: dict[str, int] = {}
+        self.broken = asyncio.Event()
         self.peaks_mb: dict[str, float] = {}
         self.tasks = [
             asyncio.create_task(self._watch(router)) for router in world.fronts
@@ -79,6 +81,8 @@
             process.kill()
             process.wait()
             self.ends[router] = self.ends.get(router, 0) + 1
+            if self.is_broken:
+                self.broken.set()
             self.world.record.write(
                 f"{router} ended by itself with status {code}"
                 if code is not None
