--- a/review/standins-2/memory.py
+++ b/review/standins-2/memory.py
@@ -1,6 +1,7 @@
 """The platform's part in a process that exceeds its memory."""
 
 import asyncio
+import contextlib
 import pathlib
 import re
 
@@ -90,6 +91,7 @@
             )
             await asyncio.sleep(RESTART_S)
             self.world.restart_router(router)
-            await self.world.wait(
-                lambda: self.world.is_ready(router), f"{router}, restarted"
-            )
+            with contextlib.suppress(world_lib.WorldError):
+                await self.world.wait(
+                    lambda: self.world.is_ready(router), router
+                )
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -16,6 +16,8 @@
 import tempfile
 import time
 import tomllib
+import traceback
+import types
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -349,11 +351,14 @@
 def run_case(folder: pathlib.Path, play: Any) -> None:
     """Plays a case and exits: 1 if the rule was broken, 0 if it held.
 
+    The status is 2 if the case could not run, whatever the reason.
+
     Args:
         folder: folder of the case, for its record.
         play: coroutine function that takes a `World` and returns whether the
             rule was broken.
     """
+    sys.excepthook = _exit_as_not_run
     record = Record(folder)
     record.write(f"TROUBLE={int(is_in_trouble())}")
     world = World(record)
@@ -366,3 +371,14 @@
         world.stop()
     record.write("the rule was broken" if is_broken else "the rule held")
     sys.exit(1 if is_broken else 0)
+
+
+def _exit_as_not_run(
+    kind: type[BaseException],
+    error: BaseException,
+    trace: types.TracebackType | None,
+) -> None:
+    """Ends the case after an exception that nothing has caught."""
+    traceback.print_exception(kind, error, trace)
+    sys.stderr.flush()
+    os._exit(2)
